--- /dev/null
+++ b/baobabgap/configuration/__init__.py
@@ -0,0 +1,19 @@
+"""The configuration that change tickets set."""
+
+from baobabgap.configuration._model import Configuration
+from baobabgap.configuration._model import OrderPolicy
+from baobabgap.configuration._model import PlacementPolicy
+from baobabgap.configuration._model import Policy
+from baobabgap.configuration._model import TeamQuota
+from baobabgap.configuration._model import UpstreamLimit
+from baobabgap.configuration._model import validate_state
+
+__all__ = [
+    'Configuration',
+    'OrderPolicy',
+    'PlacementPolicy',
+    'Policy',
+    'TeamQuota',
+    'UpstreamLimit',
+    'validate_state',
+]
--- /dev/null
+++ b/baobabgap/messages/_codec.py
@@ -0,0 +1,89 @@
+"""Messages to bytes and back: CBOR frames of typed messages.
+
+A frame is a CBOR array of messages; each message is an array of the
+name of its data class and a map of its fields. Several messages travel
+in one frame whenever they were waiting together.
+"""
+
+from collections.abc import Sequence
+from typing import Any
+from typing import Final
+
+import cbor2
+from pydantic import TypeAdapter
+from pydantic import ValidationError
+
+from baobabgap._exceptions import ProtocolMismatch
+
+PROTOCOL_VERSION: Final = 1
+MAXIMUM_FRAME_BYTES: Final = 32 * 1024 * 1024
+
+_class_by_name: Final[dict[str, type]] = {}
+_adapter_by_class: Final[dict[type, TypeAdapter[Any]]] = {}
+
+
+def register(*message_classes: type) -> None:
+    """Make data classes known to the codec under their own names."""
+    for message_class in message_classes:
+        _class_by_name[message_class.__name__] = message_class
+
+
+def _adapter(message_class: type) -> TypeAdapter[Any]:
+    """Build the adapter at first use and keep it."""
+    adapter = _adapter_by_class.get(message_class)
+    if adapter is None:
+        adapter = TypeAdapter(message_class)
+        _adapter_by_class[message_class] = adapter
+    return adapter
+
+
+def encode(messages: Sequence[object]) -> bytes:
+    """Pack messages into one frame."""
+    return cbor2.dumps(
+        [
+            [
+                type(message).__name__,
+                _adapter(type(message)).dump_python(message),
+            ]
+            for message in messages
+        ]
+    )
+
+
+def decode(frame: bytes, *, peer: str) -> list[Any]:
+    """Unpack a frame; raise `ProtocolMismatch` for anything unknown."""
+    try:
+        pairs = cbor2.loads(frame)
+    except Exception as error:
+        raise ProtocolMismatch(
+            f'{len(frame)} bytes that are no CBOR: {error}',
+            step='decode',
+            peer=peer,
+        ) from error
+    if not isinstance(pairs, list):
+        raise ProtocolMismatch(
+            'a frame must be an array', step='decode', peer=peer
+        )
+    return [_decode_one(pair, peer) for pair in pairs]
+
+
+def _decode_one(pair: object, peer: str) -> Any:
+    match pair:
+        case [str(name), dict(fields)] if name in _class_by_name:
+            pass
+        case [str(name), _]:
+            raise ProtocolMismatch(
+                f'unknown message {name[:80]!r}', step='decode', peer=peer
+            )
+        case _:
+            raise ProtocolMismatch(
+                'a message must be [name, fields]', step='decode', peer=peer
+            )
+    try:
+        return _adapter(_class_by_name[name]).validate_python(fields)
+    except ValidationError as error:
+        details = error.errors(include_url=False, include_input=False)
+        place = '.'.join(str(part) for part in details[0]['loc'])
+        raise ProtocolMismatch(
+            f'{name}.{place}: {details[0]["msg"]}', step='decode', peer=peer
+        ) from error
--- /dev/null
+++ b/baobabgap/messages/tests/test_codec.py
@@ -0,0 +1,49 @@
+"""Tests of the codec: round trips, and bytes that are no messages."""
+
+import unittest
+
+import cbor2
+
+from baobabgap import ProtocolMismatch
+from baobabgap.jobs import TaskSize
+from baobabgap.messages import decode
+from baobabgap.messages import encode
+from baobabgap.messages import PlaceTasks
+from baobabgap.messages import SlotGrant
+from baobabgap.messages import TaskPlacement
+
+
+class TestCodec(unittest.TestCase):
+    """Whatever arrives is either a typed message or a clear error."""
+
+    def test_round_trip(self) -> None:
+        placed = PlaceTasks(
+            job='kurek.1.a',
+            owner_incarnation='i',
+            epoch=3,
+            deadline_ms=900,
+            tasks=(
+                TaskPlacement('t', 'seat', {'crew': [1, 2]}, TaskSize(1.5)),
+            ),
+        )
+        messages = [placed, SlotGrant(1, 2)]
+        self.assertEqual(messages, decode(encode(messages), peer='p'))
+
+    def test_bad_frames(self) -> None:
+        cases = {
+            'no cbor': b'\xff\xff\xff',
+            'empty': b'',
+            'no array': cbor2.dumps({'a': 1}),
+            'no pair': cbor2.dumps([1]),
+            'unknown name': cbor2.dumps([['Nothing', {}]]),
+            'missing field': cbor2.dumps([['SlotGrant', {'epoch': 1}]]),
+            'wrong type': cbor2.dumps(
+                [['SlotGrant', {'epoch': 'x', 'tokens': 1}]]
+            ),
+        }
+        for name, frame in cases.items():
+            with self.subTest(name):
+                with self.assertRaises(ProtocolMismatch) as caught:
+                    decode(frame, peer='agent-7')
+                self.assertEqual('agent-7', caught.exception.peer)
+                self.assertEqual('decode', caught.exception.step)
--- /dev/null
+++ b/baobabgap/settings/_agent.py
@@ -0,0 +1,21 @@
+"""Settings of the agent role."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from pydantic import ConfigDict
+from pydantic import Field
+
+
+@dataclass(frozen=True, slots=True)
+class AgentSettings:
+    """How an agent looks after its upstream."""
+
+    __pydantic_config__ = ConfigDict(extra='forbid')
+
+    # Seconds between checks that the upstream's application is alive.
+    upstream_check_s: Annotated[float, Field(gt=0, le=10)] = 0.5
+    # Seconds without a good check after which the upstream is silent.
+    upstream_silence_s: Annotated[float, Field(gt=0, le=60)] = 2.0
+    # Failures in a row after which the upstream gets no new tasks.
+    failures_before_ejection: Annotated[int, Field(ge=1)] = 5
--- /dev/null
+++ b/baobabgap/settings/_entry.py
@@ -0,0 +1,26 @@
+"""Settings of the entry role."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from pydantic import ConfigDict
+from pydantic import Field
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """How an entry serves callers."""
+
+    __pydantic_config__ = ConfigDict(extra='forbid')
+
+    # Requests that may wait for their answer at once.
+    http_threads: Annotated[int, Field(ge=4, le=4096)] = 256
+    # The largest accepted request body, in bytes.
+    largest_body_bytes: Annotated[int, Field(ge=1024)] = 8 * 1024 * 1024
+    # Ended jobs whose answers are kept for resubmissions.
+    kept_answers: Annotated[int, Field(ge=0)] = 20_000
+    # Seconds between the balancer's check turning red and the last
+    # accepted job of a planned stop.
+    drain_grace_s: Annotated[float, Field(ge=0, le=600)] = 2.0
+    # Seconds after which a planned stop gives up on work in progress.
+    drain_limit_s: Annotated[float, Field(gt=0, le=3600)] = 60.0
--- /dev/null
+++ b/baobabgap/settings/_model.py
@@ -0,0 +1,104 @@
+"""The settings of a process: what the YAML file may say."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Annotated
+from typing import Final
+
+from pydantic import ConfigDict
+from pydantic import Field
+
+from baobabgap.settings._agent import AgentSettings
+from baobabgap.settings._control import ControlSettings
+from baobabgap.settings._entry import EntrySettings
+from baobabgap.settings._standin import StandInSettings
+
+STRICT: Final = ConfigDict(extra='forbid')
+
+Port = Annotated[int, Field(ge=0, le=65535)]
+Name = Annotated[str, Field(pattern=r'^[a-z][a-z0-9-]{0,39}$')]
+
+
+class Role(StrEnum):
+    """What a process does."""
+
+    ENTRY = 'entry'
+    AGENT = 'agent'
+    CONTROL = 'control'
+    # All three and a stand-in upstream, for a first look.
+    STANDALONE = 'standalone'
+    # A pretend upstream for demonstrations and tests.
+    STAND_IN = 'stand-in'
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where the process stands."""
+
+    __pydantic_config__ = STRICT
+
+    region: Name = 'local'
+    availability_zone: Name = 'local-a'
+    rack: Name = 'rack-1'
+
+
+@dataclass(frozen=True, slots=True)
+class Listen:
+    """The addresses that the process listens on."""
+
+    __pydantic_config__ = STRICT
+
+    # An IP number.
+    host: str = '127.0.0.1'
+    # For links between the system's processes.
+    internal_port: Port = 0
+    # For callers, upstreams, the balancer and operators.
+    http_port: Port = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ControlHost:
+    """One member of the control group as it is first started."""
+
+    __pydantic_config__ = STRICT
+
+    name: Name
+    host: str
+    port: Port
+
+    @property
+    def address(self) -> str:
+        """The host and port for internal links."""
+        return f'{self.host}:{self.port}'
+
+
+@dataclass(frozen=True, slots=True)
+class Links:
+    """Timing of the links between processes."""
+
+    __pydantic_config__ = STRICT
+
+    # Seconds between heartbeats on an idle link.
+    heartbeat_s: Annotated[float, Field(gt=0, le=10)] = 0.5
+    # Seconds of silence after which a link is given up.
+    silence_s: Annotated[float, Field(gt=0, le=60)] = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """All settings of one process; read them with `load_settings`."""
+
+    __pydantic_config__ = STRICT
+
+    role: Role
+    name: Name
+    place: Place = Place()
+    listen: Listen = Listen()
+    control_hosts: tuple[ControlHost, ...] = ()
+    links: Links = Links()
+    # JSON lines are appended here; standard error if empty.
+    log_file: str = ''
+    entry: EntrySettings = EntrySettings()
+    agent: AgentSettings = AgentSettings()
+    control: ControlSettings = ControlSettings()
+    stand_in: StandInSettings = StandInSettings()
--- /dev/null
+++ b/baobabgap/telemetry/_logs.py
@@ -0,0 +1,28 @@
+"""Structured logs: one JSON line per event, written by eliot."""
+
+import sys
+from typing import Any
+
+from eliot import add_destinations
+from eliot import add_global_fields
+from eliot import FileDestination
+from eliot import log_message
+
+
+def start_logging(log_file: str, process: str, role: str) -> None:
+    """Send all log messages of this process to a file or standard error.
+
+    Every line names the process, so that the lines of several files can
+    be merged into one time line.
+    """
+    add_global_fields(process=process, role=role)
+    if log_file:
+        stream: Any = open(log_file, 'ab', buffering=0)
+    else:
+        stream = sys.stderr
+    add_destinations(FileDestination(file=stream))
+
+
+def log_event(event: str, /, **fields: Any) -> None:
+    """Log one event within the current eliot action, if there is one."""
+    log_message(message_type=event, **fields)
--- /dev/null
+++ b/baobabgap/transport/__init__.py
@@ -0,0 +1,9 @@
+"""Links between processes: WebSocket connections of typed messages."""
+
+from baobabgap.transport._connection import Connection
+from baobabgap.transport._connection import LinkTiming
+from baobabgap.transport._dialer import dial
+from baobabgap.transport._dialer import Dialer
+from baobabgap.transport._listener import Listener
+
+__all__ = ['Connection', 'Dialer', 'LinkTiming', 'Listener', 'dial']
--- /dev/null
+++ b/baobabgap/transport/_connection.py
@@ -0,0 +1,208 @@
+"""One link between two processes: typed messages over a WebSocket.
+
+Sending never blocks the caller: messages go to a queue that one task
+drains, so that whatever waits together travels in one frame. Receiving
+is an iterator that ends with `ConnectionLost` when the peer closes the
+link or has sent nothing, not even a heartbeat, for the silence limit.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from concurrent.futures import Executor
+from dataclasses import dataclass
+from queue import Empty
+from queue import SimpleQueue
+import threading
+from typing import Any
+from typing import Final
+from typing import Protocol
+
+from websockets.exceptions import ConnectionClosed
+
+from baobabgap._exceptions import ConnectionLost
+from baobabgap._exceptions import ProtocolMismatch
+from baobabgap.messages import decode
+from baobabgap.messages import encode
+from baobabgap.messages import Heartbeat
+from baobabgap.messages import Hello
+from baobabgap.messages import PROTOCOL_VERSION
+
+_MAXIMUM_MESSAGES_IN_FRAME: Final = 256
+
+
+class WebSocket(Protocol):
+    """What this module needs of a synchronous WebSocket connection."""
+
+    def send(self, message: bytes) -> None:
+        """Send one binary message."""
+
+    def recv(self, timeout: float | None = None) -> str | bytes:
+        """Receive one message, or raise `TimeoutError`."""
+
+    def close(self, code: int = 1000, reason: str = '') -> None:
+        """Close the connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class LinkTiming:
+    """How often a link says that it is alive, and when it is given up."""
+
+    # Seconds after which an idle link sends a heartbeat.
+    heartbeat_s: float = 0.5
+    # Seconds without any message after which the peer counts as gone.
+    silence_s: float = 2.0
+
+
+class Connection:
+    """A link whose `Hello` messages have been exchanged.
+
+    Build one with `open_link`, which the dialling and the accepting side
+    both use::
+
+        connection = Connection.open_link(socket, own, timing, pool)
+        connection.send(SlotGrant(epoch=1, tokens=8))
+        for message in connection.messages():
+            ...
+    """
+
+    def __init__(
+        self,
+        socket: WebSocket,
+        peer: Hello,
+        timing: LinkTiming,
+    ) -> None:
+        self.peer: Final = peer
+        self._socket = socket
+        self._timing = timing
+        self._outgoing: SimpleQueue[Any] = SimpleQueue()
+        self._closed = threading.Event()
+        # Messages sent and received by the name of their class.
+        self.sent_by_name: Counter[str] = Counter()
+        self.received_by_name: Counter[str] = Counter()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    @classmethod
+    def open_link(
+        cls,
+        socket: WebSocket,
+        own: Hello,
+        timing: LinkTiming,
+        pool: Executor,
+    ) -> 'Connection':
+        """Exchange `Hello`s and start the task that sends."""
+        socket.send(encode([own]))
+        peer = _receive_hello(socket, timing)
+        connection = cls(socket, peer, timing)
+        pool.submit(connection._send_loop)
+        return connection
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether this side has closed or lost the link."""
+        return self._closed.is_set()
+
+    def send(self, *messages: object) -> None:
+        """Queue messages for sending; dropped if the link is closed."""
+        for message in messages:
+            self._outgoing.put(message)
+
+    def close(self) -> None:
+        """Close the link; the peer sees the end of it at once."""
+        if self._closed.is_set():
+            return
+        self._closed.set()
+        self._outgoing.put(None)
+        # A peer that is frozen never answers the closing handshake.
+        closer = threading.Thread(target=self._socket.close, daemon=True)
+        closer.start()
+
+    def flush_and_close(self, timeout_s: float = 2.0) -> None:
+        """Send what is queued, then close."""
+        flushed = threading.Event()
+        self._outgoing.put(flushed)
+        flushed.wait(timeout_s)
+        self.close()
+
+    def messages(self) -> Iterator[Any]:
+        """Yield messages, without heartbeats, until the link is lost."""
+        while True:
+            frame = self._receive_frame()
+            self.bytes_received += len(frame)
+            for message in decode(frame, peer=self.peer.name):
+                if isinstance(message, Heartbeat):
+                    continue
+                self.received_by_name[type(message).__name__] += 1
+                yield message
+
+    def _receive_frame(self) -> bytes:
+        try:
+            frame = self._socket.recv(timeout=self._timing.silence_s)
+        except TimeoutError:
+            reason = f'silent for {self._timing.silence_s} s'
+        except ConnectionClosed as error:
+            reason = str(error)
+        else:
+            if isinstance(frame, bytes):
+                return frame
+            reason = 'text frame on a binary link'
+        self.close()
+        raise ConnectionLost(reason, step='receive', peer=self.peer.name)
+
+    def _send_loop(self) -> None:
+        while not self._closed.is_set():
+            batch, flushed = self._take_batch()
+            try:
+                if batch:
+                    self._send_frame(batch)
+            except (ConnectionClosed, OSError):
+                self.close()
+            for event in flushed:
+                event.set()
+
+    def _take_batch(self) -> tuple[list[object], list[threading.Event]]:
+        batch: list[object] = []
+        flushed: list[threading.Event] = []
+        try:
+            item = self._outgoing.get(timeout=self._timing.heartbeat_s)
+        except Empty:
+            return [Heartbeat()], flushed
+        while True:
+            if isinstance(item, threading.Event):
+                flushed.append(item)
+            elif item is not None:
+                batch.append(item)
+            if len(batch) >= _MAXIMUM_MESSAGES_IN_FRAME:
+                return batch, flushed
+            try:
+                item = self._outgoing.get_nowait()
+            except Empty:
+                return batch, flushed
+
+    def _send_frame(self, batch: list[object]) -> None:
+        frame = encode(batch)
+        self._socket.send(frame)
+        self.bytes_sent += len(frame)
+        for message in batch:
+            self.sent_by_name[type(message).__name__] += 1
+
+
+def _receive_hello(socket: WebSocket, timing: LinkTiming) -> Hello:
+    try:
+        frame = socket.recv(timeout=timing.silence_s)
+    except (TimeoutError, ConnectionClosed) as error:
+        raise ConnectionLost(f'no hello: {error}', step='hello') from error
+    if not isinstance(frame, bytes):
+        raise ProtocolMismatch('text in place of a hello', step='hello')
+    messages = decode(frame, peer='unknown')
+    if len(messages) != 1 or not isinstance(messages[0], Hello):
+        raise ProtocolMismatch('the first message must be Hello', step='hello')
+    hello = messages[0]
+    if hello.protocol_version != PROTOCOL_VERSION:
+        raise ProtocolMismatch(
+            f'protocol version {hello.protocol_version}; '
+            f'this process speaks {PROTOCOL_VERSION}',
+            step='hello',
+            peer=hello.name,
+        )
+    return hello
--- /dev/null
+++ b/baobabgap/web/__init__.py
@@ -0,0 +1,7 @@
+"""HTTP plumbing: a server for WSGI applications and a small client."""
+
+from baobabgap.web._client import WebClient
+from baobabgap.web._client import WebResponse
+from baobabgap.web._server import WebServer
+
+__all__ = ['WebClient', 'WebResponse', 'WebServer']
--- /dev/null
+++ b/baobabgap/web/_client.py
@@ -0,0 +1,89 @@
+"""Small HTTP requests with JSON documents, by pycurl."""
+
+from dataclasses import dataclass
+from io import BytesIO
+import json
+from typing import Any
+from typing import Final
+
+import pycurl
+
+from baobabgap._exceptions import ConnectionLost
+
+_METHODS_WITH_BODY: Final = ('POST', 'PUT', 'PATCH')
+
+
+@dataclass(frozen=True, slots=True)
+class WebResponse:
+    """What a server answered."""
+
+    # The HTTP status.
+    status: int
+    # Header values by lower-case name.
+    header_by_name: dict[str, str]
+    # The body as it came.
+    body: bytes
+
+    def document(self) -> Any:
+        """Decode the body as JSON."""
+        return json.loads(self.body) if self.body else None
+
+
+class WebClient:
+    """One kept-alive HTTP client; use it from one thread at a time.
+
+    The timeout of a request is in seconds. A request that got no whole
+    response raises `ConnectionLost`; `sent` on the error can't be known.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._curl = pycurl.Curl()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._curl.close()
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        document: Any = None,
+        *,
+        timeout_s: float,
+    ) -> WebResponse:
+        """Send one request and wait for its response."""
+        body = BytesIO()
+        header_by_name: dict[str, str] = {}
+        curl = self._curl
+        curl.reset()
+        curl.setopt(pycurl.URL, f'http://{self._address}{path}')
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.NOPROXY, '*')
+        curl.setopt(pycurl.CUSTOMREQUEST, method)
+        curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
+        curl.setopt(pycurl.TCP_NODELAY, 1)
+        curl.setopt(pycurl.WRITEDATA, body)
+        curl.setopt(
+            pycurl.HEADERFUNCTION,
+            lambda line: _add_header(header_by_name, line),
+        )
+        headers = ['Expect:']
+        if document is not None or method in _METHODS_WITH_BODY:
+            headers.append('Content-Type: application/json')
+            curl.setopt(pycurl.POSTFIELDS, json.dumps(document))
+        curl.setopt(pycurl.HTTPHEADER, headers)
+        try:
+            curl.perform()
+        except pycurl.error as error:
+            raise ConnectionLost(
+                str(error.args[-1]), step='request', peer=self._address
+            ) from error
+        status = int(curl.getinfo(pycurl.RESPONSE_CODE))
+        return WebResponse(status, header_by_name, body.getvalue())
+
+
+def _add_header(header_by_name: dict[str, str], line: bytes) -> None:
+    name, separator, value = line.decode('latin-1').partition(':')
+    if separator:
+        header_by_name[name.strip().lower()] = value.strip()
--- /dev/null
+++ b/baobabgap/web/_server.py
@@ -0,0 +1,45 @@
+"""An HTTP server for a WSGI application, in this process."""
+
+from concurrent.futures import Executor
+from typing import Any
+
+from cheroot.wsgi import Server
+
+
+class WebServer:
+    """Serves a WSGI application on one port with a fixed pool of threads.
+
+    Idle kept-alive connections hold no thread.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        application: Any,
+        threads: int,
+        largest_body_bytes: int,
+    ) -> None:
+        self._server = Server(
+            (host, port),
+            application,
+            numthreads=threads,
+            request_queue_size=1024,
+            timeout=30,
+            shutdown_timeout=5,
+        )
+        self._server.max_request_body_size = largest_body_bytes
+        self._server.prepare()
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on, also if 0 was asked for."""
+        return int(self._server.bind_addr[1])
+
+    def start(self, pool: Executor) -> None:
+        """Begin serving in a task of the pool."""
+        pool.submit(self._server.serve)
+
+    def stop(self) -> None:
+        """Stop listening after the requests in progress are answered."""
+        self._server.stop()
