Carry a fencing token in claims, and count traffic per process

A second submission of a job whose answer is no longer kept would have been granted again to the same incarnation; the token tells it from a resent claim.

--- a/baobabgap/messages/__init__.py
+++ b/baobabgap/messages/__init__.py
@@ -12,6 +12,7 @@
 from baobabgap.messages._agent import TaskPlacement
 from baobabgap.messages._agent import TaskResult
 from baobabgap.messages._agent import TaskResults
+from baobabgap.messages._agent import UpstreamLoad
 from baobabgap.messages._agent import UpstreamOffer
 from baobabgap.messages._codec import decode
 from baobabgap.messages._codec import encode
@@ -82,6 +83,7 @@
     TeamDemand,
     TicketOutcome,
     TokenTransfer,
+    UpstreamLoad,
     UpstreamOffer,
 )
 
@@ -128,5 +130,6 @@
     'TicketOutcome',
     'TicketStatus',
     'TokenTransfer',
+    'UpstreamLoad',
     'UpstreamOffer',
 ]
--- a/baobabgap/messages/_agent.py
+++ b/baobabgap/messages/_agent.py
@@ -38,6 +38,19 @@
     rack: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLoad:
+    """How busy the upstream is, each 100 ms under `least_reported` only.
+
+    Only the baseline policies need it; see `PlacementPolicy`.
+    """
+
+    # Tasks that run.
+    running: int
+    # Tasks that wait at the agent.
+    queued: int
+
+
 @dataclass(frozen=True, slots=True)
 class SlotGrant:
     """The idle tokens that the entry holds from now on in this epoch.
--- a/baobabgap/messages/_control.py
+++ b/baobabgap/messages/_control.py
@@ -83,6 +83,9 @@
     job: str
     # The digest of the job's content.
     digest: bytes
+    # Fencing token: chosen anew by the entry for each submission that it
+    # admits, so that a resent claim can be told from a second one.
+    token: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,13 +113,17 @@
 class ClaimStatus(StrEnum):
     """What became of a claim."""
 
-    # The sender's incarnation owns the job; also the answer to a resend.
+    # The sender's incarnation owns the job with this very token; also the
+    # answer to a resend of the same claim.
     GRANTED = 'granted'
     # A lookup found that nobody owns the job.
     UNCLAIMED = 'unclaimed'
-    # Another entry, or an earlier incarnation, owns the job.
+    # Another entry, an earlier incarnation, or the same one with another
+    # token owns the job.
     OWNED = 'owned'
-    # The same identifier was claimed with other content.
+    # The same identifier was claimed with other content. The outcome
+    # names the owner here too. A lookup with an empty digest never
+    # conflicts.
     CONFLICT = 'conflict'
     # The identifier is older than the claims that are kept.
     WINDOW_PASSED = 'window_passed'
--- a/baobabgap/telemetry/_metrics.py
+++ b/baobabgap/telemetry/_metrics.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from collections.abc import Mapping
 import threading
 from typing import Final
 
@@ -29,6 +30,7 @@
         self._count_by_name: Counter[str] = Counter()
         self._histogram_by_name: dict[str, HdrHistogram] = {}
         self._gauge_by_name: dict[str, Callable[[], float]] = {}
+        self._sources: list[Callable[[], Mapping[str, float]]] = []
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
@@ -52,6 +54,11 @@
         with self._lock:
             self._gauge_by_name[name] = read
 
+    def add_source(self, read: Callable[[], Mapping[str, float]]) -> None:
+        """Show all metrics that `read` returns, by their names."""
+        with self._lock:
+            self._sources.append(read)
+
     def value(self, name: str) -> int:
         """Return the value of a counter; 0 if it was never counted."""
         with self._lock:
@@ -61,6 +68,7 @@
         """Return all metrics in Prometheus's text format."""
         with self._lock:
             gauges = dict(self._gauge_by_name)
+            sources = list(self._sources)
             lines = [
                 f'{name} {count}'
                 for name, count in sorted(self._count_by_name.items())
@@ -68,6 +76,10 @@
             for name, histogram in sorted(self._histogram_by_name.items()):
                 lines.extend(_histogram_lines(name, histogram))
         lines.extend(f'{name} {read()}' for name, read in gauges.items())
+        for read_all in sources:
+            lines.extend(
+                f'{name} {value}' for name, value in read_all().items()
+            )
         return '\n'.join(lines) + '\n'
 
 
--- a/baobabgap/transport/__init__.py
+++ b/baobabgap/transport/__init__.py
@@ -5,5 +5,13 @@
 from baobabgap.transport._dialer import dial
 from baobabgap.transport._dialer import Dialer
 from baobabgap.transport._listener import Listener
+from baobabgap.transport._traffic import PROCESS_TRAFFIC
 
-__all__ = ['Connection', 'Dialer', 'LinkTiming', 'Listener', 'dial']
+__all__ = [
+    'Connection',
+    'Dialer',
+    'LinkTiming',
+    'Listener',
+    'PROCESS_TRAFFIC',
+    'dial',
+]
--- a/baobabgap/transport/_connection.py
+++ b/baobabgap/transport/_connection.py
@@ -6,7 +6,6 @@
 link or has sent nothing, not even a heartbeat, for the silence limit.
 """
 
-from collections import Counter
 from collections.abc import Iterator
 from concurrent.futures import Executor
 from dataclasses import dataclass
@@ -26,6 +25,7 @@
 from baobabgap.messages import Heartbeat
 from baobabgap.messages import Hello
 from baobabgap.messages import PROTOCOL_VERSION
+from baobabgap.transport._traffic import PROCESS_TRAFFIC
 
 _MAXIMUM_MESSAGES_IN_FRAME: Final = 256
 
@@ -76,11 +76,6 @@
         self._timing = timing
         self._outgoing: SimpleQueue[Any] = SimpleQueue()
         self._closed = threading.Event()
-        # Messages sent and received by the name of their class.
-        self.sent_by_name: Counter[str] = Counter()
-        self.received_by_name: Counter[str] = Counter()
-        self.bytes_sent = 0
-        self.bytes_received = 0
 
     @classmethod
     def open_link(
@@ -128,12 +123,11 @@
         """Yield messages, without heartbeats, until the link is lost."""
         while True:
             frame = self._receive_frame()
-            self.bytes_received += len(frame)
-            for message in decode(frame, peer=self.peer.name):
-                if isinstance(message, Heartbeat):
-                    continue
-                self.received_by_name[type(message).__name__] += 1
-                yield message
+            messages = decode(frame, peer=self.peer.name)
+            PROCESS_TRAFFIC.count_received(messages, len(frame))
+            for message in messages:
+                if not isinstance(message, Heartbeat):
+                    yield message
 
     def _receive_frame(self) -> bytes:
         try:
@@ -182,9 +176,7 @@
     def _send_frame(self, batch: list[object]) -> None:
         frame = encode(batch)
         self._socket.send(frame)
-        self.bytes_sent += len(frame)
-        for message in batch:
-            self.sent_by_name[type(message).__name__] += 1
+        PROCESS_TRAFFIC.count_sent(len(frame))
 
 
 def _receive_hello(socket: WebSocket, timing: LinkTiming) -> Hello:
