--- a/baobabgap/daemon/__init__.py
+++ b/baobabgap/daemon/__init__.py
@@ -0,0 +1,5 @@
+"""The daemon `baobabgapd`: one process, one role."""
+
+from baobabgap.daemon._main import main
+
+__all__ = ['main']
--- /dev/null
+++ b/baobabgap/daemon/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the daemon by `python -m baobabgap.daemon`."""
+
+import sys
+
+from baobabgap.daemon import main
+
+sys.exit(main())
--- /dev/null
+++ b/baobabgap/entry/_outstanding.py
@@ -0,0 +1,73 @@
+"""Tasks that are with agents: what to ask for when a link returns."""
+
+from collections.abc import Iterator
+
+from baobabgap.entry._active_job import ActiveJob
+from baobabgap.entry._active_job import PendingTask
+from baobabgap.entry._run_times import RunTimes
+
+_TaskKey = tuple[str, str]
+
+
+class OutstandingTasks:
+    """All placed tasks of this entry that have not ended, by agent."""
+
+    def __init__(self) -> None:
+        self._tasks_by_agent: dict[
+            str, dict[_TaskKey, tuple[ActiveJob, PendingTask]]
+        ] = {}
+        self._lost_at_by_agent: dict[str, float] = {}
+        # Expected run time of all of them, in milliseconds.
+        self.work_ms = 0.0
+
+    def add(self, agent: str, job: ActiveJob, task: PendingTask) -> None:
+        """Note a task that is being handed to an agent."""
+        tasks = self._tasks_by_agent.setdefault(agent, {})
+        tasks[job.identifier, task.submission.identifier] = (job, task)
+        self.work_ms += task.expected_ms
+
+    def remove(self, agent: str, job: str, task: str) -> PendingTask | None:
+        """Drop a task that has ended; None if it isn't outstanding."""
+        tasks = self._tasks_by_agent.get(agent, {})
+        found = tasks.pop((job, task), None)
+        if found is None:
+            return None
+        self.work_ms -= found[1].expected_ms
+        return found[1]
+
+    def link_lost(self, agent: str, now: float) -> None:
+        """Note that the agent can't be heard since `now`."""
+        if self._tasks_by_agent.get(agent):
+            self._lost_at_by_agent[agent] = now
+
+    def link_returned(self, agent: str) -> list[_TaskKey]:
+        """Return the agent's outstanding tasks, to ask it about them."""
+        self._lost_at_by_agent.pop(agent, None)
+        return list(self._tasks_by_agent.get(agent, ()))
+
+    def take_lost(
+        self, lost_before: float
+    ) -> Iterator[tuple[str, ActiveJob, PendingTask]]:
+        """Take out the tasks of agents that were lost before a time."""
+        for agent, lost_at in list(self._lost_at_by_agent.items()):
+            if lost_at > lost_before:
+                continue
+            del self._lost_at_by_agent[agent]
+            for job, task in self._tasks_by_agent.pop(agent, {}).values():
+                self.work_ms -= task.expected_ms
+                yield agent, job, task
+
+    def count_overdue(
+        self, agent: str, run_times: RunTimes, now: float
+    ) -> tuple[int, int]:
+        """Count the agent's overdue tasks, and all of its tasks."""
+        tasks = self._tasks_by_agent.get(agent, {})
+        overdue = 0
+        for job, task in tasks.values():
+            limit_ms = run_times.overdue_ms(
+                job.submission.client, task.submission
+            )
+            elapsed_ms = (now - task.placed_at) * 1000
+            if limit_ms is not None and elapsed_ms > limit_ms:
+                overdue += 1
+        return overdue, len(tasks)
--- /dev/null
+++ b/baobabgap/entry/_submissions.py
@@ -0,0 +1,369 @@
+"""The way of a submission: joined, refused, or claimed and released.
+
+A job is claimed at the control group before any of its tasks can start.
+A refusal is told only after the control group has confirmed that no other
+entry owns the job, since `not run` must be true of the job and not just
+of this entry.
+"""
+
+from concurrent.futures import Future
+from itertools import count
+import time
+from typing import Protocol
+
+from returns.result import Failure
+
+from baobabgap.control import ControlUnavailableError
+from baobabgap.entry._active_job import ActiveJob
+from baobabgap.entry._admission import Admission
+from baobabgap.entry._admission import draining_failure
+from baobabgap.entry._admission import Workload
+from baobabgap.entry._dispatcher import Dispatcher
+from baobabgap.entry._joins import Joins
+from baobabgap.entry._kept_answers import KeptAnswers
+from baobabgap.jobs import FailureCode
+from baobabgap.jobs import JobAnswer
+from baobabgap.jobs import JobFailure
+from baobabgap.jobs import JobSubmission
+from baobabgap.jobs import Ran
+from baobabgap.messages import CancelOwnedJob
+from baobabgap.messages import Claim
+from baobabgap.messages import ClaimOutcome
+from baobabgap.messages import ClaimStatus
+from baobabgap.telemetry import Metrics
+
+_CONTROL_PAUSE_S = 1.0
+
+
+class ClaimClient(Protocol):
+    """What this module needs of the control group's client."""
+
+    def claim(self, claim: Claim) -> Future[ClaimOutcome]:
+        """Claim a job."""
+
+    def lookup(self, claim: Claim) -> Future[ClaimOutcome]:
+        """Ask who owns a job."""
+
+    def release(self, jobs: list[str]) -> None:
+        """Give up claims of jobs of which nothing was started."""
+
+
+class Submissions:
+    """Takes jobs from callers until each has its one answer."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        admission: Admission,
+        joins: Joins,
+        kept: KeptAnswers,
+        control: ClaimClient,
+        metrics: Metrics,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._admission = admission
+        self._joins = joins
+        self._kept = kept
+        self._control = control
+        self._metrics = metrics
+        self._token = count(time.time_ns())
+        self.is_draining = False
+
+    def submit(
+        self, submission: JobSubmission, log_action: str
+    ) -> Future[JobAnswer]:
+        """Take a job; every refusal and failure comes as its answer."""
+        with self._dispatcher.lock:
+            known = self._find_known(submission)
+            if known is not None:
+                return known
+            now = time.monotonic()
+            refusal = self._refusal(submission, now)
+            if refusal is not None:
+                return self._refuse(submission, refusal)
+            job = self._admit(submission, log_action, now)
+        return self._claim(job)
+
+    def fetch(self, identifier: str) -> Future[JobAnswer]:
+        """Return the answer of a job, once there is one."""
+        future = self.find_owned(identifier)
+        if future is not None:
+            return future
+        return self._look_up(Claim(identifier, b''), _failure_of_unknown_job())
+
+    def cancel(self, identifier: str) -> Future[JobAnswer]:
+        """End a job, here or at its owner; tasks that run are stopped."""
+        future = self.cancel_owned(identifier)
+        if future is not None:
+            return future
+        return self._look_up(
+            Claim(identifier, b''), _failure_of_unknown_job(), cancel=True
+        )
+
+    def cancel_owned(self, identifier: str) -> Future[JobAnswer] | None:
+        """End a job of this entry; None if it isn't known here."""
+        with self._dispatcher.lock:
+            job = self._dispatcher.find(identifier)
+            if job is None:
+                return self.find_owned(identifier)
+            failure = JobFailure(
+                code=FailureCode.CANCELLED,
+                message='cancelled by its client',
+                step='cancel',
+                peer='',
+                ran=job.ran,
+            )
+            self._dispatcher.fail(job, failure)
+            return job.future
+
+    def find_owned(self, identifier: str) -> Future[JobAnswer] | None:
+        """Return the answer of a job that runs here or has ended here."""
+        with self._dispatcher.lock:
+            kept = self._kept.get(identifier)
+            if kept is not None:
+                return _completed(kept.answer)
+            job = self._dispatcher.find(identifier)
+            return None if job is None else job.future
+
+    def end(self, job: ActiveJob, answer: JobAnswer) -> None:
+        """Keep the answer of a job that has ended, unless it may retry.
+
+        A job of which nothing has started gives its claim up, so that its
+        client may submit it again.
+        """
+        failure = answer.failure
+        if failure is None or failure.ran is not Ran.NO:
+            self._kept.keep(job.digest, answer)
+        else:
+            self._control.release([job.identifier])
+        self._count_end(answer)
+
+    def _find_known(
+        self, submission: JobSubmission
+    ) -> Future[JobAnswer] | None:
+        digest = submission.digest()
+        kept = self._kept.get(submission.identifier)
+        if kept is not None:
+            if kept.digest != digest:
+                return _completed(_conflict(submission.identifier, ''))
+            self._metrics.count('baobabgap_jobs_joined_total')
+            return _completed(kept.answer)
+        job = self._dispatcher.find(submission.identifier)
+        if job is None:
+            return None
+        if job.digest != digest:
+            return _completed(_conflict(submission.identifier, ''))
+        self._metrics.count('baobabgap_jobs_joined_total')
+        return job.future
+
+    def _refusal(
+        self, submission: JobSubmission, now: float
+    ) -> JobFailure | None:
+        if self.is_draining:
+            return draining_failure()
+        decision = self._admission.decide(
+            submission,
+            self._workload(submission),
+            self._dispatcher.configuration,
+            now,
+        )
+        match decision:
+            case Failure(failure):
+                return failure
+            case _:
+                return None
+
+    def _workload(self, submission: JobSubmission) -> Workload:
+        dispatcher = self._dispatcher
+        pool = dispatcher.pool
+        expected_ms = [
+            dispatcher.run_times.expected_ms(submission.client, task)
+            for task in submission.tasks
+        ]
+        sizes = {task.size for task in submission.tasks}
+        return Workload(
+            slots=pool.accepting_slots(),
+            tasks_fit=all(pool.can_ever_hold(size) for size in sizes),
+            has_agents=len(pool) > 0,
+            outstanding_ms=(
+                dispatcher.outstanding_work_ms()
+                + dispatcher.balancer.peers_work_ms()
+            ),
+            job_ms=sum(expected_ms),
+            longest_ms=max(expected_ms),
+        )
+
+    def _refuse(
+        self, submission: JobSubmission, refusal: JobFailure
+    ) -> Future[JobAnswer]:
+        self._metrics.count(
+            f'baobabgap_refusals_total{{code="{refusal.code}"}}'
+        )
+        claim = Claim(submission.identifier, submission.digest())
+        return self._look_up(claim, refusal)
+
+    def _admit(
+        self, submission: JobSubmission, log_action: str, now: float
+    ) -> ActiveJob:
+        client = submission.client
+        job = ActiveJob.from_submission(
+            submission,
+            token=next(self._token),
+            now=now,
+            log_action=log_action,
+            expected_ms_by_task={
+                task.identifier: self._dispatcher.run_times.expected_ms(
+                    client, task
+                )
+                for task in submission.tasks
+            },
+        )
+        self._dispatcher.add(job)
+        return job
+
+    def _claim(self, job: ActiveJob) -> Future[JobAnswer]:
+        claim = Claim(job.identifier, job.digest, job.token)
+        claimed_at = time.monotonic()
+        claimed = self._control.claim(claim)
+
+        def settle(done: Future[ClaimOutcome]) -> None:
+            self._metrics.observe_seconds(
+                'baobabgap_claim_seconds', time.monotonic() - claimed_at
+            )
+            error = done.exception()
+            if error is not None:
+                self._abandon(job, error)
+            elif done.result().status is ClaimStatus.GRANTED:
+                if not self._dispatcher.release(job):
+                    self._control.release([job.identifier])
+            elif self._dispatcher.withdraw(job):
+                _forward(self._settle_owned(done.result()), job.future)
+
+        claimed.add_done_callback(settle)
+        return job.future
+
+    def _abandon(self, job: ActiveJob, error: BaseException) -> None:
+        """Answer a job whose claim may or may not have been committed.
+
+        Nothing was started here, and nothing will be; but whether another
+        entry owns the job can't be told.
+        """
+        if self._dispatcher.withdraw(job):
+            self._control.release([job.identifier])
+            failure = _control_failure(error, Ran.UNKNOWN)
+            answer = JobAnswer.from_failure(job.identifier, failure)
+            self._count_end(answer)
+            job.future.set_result(answer)
+
+    def _look_up(
+        self, claim: Claim, refusal: JobFailure, *, cancel: bool = False
+    ) -> Future[JobAnswer]:
+        """Answer with the refusal if nobody owns the job."""
+        future: Future[JobAnswer] = Future()
+
+        def settle(done: Future[ClaimOutcome]) -> None:
+            error = done.exception()
+            if error is not None:
+                failure = _control_failure(error, Ran.UNKNOWN)
+                future.set_result(
+                    JobAnswer.from_failure(claim.job, failure)
+                )
+            elif done.result().status is ClaimStatus.UNCLAIMED:
+                future.set_result(JobAnswer.from_failure(claim.job, refusal))
+            else:
+                if cancel:
+                    self._cancel_at_owner(done.result())
+                _forward(self._settle_owned(done.result()), future)
+
+        self._control.lookup(claim).add_done_callback(settle)
+        return future
+
+    def _settle_owned(self, outcome: ClaimOutcome) -> Future[JobAnswer]:
+        """Answer for a job that this submission does not own."""
+        match outcome.status:
+            case ClaimStatus.CONFLICT:
+                return _completed(_conflict(outcome.job, outcome.owner))
+            case ClaimStatus.WINDOW_PASSED:
+                return _completed(_window_passed(outcome.job))
+            case _:
+                self._metrics.count('baobabgap_jobs_joined_total')
+                return self._join(outcome)
+
+    def _cancel_at_owner(self, outcome: ClaimOutcome) -> None:
+        link = self._dispatcher.balancer.link_to(outcome.owner)
+        if link is not None:
+            link.send(CancelOwnedJob(outcome.job))
+
+    def _join(self, outcome: ClaimOutcome) -> Future[JobAnswer]:
+        owned = self.find_owned(outcome.job)
+        if owned is not None:
+            return owned
+        link = self._dispatcher.balancer.link_to(outcome.owner)
+        return self._joins.join(outcome, link, time.monotonic())
+
+    def _count_end(self, answer: JobAnswer) -> None:
+        failure = answer.failure
+        end = 'whole' if failure is None else str(failure.code)
+        self._metrics.count(f'baobabgap_jobs_total{{end="{end}"}}')
+
+
+def _completed(answer: JobAnswer) -> Future[JobAnswer]:
+    future: Future[JobAnswer] = Future()
+    future.set_result(answer)
+    return future
+
+
+def _forward(
+    source: Future[JobAnswer], destination: Future[JobAnswer]
+) -> None:
+    source.add_done_callback(
+        lambda done: destination.set_result(done.result())
+    )
+
+
+def _conflict(job: str, owner: str) -> JobAnswer:
+    return JobAnswer.from_failure(
+        job,
+        JobFailure(
+            code=FailureCode.CONFLICT,
+            message='this identifier was used for a job with other content',
+            step='claim',
+            peer=owner,
+            ran=Ran.UNKNOWN,
+        ),
+    )
+
+
+def _window_passed(job: str) -> JobAnswer:
+    return JobAnswer.from_failure(
+        job,
+        JobFailure(
+            code=FailureCode.WINDOW_PASSED,
+            message='this job is older than what is remembered here',
+            step='claim',
+            peer='',
+            ran=Ran.UNKNOWN,
+        ),
+    )
+
+
+def _failure_of_unknown_job() -> JobFailure:
+    return JobFailure(
+        code=FailureCode.UNKNOWN_JOB,
+        message='no such job',
+        step='fetch',
+        peer='',
+        ran=Ran.NO,
+    )
+
+
+def _control_failure(error: BaseException, ran: Ran) -> JobFailure:
+    peer = error.peer if isinstance(error, ControlUnavailableError) else ''
+    return JobFailure(
+        code=FailureCode.CONTROL_UNAVAILABLE,
+        message=f'the job could not be claimed: {error}',
+        step='claim',
+        peer=peer,
+        ran=ran,
+        retry_after_s=_CONTROL_PAUSE_S,
+    )
--- /dev/null
+++ b/baobabgap/entry/_waiting_queue.py
@@ -0,0 +1,64 @@
+"""Jobs with tasks that wait for a slot, the most urgent first."""
+
+from collections.abc import Iterator
+import heapq
+from itertools import count
+
+from baobabgap.configuration import OrderPolicy
+from baobabgap.configuration import Policy
+from baobabgap.entry._active_job import ActiveJob
+
+
+class WaitingQueue:
+    """A priority queue of jobs, ordered by virtual deadline or arrival.
+
+    A job's virtual deadline is its arrival plus a multiple of its longest
+    expected run time, so that waiting stretches short and long jobs
+    alike. Ended jobs are dropped when they come up: ending one costs
+    nothing here, which is what makes waves of cancellations cheap.
+    """
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, ActiveJob]] = []
+        self._sequence = count()
+
+    def add(self, job: ActiveJob, policy: Policy) -> None:
+        """Queue a job that has waiting tasks."""
+        urgency = _virtual_deadline(job, policy)
+        heapq.heappush(self._heap, (urgency, next(self._sequence), job))
+
+    def pop(self) -> ActiveJob | None:
+        """Take the most urgent job with waiting tasks, if there is one."""
+        self._drop_ended()
+        if not self._heap:
+            return None
+        return heapq.heappop(self._heap)[2]
+
+    def head_urgency(self) -> float | None:
+        """Return the most urgent virtual deadline, in monotonic seconds."""
+        self._drop_ended()
+        return self._heap[0][0] if self._heap else None
+
+    def waiting_tasks(self) -> int:
+        """Count the tasks that wait."""
+        return sum(len(job.waiting) for job in self._jobs())
+
+    def _jobs(self) -> Iterator[ActiveJob]:
+        return (job for _, _, job in self._heap if not job.ended)
+
+    def _drop_ended(self) -> None:
+        while self._heap and _is_settled(self._heap[0][2]):
+            heapq.heappop(self._heap)
+
+
+def _is_settled(job: ActiveJob) -> bool:
+    return job.ended or not job.waiting
+
+
+def _virtual_deadline(job: ActiveJob, policy: Policy) -> float:
+    match policy.order:
+        case OrderPolicy.FIRST_COME:
+            return job.arrived_at
+        case OrderPolicy.VIRTUAL_DEADLINE:
+            allowance_ms = policy.stretch_weight * job.longest_expected_ms
+            return job.arrived_at + allowance_ms / 1000
--- a/baobabgap/settings/_entry.py
+++ b/baobabgap/settings/_entry.py
@@ -24,3 +24,14 @@
     drain_grace_s: Annotated[float, Field(ge=0, le=600)] = 2.0
     # Seconds after which a planned stop gives up on work in progress.
     drain_limit_s: Annotated[float, Field(gt=0, le=3600)] = 60.0
+    # Seconds for which a job waits for an agent whose link was lost
+    # before its tasks there count as lost.
+    agent_return_s: Annotated[float, Field(gt=0, le=600)] = 5.0
+    # Seconds for which a resubmission waits for the link to the entry
+    # that owns the job.
+    owner_return_s: Annotated[float, Field(gt=0, le=600)] = 3.0
+    # Seconds for which a job waits for its claim to be committed.
+    claim_limit_s: Annotated[float, Field(gt=0, le=60)] = 5.0
+    # Seconds for which a slow upstream is avoided before one task tries
+    # it again; doubles with each failed try.
+    suspension_s: Annotated[float, Field(gt=0, le=600)] = 5.0
