--- a/baobabgap/jobs/_answer.py
+++ b/baobabgap/jobs/_answer.py
@@ -25,6 +25,8 @@
     TASK_LOST = 'task_lost'
     OWNER_LOST = 'owner_lost'
     WINDOW_PASSED = 'window_passed'
+    # A fault of the system itself, with a trace in the entry's log.
+    INTERNAL = 'internal'
 
 
 class Ran(StrEnum):
