--- a/baobabgap/daemon/_standalone.py
+++ b/baobabgap/daemon/_standalone.py
@@ -51,9 +51,7 @@
                 inner,
                 role=Role.STAND_IN,
                 name='upstream-1',
-                stand_in=replace(
-                    inner.stand_in, agent_address=agent_address
-                ),
+                stand_in=replace(inner.stand_in, agent_address=agent_address),
             )
         )
 
--- a/baobabgap/entry/_active_job.py
+++ b/baobabgap/entry/_active_job.py
@@ -150,5 +150,3 @@
 
 def _expected_ms(task: PendingTask) -> float:
     return task.expected_ms
-
-
--- a/baobabgap/entry/_balancer.py
+++ b/baobabgap/entry/_balancer.py
@@ -95,9 +95,7 @@
         At most one token goes to a peer between two of its reports, since
         what comes after its most urgent task isn't known here.
         """
-        peer = min(
-            self._peer_by_name.values(), key=_head_at, default=None
-        )
+        peer = min(self._peer_by_name.values(), key=_head_at, default=None)
         if peer is None or peer.head_at > own_head_at - _URGENCY_MARGIN_S:
             return False
         peer.head_at = math.inf
--- a/baobabgap/entry/_dispatcher.py
+++ b/baobabgap/entry/_dispatcher.py
@@ -514,7 +514,9 @@
             link.send(message)
 
     def _count_wasted(self, kind: str) -> None:
-        self._metrics.count(f'baobabgap_wasted_messages_total{{kind="{kind}"}}')
+        self._metrics.count(
+            f'baobabgap_wasted_messages_total{{kind="{kind}"}}'
+        )
 
 
 def _is_hopeless(job: ActiveJob, now: float) -> bool:
--- a/baobabgap/entry/_submissions.py
+++ b/baobabgap/entry/_submissions.py
@@ -265,9 +265,7 @@
             error = done.exception()
             if error is not None:
                 failure = _control_failure(error, Ran.UNKNOWN)
-                future.set_result(
-                    JobAnswer.from_failure(claim.job, failure)
-                )
+                future.set_result(JobAnswer.from_failure(claim.job, failure))
             elif done.result().status is ClaimStatus.UNCLAIMED:
                 future.set_result(JobAnswer.from_failure(claim.job, refusal))
             else:
--- /dev/null
+++ b/baobabgap/entry/tests/test_dispatcher.py
@@ -0,0 +1,266 @@
+"""Tests of placement, results, moves and lost agents."""
+
+import time
+import unittest
+
+from baobabgap.configuration import Configuration
+from baobabgap.entry.tests.fakes import FakeEntry
+from baobabgap.entry.tests.fakes import FakeLink
+from baobabgap.entry.tests.fakes import job
+from baobabgap.jobs import FailureCode
+from baobabgap.jobs import Ran
+from baobabgap.messages import CancelJobs
+from baobabgap.messages import EntryState
+from baobabgap.messages import PlaceTasks
+from baobabgap.messages import ResumeTasks
+from baobabgap.messages import TaskOutcome
+from baobabgap.messages import TokenTransfer
+
+
+class TestPlacement(unittest.TestCase):
+    """Tasks go where tokens are, most urgent first."""
+
+    def test_whole_answer_in_order(self) -> None:
+        entry = FakeEntry()
+        agents = [entry.add_agent('a', 2), entry.add_agent('b', 2)]
+        future = entry.submit(job(tasks=4))
+        for agent in agents:
+            for placed in agent.take(PlaceTasks):
+                entry.finish(agent, placed)
+        answer = future.result(1)
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(
+            [('t0', 0), ('t1', 1), ('t2', 2), ('t3', 3)],
+            [(item.task, item.value) for item in answer.results],
+        )
+
+    def test_tasks_of_a_job_for_one_agent_travel_together(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 8)
+        entry.submit(job(tasks=5))
+        self.assertEqual(
+            [5], [len(placed.tasks) for placed in agent.take(PlaceTasks)]
+        )
+
+    def test_no_placement_without_token(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 2)
+        entry.submit(job(1, tasks=2))
+        entry.submit(job(2, tasks=1))
+        first = agent.take(PlaceTasks)
+        self.assertEqual(['kurek.1.a'], [placed.job for placed in first])
+        entry.finish(agent, first[0])
+        self.assertEqual(
+            ['kurek.2.a'], [placed.job for placed in agent.take(PlaceTasks)]
+        )
+
+    def test_nothing_is_placed_before_the_claim_is_granted(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 2)
+        entry.submissions.submit(job(), '')
+        self.assertEqual([], agent.take(PlaceTasks))
+        entry.control.settle_claim()
+        self.assertEqual(1, len(agent.take(PlaceTasks)))
+
+    def test_near_agents_first(self) -> None:
+        entry = FakeEntry()
+        far = entry.add_agent('far', 8, zone='other')
+        near = entry.add_agent('near', 2)
+        entry.submit(job(tasks=3))
+        self.assertEqual(2, len(near.take(PlaceTasks)[0].tasks))
+        self.assertEqual(1, len(far.take(PlaceTasks)[0].tasks))
+
+    def test_short_jobs_overtake_long_ones(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1)
+        entry.submit(job(1))
+        entry.submit(job(2, run_time_ms=4000))
+        entry.submit(job(3, run_time_ms=50))
+        entry.finish(agent, agent.take(PlaceTasks)[0])
+        self.assertEqual('kurek.3.a', agent.take(PlaceTasks)[0].job)
+
+
+class TestBadOutcomes(unittest.TestCase):
+    """A job with a bad task fails once; unstarted tasks move."""
+
+    def test_unstarted_task_moves(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1)
+        future = entry.submit(job())
+        placed = agent.take(PlaceTasks)[0]
+        entry.finish(agent, placed, TaskOutcome.NOT_STARTED)
+        again = agent.take(PlaceTasks)[0]
+        entry.finish(agent, again)
+        self.assertTrue(future.result(1).is_whole)
+
+    def test_started_tasks_never_move(self) -> None:
+        cases = {
+            'failed': (TaskOutcome.FAILED, FailureCode.TASK_FAILED, Ran.YES),
+            'lost': (TaskOutcome.LOST, FailureCode.TASK_LOST, Ran.UNKNOWN),
+        }
+        for name, (outcome, code, ran) in cases.items():
+            with self.subTest(name):
+                entry = FakeEntry()
+                agent = entry.add_agent('a', 1)
+                future = entry.submit(job())
+                entry.finish(agent, agent.take(PlaceTasks)[0], outcome)
+                failure = future.result(1).failure
+                assert failure is not None
+                self.assertEqual((code, ran), (failure.code, failure.ran))
+                self.assertEqual([], agent.take(PlaceTasks))
+
+    def test_failure_cancels_the_rest(self) -> None:
+        entry = FakeEntry()
+        one = entry.add_agent('a', 1)
+        two = entry.add_agent('b', 1)
+        future = entry.submit(job(tasks=3))
+        placed = one.take(PlaceTasks)[0]
+        two.take(PlaceTasks)
+        entry.finish(one, placed, TaskOutcome.FAILED)
+        self.assertFalse(future.result(1).is_whole)
+        self.assertEqual([('kurek.1.a',)], _cancelled(two))
+        self.assertEqual([], one.take(PlaceTasks))
+
+    def test_late_result_is_counted_and_changes_nothing(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1)
+        entry.submit(job())
+        placed = agent.take(PlaceTasks)[0]
+        entry.finish(agent, placed)
+        entry.finish(agent, placed)
+        wasted = 'baobabgap_wasted_messages_total{kind="late_result"}'
+        self.assertEqual(1, entry.metrics.value(wasted))
+
+    def test_lost_agent_is_asked_on_its_next_link(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1)
+        future = entry.submit(job())
+        entry.dispatcher.agent_down(agent.connection)
+        back = entry.add_agent('a', 1, tokens=0, incarnation='i2')
+        asked = back.take(ResumeTasks)
+        self.assertEqual([(('kurek.1.a', 't0'),)], [m.tasks for m in asked])
+        self.assertFalse(future.done())
+
+    def test_lost_agent_that_stays_away_fails_its_jobs(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1)
+        future = entry.submit(job())
+        entry.dispatcher.agent_down(agent.connection)
+        entry.dispatcher.give_up_on_lost_agents(time.monotonic())
+        self.assertFalse(future.done())
+        entry.dispatcher.give_up_on_lost_agents(time.monotonic() + 60)
+        failure = future.result(1).failure
+        assert failure is not None
+        self.assertEqual('a', failure.peer)
+        self.assertEqual(FailureCode.TASK_LOST, failure.code)
+
+    def test_deadline(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1)
+        started = entry.submit(job(1, deadline_ms=1000))
+        waiting = entry.submit(job(2, deadline_ms=1000))
+        agent.take(PlaceTasks)
+        entry.dispatcher.expire(time.monotonic() + 2)
+        cases = {
+            'started': (started, Ran.UNKNOWN, False),
+            'waiting': (waiting, Ran.NO, True),
+        }
+        for name, (future, ran, retry) in cases.items():
+            with self.subTest(name):
+                failure = future.result(1).failure
+                assert failure is not None
+                self.assertEqual(ran, failure.ran)
+                self.assertEqual(retry, failure.retry_after_s > 0)
+        self.assertEqual(['kurek.2.a'], entry.control.released)
+
+
+class TestTokens(unittest.TestCase):
+    """Idle tokens go where work waits."""
+
+    def test_idle_entry_gives_to_peer_with_backlog(self) -> None:
+        entry = FakeEntry()
+        entry.add_agent('a', 4)
+        peer = entry.add_peer('entry-2')
+        entry.dispatcher.take_peer_state(
+            peer.connection, EntryState(3, 10.0, 0, 300.0)
+        )
+        given = sum(item.tokens for item in peer.take(TokenTransfer))
+        self.assertEqual(3, given)
+
+    def test_freed_token_goes_to_the_more_urgent_peer(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1)
+        peer = entry.add_peer('entry-2')
+        entry.submit(job(1))
+        entry.submit(job(2))
+        placed = agent.take(PlaceTasks)[0]
+        entry.dispatcher.take_peer_state(
+            peer.connection, EntryState(1, -5000.0, 0, 300.0)
+        )
+        entry.finish(agent, placed)
+        self.assertEqual(1, len(peer.take(TokenTransfer)))
+        self.assertEqual([], agent.take(PlaceTasks))
+
+    def test_void_transfer_is_dropped(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1, tokens=0)
+        cases = {
+            'unknown agent': TokenTransfer('b', 'i1', 1, 1),
+            'old epoch': TokenTransfer('a', 'i1', 0, 1),
+            'old incarnation': TokenTransfer('a', 'i0', 1, 1),
+        }
+        entry.submit(job())
+        for name, transfer in cases.items():
+            with self.subTest(name):
+                entry.dispatcher.take_transfer(transfer)
+                self.assertEqual([], agent.take(PlaceTasks))
+        entry.dispatcher.take_transfer(TokenTransfer('a', 'i1', 1, 1))
+        self.assertEqual(1, len(agent.take(PlaceTasks)))
+
+
+class TestSlowUpstream(unittest.TestCase):
+    """An upstream on which most tasks are overdue gets no more of them."""
+
+    def test_suspended_and_tried_again(self) -> None:
+        entry = FakeEntry()
+        for _ in range(12):
+            entry.dispatcher.run_times.learn('kurek', 'seat', 50.0)
+        slow = entry.add_agent('slow', 2)
+        entry.submit(job(1, tasks=2))
+        now = time.monotonic()
+        entry.dispatcher.watch_upstreams(now + 1.0)
+        fresh = entry.add_agent('fresh', 2)
+        entry.finish(slow, slow.take(PlaceTasks)[0])
+        entry.submit(job(2, tasks=2))
+        self.assertEqual([], slow.take(PlaceTasks))
+        self.assertEqual(1, len(fresh.take(PlaceTasks)))
+        entry.submit(job(3))
+        entry.dispatcher.watch_upstreams(now + 7.0)
+        tried = slow.take(PlaceTasks)
+        self.assertEqual(1, len(tried))
+        entry.finish(slow, tried[0])
+        entry.submit(job(4))
+        self.assertEqual(1, len(slow.take(PlaceTasks)))
+
+
+class TestBaselines(unittest.TestCase):
+    """The baselines place at once, without tokens."""
+
+    def test_random_places_without_tokens(self) -> None:
+        for placement in ('random', 'least_reported'):
+            with self.subTest(placement):
+                policy = {
+                    'placement': placement,
+                    'default_quota': {'tasks_per_second': 1000},
+                }
+                configuration = Configuration.from_state(1, {'policy': policy})
+                entry = FakeEntry(configuration)
+                agent = entry.add_agent('a', 1, tokens=0)
+                entry.submit(job(tasks=3))
+                placed = agent.take(PlaceTasks)
+                self.assertEqual(3, sum(len(item.tasks) for item in placed))
+                self.assertEqual({0}, {item.epoch for item in placed})
+
+
+def _cancelled(link: FakeLink) -> list[tuple[str, ...]]:
+    return [message.jobs for message in link.take(CancelJobs)]
--- /dev/null
+++ b/baobabgap/entry/tests/test_submissions.py
@@ -0,0 +1,196 @@
+"""Tests of the way of a submission: claimed, joined or refused."""
+
+import time
+import unittest
+
+from baobabgap.configuration import Configuration
+from baobabgap.control import ControlUnavailableError
+from baobabgap.entry.tests.fakes import FakeEntry
+from baobabgap.entry.tests.fakes import job
+from baobabgap.jobs import FailureCode
+from baobabgap.jobs import JobAnswer
+from baobabgap.jobs import Ran
+from baobabgap.messages import ClaimStatus
+from baobabgap.messages import JoinedAnswer
+from baobabgap.messages import JoinJob
+from baobabgap.messages import PlaceTasks
+
+
+class TestResubmission(unittest.TestCase):
+    """The same identifier never starts a second time."""
+
+    def test_joins_the_running_job_and_the_kept_answer(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 4)
+        first = entry.submit(job())
+        second = entry.submit(job(deadline_ms=700))
+        entry.finish(agent, agent.take(PlaceTasks)[0])
+        third = entry.submit(job())
+        self.assertEqual(first.result(1), second.result(1))
+        self.assertEqual(first.result(1), third.result(1))
+        self.assertEqual([], agent.take(PlaceTasks))
+
+    def test_other_content_is_a_conflict(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 4)
+        entry.submit(job())
+        running = entry.submit(job(tasks=2))
+        entry.finish(agent, agent.take(PlaceTasks)[0])
+        ended = entry.submit(job(tasks=2))
+        for future in (running, ended):
+            failure = future.result(1).failure
+            assert failure is not None
+            self.assertEqual(FailureCode.CONFLICT, failure.code)
+
+    def test_forgotten_answer_is_not_run_again(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 4)
+        for number in range(1, 7):
+            entry.submit(job(number))
+            entry.finish(agent, agent.take(PlaceTasks)[0])
+        future = entry.submissions.submit(job(1), '')
+        entry.control.settle_claim(ClaimStatus.OWNED)
+        self.assertEqual([], agent.take(PlaceTasks))
+        entry.joins.give_up(time.monotonic() + 60)
+        failure = future.result(1).failure
+        assert failure is not None
+        self.assertEqual(
+            (FailureCode.OWNER_LOST, Ran.UNKNOWN), (failure.code, failure.ran)
+        )
+
+    def test_owned_elsewhere_waits_for_the_owner(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 4)
+        peer = entry.add_peer('entry-2')
+        future = entry.submissions.submit(job(), '')
+        entry.control.settle_claim(ClaimStatus.OWNED, 'entry-2')
+        request = peer.take(JoinJob)[0].request
+        self.assertEqual([], agent.take(PlaceTasks))
+        answer = JobAnswer('kurek.1.a')
+        entry.joins.answer(JoinedAnswer(request, answer))
+        self.assertEqual(answer, future.result(1))
+
+    def test_owner_that_restarted_has_lost_the_job(self) -> None:
+        entry = FakeEntry()
+        entry.add_agent('a', 4)
+        future = entry.submissions.submit(job(), '')
+        entry.control.settle_claim(ClaimStatus.OWNED, 'entry-9')
+        entry.joins.give_up(time.monotonic())
+        self.assertFalse(future.done())
+        entry.joins.give_up(time.monotonic() + 60)
+        failure = future.result(1).failure
+        assert failure is not None
+        self.assertEqual('entry-9', failure.peer)
+        self.assertEqual(Ran.UNKNOWN, failure.ran)
+
+
+class TestRefusals(unittest.TestCase):
+    """A refusal says `not run` only after control has confirmed it."""
+
+    def test_refusals(self) -> None:
+        strict = Configuration.from_state(
+            1, {'quota/rowing': {'tasks_per_second': 1, 'burst_tasks': 1}}
+        )
+        cases = {
+            'unknown team': (strict, 1, job(team='other'), 'unknown_team'),
+            'no upstream': (None, 0, job(), 'no_upstream'),
+            'overloaded': (
+                None,
+                1,
+                job(tasks=50, deadline_ms=300),
+                'overloaded',
+            ),
+        }
+        for name, (configuration, agents, submission, code) in cases.items():
+            with self.subTest(name):
+                entry = FakeEntry(configuration)
+                for number in range(agents):
+                    entry.add_agent(f'a{number}', 1)
+                future = entry.submissions.submit(submission, '')
+                self.assertFalse(future.done())
+                entry.control.settle_lookup()
+                failure = future.result(1).failure
+                assert failure is not None
+                self.assertEqual((code, Ran.NO), (failure.code, failure.ran))
+                self.assertEqual([], entry.control.claims)
+
+    def test_over_quota_has_a_time_to_come_back(self) -> None:
+        quota = {'tasks_per_second': 1, 'burst_tasks': 1}
+        entry = FakeEntry(Configuration.from_state(1, {'quota/rowing': quota}))
+        entry.add_agent('a', 4)
+        entry.submit(job(1))
+        future = entry.submissions.submit(job(2), '')
+        entry.control.settle_lookup()
+        failure = future.result(1).failure
+        assert failure is not None
+        self.assertEqual(FailureCode.OVER_QUOTA, failure.code)
+        self.assertGreater(failure.retry_after_s, 0)
+
+    def test_refusal_of_a_job_that_runs_elsewhere_joins_it(self) -> None:
+        entry = FakeEntry()
+        peer = entry.add_peer('entry-2')
+        future = entry.submissions.submit(job(), '')
+        entry.control.settle_lookup(ClaimStatus.OWNED, 'entry-2')
+        self.assertEqual(1, len(peer.take(JoinJob)))
+        self.assertFalse(future.done())
+
+    def test_without_control_the_outcome_is_unknown(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1)
+        future = entry.submissions.submit(job(), '')
+        _, claimed = entry.control.claims.pop()
+        claimed.set_exception(
+            ControlUnavailableError(
+                'no leader', step='claim', peer='', unchanged=False
+            )
+        )
+        failure = future.result(1).failure
+        assert failure is not None
+        self.assertEqual(
+            (FailureCode.CONTROL_UNAVAILABLE, Ran.UNKNOWN),
+            (failure.code, failure.ran),
+        )
+        self.assertEqual(['kurek.1.a'], entry.control.released)
+        self.assertEqual([], agent.take(PlaceTasks))
+
+    def test_draining_refuses_and_finishes(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 4)
+        running = entry.submit(job(1))
+        entry.submissions.is_draining = True
+        refused = entry.submissions.submit(job(2), '')
+        entry.control.settle_lookup()
+        failure = refused.result(1).failure
+        assert failure is not None
+        self.assertEqual(FailureCode.DRAINING, failure.code)
+        entry.finish(agent, agent.take(PlaceTasks)[0])
+        self.assertTrue(running.result(1).is_whole)
+
+
+class TestCancel(unittest.TestCase):
+    """A cancelled job is answered at once and starts nothing more."""
+
+    def test_cancel_before_the_claim_is_granted(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 4)
+        future = entry.submissions.submit(job(), '')
+        entry.submissions.cancel('kurek.1.a')
+        failure = future.result(1).failure
+        assert failure is not None
+        self.assertEqual(
+            (FailureCode.CANCELLED, Ran.NO), (failure.code, failure.ran)
+        )
+        entry.control.settle_claim()
+        self.assertEqual([], agent.take(PlaceTasks))
+        self.assertEqual(['kurek.1.a', 'kurek.1.a'], entry.control.released)
+
+    def test_wave_of_cancels_sends_nothing_for_queued_work(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1)
+        entry.submit(job(1))
+        for number in range(2, 40):
+            entry.submit(job(number))
+        agent.sent.clear()
+        for number in range(2, 40):
+            entry.submissions.cancel(f'kurek.{number}.a')
+        self.assertEqual([], agent.sent)
