--- /dev/null
+++ b/baobabgap/replication/__init__.py
@@ -0,0 +1,32 @@
+"""The durable log that the control hosts replicate among themselves.
+
+Commands are opaque bytes. A command is acknowledged once it is synced on
+a majority of the hosts, and every host applies the same commands in the
+same order. docs/PROTOCOL-REPLICATION.md states the guarantees.
+"""
+
+from baobabgap.replication._errors import DamagedLog
+from baobabgap.replication._errors import DataFolderInUse
+from baobabgap.replication._errors import MembershipChangeRefused
+from baobabgap.replication._errors import NotLeader
+from baobabgap.replication._errors import OutcomeUnknown
+from baobabgap.replication._errors import StorageUnavailable
+from baobabgap.replication._log import ReplicatedLog
+from baobabgap.replication._machine import StateMachine
+from baobabgap.replication._status import GroupRole
+from baobabgap.replication._status import LogStatus
+from baobabgap.replication._status import MemberStatus
+
+__all__ = [
+    'DamagedLog',
+    'DataFolderInUse',
+    'GroupRole',
+    'LogStatus',
+    'MembershipChangeRefused',
+    'MemberStatus',
+    'NotLeader',
+    'OutcomeUnknown',
+    'ReplicatedLog',
+    'StateMachine',
+    'StorageUnavailable',
+]
