--- /dev/null
+++ b/baobabgap/control/_commands.py
@@ -0,0 +1,182 @@
+"""Commands of the control log and queries of its state, and their codec.
+
+They are plain data classes that become CBOR arrays of their fields. The
+leader puts a stamp of its own clock before each command; durations are
+only ever measured between stamps of one incarnation of one leader.
+"""
+
+from dataclasses import dataclass
+from dataclasses import fields
+from operator import attrgetter
+from typing import Any
+from typing import Final
+
+import cbor2
+
+
+@dataclass(frozen=True, slots=True)
+class Attachment:
+    """The session through which a member is connected."""
+
+    # The control host that holds the member's link.
+    host: str
+    # The incarnation of that host.
+    host_incarnation: str
+    # Counts the sessions of that incarnation.
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimCommand:
+    """One owner claims jobs."""
+
+    # The entry that claims.
+    owner: str
+    # The entry's incarnation.
+    owner_incarnation: str
+    # The entry's address for internal links, as host:port.
+    owner_address: str
+    # The number of the owner's request.
+    sequence: int
+    # Pairs of a job's identifier and the digest of its content.
+    claims: list[tuple[str, bytes]]
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseCommand:
+    """One owner gives up jobs of which it started nothing."""
+
+    # The entry's incarnation.
+    owner_incarnation: str
+    # The number of the owner's request.
+    sequence: int
+    # Identifiers of jobs.
+    jobs: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class TicketCommand:
+    """A change ticket whose content has been validated."""
+
+    # The ticket's number.
+    number: int
+    # The state by key as canonical JSON.
+    content: str
+    # The newest accepted number that the validation was based on.
+    base_number: int
+
+
+@dataclass(frozen=True, slots=True)
+class JoinCommand:
+    """A member has connected to a control host."""
+
+    # The member's name.
+    name: str
+    # entry, agent or control.
+    role: str
+    # The member's incarnation.
+    incarnation: str
+    # Where the member listens for internal links, or empty.
+    address: str
+    # The member's availability zone.
+    availability_zone: str
+    # The host, the host's incarnation and the session, as `Attachment`.
+    attachment: tuple[str, str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveCommand:
+    """A member stops as planned."""
+
+    # The member's name.
+    name: str
+    # The member's incarnation.
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class DeathCommand:
+    """A member's link was lost and it has not come back in time.
+
+    Without effect if the member has been attached elsewhere since.
+    """
+
+    # The member's name.
+    name: str
+    # The member's incarnation.
+    incarnation: str
+    # The session that was lost, as `Attachment`.
+    attachment: tuple[str, str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class LookupQuery:
+    """Asks what claims would meet."""
+
+    # The entry's incarnation that asks.
+    owner_incarnation: str
+    # Pairs of a job's identifier and the digest of its content.
+    claims: list[tuple[str, bytes]]
+
+
+@dataclass(frozen=True, slots=True)
+class PageQuery:
+    """Asks for a page of the operators' tool."""
+
+    # members, tickets, configuration or status.
+    topic: str
+
+
+Command = (
+    ClaimCommand
+    | ReleaseCommand
+    | TicketCommand
+    | JoinCommand
+    | LeaveCommand
+    | DeathCommand
+    | LookupQuery
+    | PageQuery
+)
+
+_CLASS_BY_CODE: Final[dict[int, type[Any]]] = {
+    1: ClaimCommand,
+    2: ReleaseCommand,
+    3: TicketCommand,
+    4: JoinCommand,
+    5: LeaveCommand,
+    6: DeathCommand,
+    7: LookupQuery,
+    8: PageQuery,
+}
+_CODE_BY_CLASS: Final = {
+    command_class: code for code, command_class in _CLASS_BY_CODE.items()
+}
+_GETTERS_BY_CLASS: Final = {
+    command_class: [attrgetter(field.name) for field in fields(command_class)]
+    for command_class in _CODE_BY_CLASS
+}
+
+
+def encode_command(command: Command) -> bytes:
+    """Pack a command or query into bytes."""
+    getters = _GETTERS_BY_CLASS[type(command)]
+    code = _CODE_BY_CLASS[type(command)]
+    return cbor2.dumps([code, *(getter(command) for getter in getters)])
+
+
+def decode_command(data: bytes) -> Command:
+    """Unpack what `encode_command` has packed."""
+    code, *values = cbor2.loads(data)
+    command: Command = _CLASS_BY_CODE[code](*values)
+    return command
+
+
+def stamp(command: bytes, leader_incarnation: str, now_ms: int) -> bytes:
+    """Put the leader's clock reading before a command."""
+    return cbor2.dumps([leader_incarnation, now_ms, command])
+
+
+def unstamp(data: bytes) -> tuple[str, int, bytes]:
+    """Return the leader's incarnation, its clock reading, the command."""
+    leader_incarnation, now_ms, command = cbor2.loads(data)
+    return leader_incarnation, now_ms, command
--- /dev/null
+++ b/baobabgap/control/_request_desk.py
@@ -0,0 +1,221 @@
+"""Carries out the requests of members and tools on one control host."""
+
+from collections.abc import Callable
+from concurrent.futures import Executor
+from concurrent.futures import Future
+import threading
+import time
+from typing import Any
+from typing import Final
+
+from baobabgap._exceptions import InvalidInput
+from baobabgap._exceptions import ProtocolMismatch
+from baobabgap.control._claims import outcome_from_row
+from baobabgap.control._commands import ClaimCommand
+from baobabgap.control._commands import Command
+from baobabgap.control._commands import LookupQuery
+from baobabgap.control._commands import PageQuery
+from baobabgap.control._commands import ReleaseCommand
+from baobabgap.control._ticket_desk import TicketDesk
+from baobabgap.jobs import JobIdentifier
+from baobabgap.messages import ClaimJobs
+from baobabgap.messages import ClaimOutcomes
+from baobabgap.messages import ControlPage
+from baobabgap.messages import ControlUnavailable
+from baobabgap.messages import PutTicket
+from baobabgap.messages import QueryControl
+from baobabgap.messages import ReleaseClaims
+from baobabgap.replication import NotLeader
+from baobabgap.telemetry import log_event
+from baobabgap.telemetry import Metrics
+
+# Answered by the host that is asked, also without a leader.
+LOCAL_TOPIC: Final = 'status'
+
+Send = Callable[[object], None]
+
+
+class RequestDesk:
+    """Answers each request once, if only that it can't be carried out."""
+
+    def __init__(
+        self,
+        submit: Callable[[Command], Future[Any]],
+        tickets: TicketDesk,
+        status_page: Callable[[], Any],
+        metrics: Metrics,
+        pool: Executor,
+    ) -> None:
+        self._submit = submit
+        self._tickets = tickets
+        self._status_page = status_page
+        self._metrics = metrics
+        self._pool = pool
+        self._condition = threading.Condition()
+        self._pending = 0
+        self._is_closed = False
+
+    def answer(self, message: object, send: Send) -> bool:
+        """Begin a request; tell whether it was one.
+
+        The answer goes to `send` when it is there.
+        """
+        match message:
+            case ClaimJobs() if message.lookup_only:
+                self._begin(message.request, send, self._look_up, message)
+            case ClaimJobs():
+                self._begin(message.request, send, self._claim, message)
+            case ReleaseClaims():
+                self._submit(
+                    ReleaseCommand(
+                        message.owner_incarnation,
+                        message.request,
+                        list(message.jobs),
+                    )
+                )
+            case PutTicket():
+                self._begin(message.request, send, self._put, message)
+            case QueryControl():
+                self._begin(message.request, send, self._query, message)
+            case _:
+                return False
+        return True
+
+    def close(self, timeout_s: float) -> None:
+        """Refuse new requests and wait for those in progress."""
+        with self._condition:
+            self._is_closed = True
+            self._condition.wait_for(lambda: self._pending == 0, timeout_s)
+
+    def _begin(
+        self,
+        request: int,
+        send: Send,
+        carry_out: Callable[[Any], Future[Any]],
+        message: object,
+    ) -> None:
+        with self._condition:
+            if self._is_closed:
+                send(ControlUnavailable(request, 'host is stopping', True))
+                return
+            self._pending += 1
+        future = carry_out(message)
+        future.add_done_callback(
+            lambda done: self._finish(request, send, message, done)
+        )
+
+    def _finish(
+        self, request: int, send: Send, message: object, done: Future[Any]
+    ) -> None:
+        error = done.exception()
+        if error is None:
+            send(done.result())
+        else:
+            unchanged = isinstance(error, NotLeader) or _only_reads(message)
+            self._metrics.count('baobabgap_control_unavailable_total')
+            log_event(
+                'control:unavailable',
+                request=type(message).__name__,
+                error=str(error),
+                unchanged=unchanged,
+            )
+            send(ControlUnavailable(request, str(error), unchanged))
+        with self._condition:
+            self._pending -= 1
+            self._condition.notify_all()
+
+    def _claim(self, message: ClaimJobs) -> Future[Any]:
+        command = ClaimCommand(
+            message.owner,
+            message.owner_incarnation,
+            message.owner_address,
+            message.request,
+            _claim_pairs(message),
+        )
+        begin = time.monotonic()
+        future = self._submit(command)
+        future.add_done_callback(
+            lambda _: self._metrics.observe_seconds(
+                'baobabgap_control_claim_seconds', time.monotonic() - begin
+            )
+        )
+        return _map(future, lambda rows: self._outcomes(message, rows))
+
+    def _look_up(self, message: ClaimJobs) -> Future[Any]:
+        query = LookupQuery(message.owner_incarnation, _claim_pairs(message))
+        return _map(
+            self._submit(query), lambda rows: self._outcomes(message, rows)
+        )
+
+    def _outcomes(self, message: ClaimJobs, rows: Any) -> ClaimOutcomes:
+        outcomes = tuple(outcome_from_row(row) for row in rows)
+        for outcome in outcomes:
+            self._metrics.count(
+                f'baobabgap_control_claims_total{{status="{outcome.status}"}}'
+            )
+        return ClaimOutcomes(message.request, outcomes)
+
+    def _put(self, message: PutTicket) -> Future[Any]:
+        return self._pool.submit(self._put_and_count, message)
+
+    def _put_and_count(self, message: PutTicket) -> Any:
+        outcome = self._tickets.put(message)
+        self._metrics.count(
+            f'baobabgap_control_tickets_total{{status="{outcome.status}"}}'
+        )
+        log_event(
+            'control:ticket',
+            number=message.number,
+            status=outcome.status.value,
+            version=outcome.version,
+        )
+        return outcome
+
+    def _query(self, message: QueryControl) -> Future[Any]:
+        if message.topic == LOCAL_TOPIC:
+            future: Future[Any] = Future()
+            future.set_result(self._status_page())
+        else:
+            future = self._submit(PageQuery(message.topic))
+        return _map(future, lambda page: ControlPage(message.request, page))
+
+
+def _only_reads(message: object) -> bool:
+    match message:
+        case ClaimJobs():
+            return message.lookup_only
+        case QueryControl():
+            return True
+        case _:
+            return False
+
+
+def _claim_pairs(message: ClaimJobs) -> list[tuple[str, bytes]]:
+    for claim in message.claims:
+        try:
+            JobIdentifier.from_text(claim.job)
+        except InvalidInput as error:
+            raise ProtocolMismatch(
+                error.message, step='claim', peer=message.owner
+            ) from error
+    return [(claim.job, claim.digest) for claim in message.claims]
+
+
+def _map(
+    source: Future[Any], convert: Callable[[Any], object]
+) -> Future[Any]:
+    """Return a future of the converted result, or of the same error."""
+    target: Future[Any] = Future()
+
+    def finish(done: Future[Any]) -> None:
+        error = done.exception()
+        if error is not None:
+            target.set_exception(error)
+            return
+        try:
+            target.set_result(convert(done.result()))
+        except Exception as failure:
+            target.set_exception(failure)
+
+    source.add_done_callback(finish)
+    return target
--- a/baobabgap/messages/__init__.py
+++ b/baobabgap/messages/__init__.py
@@ -37,6 +37,7 @@
 from baobabgap.messages._control import QueryControl
 from baobabgap.messages._control import ReleaseClaims
 from baobabgap.messages._control import Subscribe
+from baobabgap.messages._control import Superseded
 from baobabgap.messages._control import TicketOutcome
 from baobabgap.messages._control import TicketStatus
 from baobabgap.messages._entry import CancelOwnedJob
@@ -46,6 +47,9 @@
 from baobabgap.messages._entry import QuotaDemand
 from baobabgap.messages._entry import TeamDemand
 from baobabgap.messages._entry import TokenTransfer
+from baobabgap.messages._relay import RelayCommand
+from baobabgap.messages._relay import RelayReports
+from baobabgap.messages._relay import RelayResult
 
 register(
     AcknowledgeResults,
@@ -72,10 +76,14 @@
     PutTicket,
     QueryControl,
     QuotaDemand,
+    RelayCommand,
+    RelayReports,
+    RelayResult,
     ReleaseClaims,
     ResumeTasks,
     SlotGrant,
     Subscribe,
+    Superseded,
     TaskPlacement,
     TaskResult,
     TaskResults,
@@ -116,10 +124,14 @@
     'QueryControl',
     'QuotaDemand',
     'register',
+    'RelayCommand',
+    'RelayReports',
+    'RelayResult',
     'ReleaseClaims',
     'ResumeTasks',
     'SlotGrant',
     'Subscribe',
+    'Superseded',
     'TaskOutcome',
     'TaskPlacement',
     'TaskResult',
--- a/baobabgap/messages/_control.py
+++ b/baobabgap/messages/_control.py
@@ -158,6 +158,9 @@
     owner_incarnation: str
     # Identifiers of jobs.
     jobs: tuple[str, ...]
+    # Numbered together with the sender's `ClaimJobs`, so that a release
+    # that was overtaken by a later claim has no effect.
+    request: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,3 +253,14 @@
 @dataclass(frozen=True, slots=True)
 class Leave:
     """The member is about to stop as planned and takes no new work."""
+
+
+@dataclass(frozen=True, slots=True)
+class Superseded:
+    """Another process with the receiver's name has joined after it.
+
+    The receiver is a member no more and must take no new work.
+    """
+
+    # The incarnation that is the member now.
+    incarnation: str
--- a/baobabgap/transport/_connection.py
+++ b/baobabgap/transport/_connection.py
@@ -102,6 +102,10 @@
         """Tell whether this side has closed or lost the link."""
         return self._closed.is_set()
 
+    def use_timing(self, timing: LinkTiming) -> None:
+        """Change the pace; the peer must have been told the same."""
+        self._timing = timing
+
     def send(self, *messages: object) -> None:
         """Queue messages for sending; dropped if the link is closed."""
         for message in messages:
