--- a/baobabgap/control/_claims.py
+++ b/baobabgap/control/_claims.py
@@ -47,6 +47,8 @@
     digest: bytes
     # Who owns it.
     owner: Owner
+    # The owner's fencing token.
+    token: int
     # The number of the owner's last request for it.
     sequence: int
     # Log time of the grant in milliseconds.
@@ -131,15 +133,18 @@
             )
         )
         return [
-            self._claim_one(owner, command.sequence, job, digest, now_ms)
-            for job, digest in command.claims
+            self._claim_one(
+                _KeptClaim(digest, owner, token, command.sequence, now_ms),
+                job,
+            )
+            for job, digest, token in command.claims
         ]
 
     def look_up(self, query: LookupQuery) -> list[OutcomeRow]:
         """Tell what claims would meet."""
         return [
-            self._look_up_one(query.owner_incarnation, job, digest)
-            for job, digest in query.claims
+            self._look_up_one(query.owner_incarnation, job, digest, token)
+            for job, digest, token in query.claims
         ]
 
     def release(self, command: ReleaseCommand) -> None:
@@ -156,14 +161,7 @@
                 claims.release(job)
                 self._kept -= 1
 
-    def _claim_one(
-        self,
-        owner: Owner,
-        sequence: int,
-        job: str,
-        digest: bytes,
-        now_ms: int,
-    ) -> OutcomeRow:
+    def _claim_one(self, wanted: _KeptClaim, job: str) -> OutcomeRow:
         client, issued_ms = split_job(job)
         claims = self._client_by_name.get(client)
         if claims is None:
@@ -173,20 +171,22 @@
             self._client_by_name[client] = claims
         kept = claims.claim_by_job.get(job)
         if kept is not None:
-            if _is_resend(kept, owner, digest) and sequence > kept.sequence:
+            status = _status(
+                kept, wanted.owner.incarnation, wanted.digest, wanted.token
+            )
+            if status is ClaimStatus.GRANTED:
+                sequence = max(kept.sequence, wanted.sequence)
                 claims.claim_by_job[job] = kept._replace(sequence=sequence)
-            return _row_of(kept, owner.incarnation, job, digest)
-        self._make_room(claims, issued_ms, now_ms)
+            return (job, status.value, *kept.owner)
+        self._make_room(claims, issued_ms, wanted.granted_ms)
         if issued_ms <= claims.floor_ms:
             return (job, ClaimStatus.WINDOW_PASSED.value)
-        claims.add(
-            issued_ms, job, _KeptClaim(digest, owner, sequence, now_ms)
-        )
+        claims.add(issued_ms, job, wanted)
         self._kept += 1
-        return (job, ClaimStatus.GRANTED.value, *owner)
+        return (job, ClaimStatus.GRANTED.value, *wanted.owner)
 
     def _look_up_one(
-        self, incarnation: str, job: str, digest: bytes
+        self, incarnation: str, job: str, digest: bytes, token: int
     ) -> OutcomeRow:
         client, issued_ms = split_job(job)
         claims = self._client_by_name.get(client)
@@ -194,7 +194,8 @@
             return (job, ClaimStatus.UNCLAIMED.value)
         kept = claims.claim_by_job.get(job)
         if kept is not None:
-            return _row_of(kept, incarnation, job, digest)
+            status = _status(kept, incarnation, digest or kept.digest, token)
+            return (job, status.value, *kept.owner)
         if issued_ms <= claims.floor_ms:
             return (job, ClaimStatus.WINDOW_PASSED.value)
         return (job, ClaimStatus.UNCLAIMED.value)
@@ -249,6 +250,7 @@
                         index_by_owner.setdefault(
                             kept.owner, len(index_by_owner)
                         ),
+                        kept.token,
                         kept.sequence,
                         kept.granted_ms,
                     ]
@@ -267,12 +269,11 @@
         self._kept = 0
         for name, floor_ms, rows in client_rows:
             claims = _ClientClaims(floor_ms)
-            for job, digest, owner, sequence, granted_ms in rows:
-                claims.add(
-                    split_job(job)[1],
-                    job,
-                    _KeptClaim(digest, owners[owner], sequence, granted_ms),
+            for job, digest, owner, token, sequence, granted_ms in rows:
+                kept = _KeptClaim(
+                    digest, owners[owner], token, sequence, granted_ms
                 )
+                claims.add(split_job(job)[1], job, kept)
             self._kept += len(rows)
             self._client_by_name[name] = claims
 
@@ -289,19 +290,12 @@
     return ClaimOutcome(job, ClaimStatus(status), *owner)
 
 
-def _is_resend(kept: _KeptClaim, owner: Owner, digest: bytes) -> bool:
-    return (
-        kept.owner.incarnation == owner.incarnation and kept.digest == digest
-    )
-
-
-def _row_of(
-    kept: _KeptClaim, incarnation: str, job: str, digest: bytes
-) -> OutcomeRow:
+def _status(
+    kept: _KeptClaim, incarnation: str, digest: bytes, token: int
+) -> ClaimStatus:
+    """Tell what a claim of a job that is claimed already meets."""
     if kept.digest != digest:
-        status = ClaimStatus.CONFLICT
-    elif kept.owner.incarnation == incarnation:
-        status = ClaimStatus.GRANTED
-    else:
-        status = ClaimStatus.OWNED
-    return (job, status.value, *kept.owner)
+        return ClaimStatus.CONFLICT
+    if kept.owner.incarnation == incarnation and kept.token == token:
+        return ClaimStatus.GRANTED
+    return ClaimStatus.OWNED
--- /dev/null
+++ b/baobabgap/control/_client_errors.py
@@ -0,0 +1,16 @@
+"""How a request to the control group can fail at its sender."""
+
+from baobabgap._exceptions import BaobabgapError
+
+
+class ControlUnavailableError(BaobabgapError):
+    """The request was not carried out, or that can't be known.
+
+    `unchanged` is true if the request certainly changed nothing.
+    """
+
+    def __init__(
+        self, message: str, *, step: str, peer: str, unchanged: bool
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.unchanged = unchanged
--- a/baobabgap/control/_commands.py
+++ b/baobabgap/control/_commands.py
@@ -38,8 +38,8 @@
     owner_address: str
     # The number of the owner's request.
     sequence: int
-    # Pairs of a job's identifier and the digest of its content.
-    claims: list[tuple[str, bytes]]
+    # Job identifier, digest of its content and fencing token of each.
+    claims: list[tuple[str, bytes, int]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,8 +115,8 @@
 
     # The entry's incarnation that asks.
     owner_incarnation: str
-    # Pairs of a job's identifier and the digest of its content.
-    claims: list[tuple[str, bytes]]
+    # Job identifier, digest of its content and fencing token of each.
+    claims: list[tuple[str, bytes, int]]
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/baobabgap/control/_host.py
@@ -0,0 +1,347 @@
+"""The process of one control host."""
+
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+import threading
+import time
+from typing import Any
+from typing import Final
+import uuid
+
+from baobabgap._exceptions import BaobabgapError
+from baobabgap._exceptions import ConnectionLost
+from baobabgap._exceptions import SettingsError
+from baobabgap.control._commands import Attachment
+from baobabgap.control._commands import JoinCommand
+from baobabgap.control._commands import LeaveCommand
+from baobabgap.control._gateway import Gateway
+from baobabgap.control._host_web import create_application
+from baobabgap.control._pages import Pages
+from baobabgap.control._reaper import Reaper
+from baobabgap.control._relay import LeaderRelay
+from baobabgap.control._relay import RELAY_ROLE
+from baobabgap.control._relay_server import RelayServer
+from baobabgap.control._request_desk import RequestDesk
+from baobabgap.control._sessions import ENTRY_ROLE
+from baobabgap.control._sessions import Session
+from baobabgap.control._sessions import Sessions
+from baobabgap.control._state import ControlState
+from baobabgap.control._ticket_desk import TicketDesk
+from baobabgap.messages import Hello
+from baobabgap.messages import LeaderHint
+from baobabgap.messages import Leave
+from baobabgap.replication import ReplicatedLog
+from baobabgap.settings import ControlHost
+from baobabgap.settings import Settings
+from baobabgap.telemetry import log_event
+from baobabgap.telemetry import Metrics
+from baobabgap.transport import Connection
+from baobabgap.transport import LinkTiming
+from baobabgap.transport import Listener
+from baobabgap.transport import PROCESS_TRAFFIC
+from baobabgap.web import WebServer
+
+CONTROL_ROLE: Final = 'control'
+_THREADS: Final = 16384
+_HTTP_THREADS: Final = 4
+_LARGEST_BODY_BYTES: Final = 64 * 1024
+_TICK_S: Final = 0.25
+_STOP_WAIT_S: Final = 5.0
+
+
+class ControlHostProcess:
+    """One host of the control group.
+
+    It serves the other hosts' replication links, the relays of hosts
+    that follow, and the sessions of members and tools, all on one port::
+
+        host = ControlHostProcess.from_settings(settings)
+        host.start()
+        ...
+        host.stop()
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._own = _own_host(settings)
+        self._incarnation = uuid.uuid4().hex[:16]
+        self._pool = ThreadPoolExecutor(_THREADS, 'control')
+        self._stopping = threading.Event()
+        self._is_draining = False
+        self._has_new_version = threading.Event()
+        self.metrics: Final = Metrics()
+        self._timing = LinkTiming(
+            settings.links.heartbeat_s, settings.links.silence_s
+        )
+        self._member_timing = LinkTiming(
+            settings.control.member_heartbeat_s,
+            settings.control.member_silence_s,
+        )
+        self._state = ControlState(settings.control)
+        self._state.on_version = self._has_new_version.set
+        self._sessions = Sessions(self._state)
+        self._log = ReplicatedLog.from_settings(
+            settings, self._incarnation, self._state, self._pool
+        )
+        self._build_request_handling()
+        self._listener = Listener(
+            self._own.host,
+            self._own.port or settings.listen.internal_port,
+            self._hello,
+            self._timing,
+            self._pool,
+            self._serve_link,
+            _log_link_error,
+        )
+        self._web = WebServer(
+            settings.listen.host,
+            settings.listen.http_port,
+            create_application(self),
+            _HTTP_THREADS,
+            _LARGEST_BODY_BYTES,
+        )
+        self._add_metrics()
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> 'ControlHostProcess':
+        """Open the data folder and bind the ports."""
+        return cls(settings)
+
+    @property
+    def internal_port(self) -> int:
+        """Where members, tools and the other hosts dial."""
+        return self._listener.port
+
+    @property
+    def http_port(self) -> int:
+        """Where health and metrics are served."""
+        return self._web.port
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether requests can be carried out here."""
+        return not self._is_draining and self._log.leader is not None
+
+    def status(self) -> dict[str, Any]:
+        """Describe this host for operators."""
+        return self._pages.status()
+
+    def start(self) -> None:
+        """Take part in the group and serve members."""
+        self._log.start()
+        self._listener.start()
+        self._relay.start()
+        self._web.start(self._pool)
+        self._pool.submit(self._push_loop)
+        self._pool.submit(self._tick_loop)
+        log_event(
+            'control:started',
+            internal_port=self.internal_port,
+            http_port=self.http_port,
+        )
+
+    def stop(self) -> None:
+        """Stop as planned; requests in progress are answered first."""
+        self._is_draining = True
+        self._leave_group_record()
+        if self._log.is_leader:
+            self._log.transfer_leadership()
+        self._desk.close(_STOP_WAIT_S)
+        self._stopping.set()
+        self._has_new_version.set()
+        self._listener.stop()
+        self._sessions.close_all()
+        self._relay_server.close_all()
+        self._relay.stop()
+        self._log.stop()
+        self._web.stop()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+        log_event('control:stopped')
+
+    def _build_request_handling(self) -> None:
+        settings = self._settings
+        self._pages = Pages(self._state, self._sessions, self._log)
+        self._relay = LeaderRelay(
+            self._hello_of_relay,
+            self._timing,
+            self._pool,
+            self._other_leader,
+            self._sessions.report_all_again,
+        )
+        self._gateway = Gateway(
+            self._log,
+            self._state,
+            self._incarnation,
+            self._relay,
+            self._pages.page,
+        )
+        self._relay_server = RelayServer(
+            self._gateway, self._sessions.note_reports
+        )
+        self._desk = RequestDesk(
+            self._gateway.submit,
+            TicketDesk(
+                self._state,
+                self._gateway.submit,
+                settings.control.largest_ticket_bytes,
+                settings.control.request_wait_s,
+            ),
+            self._pages.status,
+            self.metrics,
+            self._pool,
+        )
+        self._attachment = Attachment(settings.name, self._incarnation, 0)
+        self._reaper = Reaper(
+            self._state,
+            self._sessions,
+            self._gateway.submit,
+            self._attachment,
+            self._live_hosts,
+            settings.control.return_grace_s,
+            settings.links.silence_s + settings.control.return_grace_s,
+        )
+
+    def _add_metrics(self) -> None:
+        metrics = self.metrics
+        state = self._state
+        metrics.add_source(PROCESS_TRAFFIC.as_metrics)
+        metrics.gauge('baobabgap_control_version', lambda: state.version)
+        metrics.gauge(
+            'baobabgap_control_kept_claims', lambda: state.claims.kept
+        )
+        metrics.gauge(
+            'baobabgap_control_sessions', lambda: len(self._sessions.all())
+        )
+        metrics.gauge(
+            'baobabgap_control_is_leader', lambda: int(self._log.is_leader)
+        )
+
+    @property
+    def _address(self) -> str:
+        return f'{self._own.host}:{self.internal_port}'
+
+    def _hello(self) -> Hello:
+        return Hello(
+            self._settings.name,
+            CONTROL_ROLE,
+            self._incarnation,
+            self._address,
+            self._settings.place.availability_zone,
+        )
+
+    def _hello_of_relay(self) -> Hello:
+        return Hello(
+            self._settings.name,
+            RELAY_ROLE,
+            self._incarnation,
+            self._address,
+            self._settings.place.availability_zone,
+        )
+
+    def _other_leader(self) -> ControlHost | None:
+        leader = self._log.leader
+        if leader is None or leader.name == self._settings.name:
+            return None
+        return leader
+
+    def _live_hosts(self) -> set[str] | None:
+        if not self._log.is_leader:
+            return None
+        return self._relay_server.incarnations()
+
+    def _serve_link(self, connection: Connection) -> None:
+        match connection.peer.role:
+            case 'control':
+                self._log.serve(connection)
+            case 'relay':
+                self._relay_server.serve(connection)
+            case _:
+                self._serve_member(connection)
+
+    def _serve_member(self, connection: Connection) -> None:
+        if connection.peer.role not in (ENTRY_ROLE, 'tool'):
+            connection.use_timing(self._member_timing)
+        session = self._sessions.open(connection)
+        try:
+            if session.is_member:
+                self._reaper.keep_joined(session, time.monotonic())
+            for message in connection.messages():
+                self._take(session, message)
+        finally:
+            self._sessions.close(session)
+
+    def _take(self, session: Session, message: object) -> None:
+        if self._desk.answer(message, session.connection.send):
+            return
+        self._sessions.take(session, message)
+        if isinstance(message, Leave):
+            peer = session.connection.peer
+            self._gateway.submit(LeaveCommand(peer.name, peer.incarnation))
+
+    def _push_loop(self) -> None:
+        pause_s = self._settings.control.change_pause_ms / 1000
+        while not self._stopping.is_set():
+            self._has_new_version.wait()
+            self._stopping.wait(pause_s)
+            self._has_new_version.clear()
+            self._sessions.push_changes()
+
+    def _tick_loop(self) -> None:
+        while not self._stopping.wait(_TICK_S):
+            try:
+                self._tick()
+            except BaobabgapError as error:
+                log_event('control:tick_failed', error=str(error))
+
+    def _tick(self) -> None:
+        leader = self._log.leader
+        self._relay.check_leader()
+        if leader is None:
+            return
+        is_own = leader.name == self._settings.name
+        address = self._address if is_own else leader.address
+        self._sessions.show_leader(LeaderHint(leader.name, address))
+        if not is_own:
+            self._sessions.pass_reports_on(self._relay.report)
+        if not self._is_draining:
+            self._keep_own_record()
+            self._reaper.run_once()
+
+    def _keep_own_record(self) -> None:
+        known = self._state.member(self._settings.name)
+        if known is not None and known.record.alive:
+            if known.attachment == self._attachment:
+                return
+        self._gateway.submit(
+            JoinCommand(
+                self._settings.name,
+                CONTROL_ROLE,
+                self._incarnation,
+                self._address,
+                self._settings.place.availability_zone,
+                (self._settings.name, self._incarnation, 0),
+            )
+        )
+
+    def _leave_group_record(self) -> None:
+        leaving: Future[Any] = self._gateway.submit(
+            LeaveCommand(self._settings.name, self._incarnation)
+        )
+        try:
+            leaving.result(self._settings.control.request_wait_s)
+        except (BaobabgapError, TimeoutError) as error:
+            log_event('control:left_unrecorded', error=str(error))
+
+
+def _own_host(settings: Settings) -> ControlHost:
+    for host in settings.control_hosts:
+        if host.name == settings.name:
+            return host
+    raise SettingsError(
+        f'control_hosts does not list {settings.name!r}', step='settings'
+    )
+
+
+def _log_link_error(error: BaobabgapError) -> None:
+    if not isinstance(error, ConnectionLost):
+        log_event('control:link_refused', error=str(error))
--- a/baobabgap/control/_members.py
+++ b/baobabgap/control/_members.py
@@ -94,9 +94,7 @@
         if command.incarnation != known.record.incarnation:
             earlier = (*known.superseded, known.record.incarnation)
             superseded = earlier[-_SUPERSEDED_REMEMBERED:]
-            self._store(
-                Member(record, index, attachment, False, superseded)
-            )
+            self._store(Member(record, index, attachment, False, superseded))
         elif known.has_left or known.record == record:
             self._member_by_name[command.name] = replace(
                 known, attachment=attachment
@@ -145,12 +143,14 @@
             self._forget_oldest_gone()
 
     def _forget_oldest_gone(self) -> None:
-        for name, member in self._member_by_name.items():
-            if not member.record.alive:
-                break
-        self._complete_since = max(self._complete_since, member.version)
+        oldest = next(
+            member
+            for member in self._member_by_name.values()
+            if not member.record.alive
+        )
+        self._complete_since = max(self._complete_since, oldest.version)
         self._gone -= 1
-        del self._member_by_name[name]
+        del self._member_by_name[oldest.record.name]
 
     def to_document(self) -> list[Any]:
         """Return everything as plain values for a snapshot."""
@@ -181,7 +181,9 @@
         for row in rows:
             record = MemberRecord(*row[:6])
             attachment = Attachment(*row[7:10])
-            member = Member(record, row[6], attachment, row[10], tuple(row[11]))
+            member = Member(
+                record, row[6], attachment, row[10], tuple(row[11])
+            )
             self._member_by_name[record.name] = member
             if not record.alive:
                 self._gone += 1
--- a/baobabgap/control/_request_desk.py
+++ b/baobabgap/control/_request_desk.py
@@ -99,7 +99,11 @@
                 send(ControlUnavailable(request, 'host is stopping', True))
                 return
             self._pending += 1
-        future = carry_out(message)
+        try:
+            future = carry_out(message)
+        except Exception:
+            self._end()
+            raise
         future.add_done_callback(
             lambda done: self._finish(request, send, message, done)
         )
@@ -120,6 +124,9 @@
                 unchanged=unchanged,
             )
             send(ControlUnavailable(request, str(error), unchanged))
+        self._end()
+
+    def _end(self) -> None:
         with self._condition:
             self._pending -= 1
             self._condition.notify_all()
@@ -130,7 +137,7 @@
             message.owner_incarnation,
             message.owner_address,
             message.request,
-            _claim_pairs(message),
+            _claim_rows(message),
         )
         begin = time.monotonic()
         future = self._submit(command)
@@ -142,7 +149,7 @@
         return _map(future, lambda rows: self._outcomes(message, rows))
 
     def _look_up(self, message: ClaimJobs) -> Future[Any]:
-        query = LookupQuery(message.owner_incarnation, _claim_pairs(message))
+        query = LookupQuery(message.owner_incarnation, _claim_rows(message))
         return _map(
             self._submit(query), lambda rows: self._outcomes(message, rows)
         )
@@ -190,7 +197,7 @@
             return False
 
 
-def _claim_pairs(message: ClaimJobs) -> list[tuple[str, bytes]]:
+def _claim_rows(message: ClaimJobs) -> list[tuple[str, bytes, int]]:
     for claim in message.claims:
         try:
             JobIdentifier.from_text(claim.job)
@@ -198,12 +205,10 @@
             raise ProtocolMismatch(
                 error.message, step='claim', peer=message.owner
             ) from error
-    return [(claim.job, claim.digest) for claim in message.claims]
+    return [(claim.job, claim.digest, claim.token) for claim in message.claims]
 
 
-def _map(
-    source: Future[Any], convert: Callable[[Any], object]
-) -> Future[Any]:
+def _map(source: Future[Any], convert: Callable[[Any], object]) -> Future[Any]:
     """Return a future of the converted result, or of the same error."""
     target: Future[Any] = Future()
 
--- a/baobabgap/control/_state.py
+++ b/baobabgap/control/_state.py
@@ -20,7 +20,6 @@
 from baobabgap.control._commands import unstamp
 from baobabgap.control._members import Member
 from baobabgap.control._members import Members
-from baobabgap.control._tickets import MOVED_ON
 from baobabgap.control._tickets import Tickets
 from baobabgap.messages import Changes
 from baobabgap.settings import ControlSettings
@@ -175,6 +174,3 @@
 
 def _do_nothing() -> None:
     """Stand for a listener that isn't there yet."""
-
-
-__all__ = ['ControlState', 'MOVED_ON']
--- a/baobabgap/control/_tickets.py
+++ b/baobabgap/control/_tickets.py
@@ -79,8 +79,7 @@
     def merged_state(self, state_by_key: dict[str, Any]) -> dict[str, Any]:
         """Return the state of all keys as a ticket would leave it."""
         merged = {
-            key: entry.value
-            for key, (_, entry) in self._entry_by_key.items()
+            key: entry.value for key, (_, entry) in self._entry_by_key.items()
         }
         return merged | state_by_key
 
