Thin agent and stand-in

The agent dials the entries in its directory, grants slot tokens, runs tasks on the upstream that announced itself and returns their results. The stand-in runs tasks by sleeping and counts starts by itself.

Messages changed: PlaceTasks and ResumeTasks bear the agent incarnation that granted the tokens (required), so that a restarted agent never starts what its predecessor may have started. A result brings a token of the current epoch whenever idle tokens and tasks at the agent are fewer than the slots; with tokens of the placing epoch only, slots busy at a redistribution would stay without a token until a leak is suspected. NOT_STARTED must be acknowledged before the task is placed there anew.

--- /dev/null
+++ b/baobabgap/agent/_agent.py
@@ -0,0 +1,210 @@
+"""The process beside one upstream."""
+
+from concurrent.futures import ThreadPoolExecutor
+import threading
+import time
+from typing import Any
+from typing import Final
+import uuid
+
+from baobabgap._exceptions import BaobabgapError
+from baobabgap.agent._announcement import Announcement
+from baobabgap.agent._application import AgentApplication
+from baobabgap.agent._batch_log import BatchLog
+from baobabgap.agent._directory import EntryDirectory
+from baobabgap.agent._health import UpstreamHealth
+from baobabgap.agent._runner import UpstreamRunner
+from baobabgap.agent._scheduler import TaskScheduler
+from baobabgap.agent._upstream_state import UpstreamState
+from baobabgap.messages import AcknowledgeResults
+from baobabgap.messages import CancelJobs
+from baobabgap.messages import Hello
+from baobabgap.messages import PlaceTasks
+from baobabgap.messages import ResumeTasks
+from baobabgap.settings import Settings
+from baobabgap.telemetry import log_event
+from baobabgap.telemetry import Metrics
+from baobabgap.transport import Connection
+from baobabgap.transport import Dialer
+from baobabgap.transport import LinkTiming
+from baobabgap.transport import PROCESS_TRAFFIC
+from baobabgap.web import WebServer
+
+_THREADS: Final = 2048
+_HTTP_THREADS: Final = 4
+_LARGEST_BODY_BYTES: Final = 64 * 1024
+_TICK_S: Final = 0.1
+# Seconds that a planned stop waits for tasks to end and for entries to
+# acknowledge their results.
+_DRAIN_LIMIT_S: Final = 30.0
+_DRAIN_PAUSE_S: Final = 0.02
+
+
+class Agent:
+    """Serves one upstream to all entries; the only judge of starts there.
+
+    An example::
+
+        agent = Agent.from_settings(settings)
+        agent.start()
+        ...
+        agent.stop()
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self.incarnation: Final = uuid.uuid4().hex
+        self.metrics: Final = Metrics()
+        self.metrics.add_source(PROCESS_TRAFFIC.as_metrics)
+        self._pool = ThreadPoolExecutor(_THREADS, thread_name_prefix='agent')
+        self._batch_log = BatchLog(settings.name)
+        health = UpstreamHealth(settings.agent)
+        self._runner = UpstreamRunner(
+            settings.agent, self.incarnation, self._pool, health
+        )
+        self._scheduler = TaskScheduler(
+            settings.name,
+            self.incarnation,
+            self.metrics,
+            self._batch_log,
+            self._runner.run,
+            self._runner.stop_leases,
+        )
+        self._runner.attach(self._scheduler)
+        self.directory: Final = EntryDirectory(self._follow_directory)
+        self._upstream = UpstreamState(health, self._runner, self.directory)
+        self._application = AgentApplication(
+            self._take_announcement,
+            lambda: self._scheduler.offer,
+            self.metrics,
+        )
+        self._server = WebServer(
+            settings.listen.host,
+            settings.listen.http_port,
+            self._application,
+            _HTTP_THREADS,
+            _LARGEST_BODY_BYTES,
+        )
+        self._dialer_lock = threading.Lock()
+        self._dialer_by_address: dict[str, Dialer] = {}
+        self._is_stopping = threading.Event()
+        self._is_stopped = threading.Event()
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> 'Agent':
+        """Build an agent and bind its port."""
+        return cls(settings)
+
+    @property
+    def http_port(self) -> int:
+        """The port for the upstream, the balancer and operators."""
+        return self._server.port
+
+    def start(self) -> None:
+        """Wait for the upstream's announcement, and dial the entries."""
+        self._pool.submit(self._batch_log.run)
+        self._server.start(self._pool)
+        self._pool.submit(self._runner.watch)
+        self._pool.submit(self._tick_loop)
+
+    def stop(self) -> None:
+        """Take no new tasks, let running ones end, and stop."""
+        if self._is_stopping.is_set():
+            self._is_stopped.wait()
+            return
+        self._is_stopping.set()
+        self._upstream.stop_accepting()
+        self._scheduler.set_offer(self._upstream.offer())
+        self._drain()
+        with self._dialer_lock:
+            dialers = list(self._dialer_by_address.values())
+            self._dialer_by_address.clear()
+        for dialer in dialers:
+            dialer.stop()
+        self._runner.stop()
+        self._batch_log.stop()
+        self._server.stop()
+        self._is_stopped.set()
+        self._pool.shutdown(wait=True)
+
+    def _drain(self) -> None:
+        give_up_at = time.monotonic() + _DRAIN_LIMIT_S
+        while self._scheduler.outstanding_tasks:
+            if time.monotonic() > give_up_at:
+                left = self._scheduler.outstanding_tasks
+                log_event('agent:drain_given_up', tasks=left)
+                return
+            time.sleep(_DRAIN_PAUSE_S)
+
+    def _take_announcement(self, announcement: Announcement) -> dict[str, Any]:
+        answer = self._upstream.announce(announcement)
+        self._scheduler.set_offer(self._upstream.offer())
+        return answer
+
+    def _follow_directory(self) -> None:
+        """Dial entries that are new, and drop those that are gone."""
+        wanted = self.directory.entry_addresses()
+        with self._dialer_lock:
+            if self._is_stopping.is_set():
+                return
+            for address in wanted - self._dialer_by_address.keys():
+                self._dialer_by_address[address] = self._dial(address)
+            for address in self._dialer_by_address.keys() - wanted:
+                self._dialer_by_address.pop(address).stop()
+
+    def _dial(self, address: str) -> Dialer:
+        own = Hello(
+            self._settings.name,
+            'agent',
+            self.incarnation,
+            availability_zone=self._settings.place.availability_zone,
+        )
+        links = self._settings.links
+        dialer = Dialer(
+            address,
+            own,
+            LinkTiming(links.heartbeat_s, links.silence_s),
+            self._pool,
+            self._serve_entry,
+            lambda error: self._note_link_error(address, error),
+        )
+        dialer.start()
+        return dialer
+
+    def _serve_entry(self, connection: Connection) -> None:
+        """Handle one link to an entry until it is lost."""
+        scheduler = self._scheduler
+        scheduler.open_link(connection)
+        try:
+            for message in connection.messages():
+                match message:
+                    case PlaceTasks():
+                        scheduler.place(connection, message)
+                    case AcknowledgeResults():
+                        scheduler.acknowledge(connection, message)
+                    case CancelJobs():
+                        scheduler.cancel(connection, message)
+                    case ResumeTasks():
+                        scheduler.resume(connection, message)
+                    case _:
+                        self._note_unexpected(message)
+        finally:
+            scheduler.lose_link(connection)
+
+    def _tick_loop(self) -> None:
+        while not self._is_stopped.wait(_TICK_S):
+            self._scheduler.set_offer(self._upstream.offer())
+            self._scheduler.tick()
+            if self.directory.wants_load_reports:
+                self._scheduler.report_load()
+
+    def _note_link_error(self, address: str, error: BaobabgapError) -> None:
+        if not self._is_stopping.is_set():
+            log_event('agent:link_ended', entry=address, why=str(error))
+
+    def _note_unexpected(self, message: object) -> None:
+        name = type(message).__name__
+        self.metrics.count(
+            'baobabgap_wasted_messages_total{kind="unexpected"}'
+        )
+        log_event('agent:unexpected_message', message=name)
--- /dev/null
+++ b/baobabgap/agent/_directory.py
@@ -0,0 +1,86 @@
+"""Where the entries are, and how many slots the upstream may use."""
+
+from collections.abc import Callable
+import threading
+from typing import Final
+
+from baobabgap._exceptions import InvalidInput
+from baobabgap.configuration import PlacementPolicy
+from baobabgap.configuration import Policy
+from baobabgap.configuration import UpstreamLimit
+from baobabgap.configuration import validate_state
+from baobabgap.messages import Changes
+from baobabgap.messages import MemberRecord
+from baobabgap.telemetry import log_event
+
+_ENTRY_ROLE: Final = 'entry'
+_POLICY_KEY: Final = 'policy'
+_UPSTREAM_PREFIX: Final = 'upstream/'
+
+
+class EntryDirectory:
+    """What the agent has learned from the control group.
+
+    Hand `apply` to a `ControlClient`; `on_change` is called after each
+    change, from the thread that brought it.
+    """
+
+    def __init__(self, on_change: Callable[[], None]) -> None:
+        self._on_change = on_change
+        self._lock = threading.Lock()
+        self._entry_by_name: dict[str, MemberRecord] = {}
+        self._limit_by_upstream: dict[str, int] = {}
+        self._policy = Policy()
+
+    def apply(self, changes: Changes) -> None:
+        """Take in what has changed, or the whole state for version 0."""
+        with self._lock:
+            if changes.from_version == 0:
+                self._entry_by_name.clear()
+                self._limit_by_upstream.clear()
+                self._policy = Policy()
+            for member in changes.members:
+                self._apply_member(member)
+            for entry in changes.configuration:
+                self._apply_state(entry.key, entry.value)
+        self._on_change()
+
+    def entry_addresses(self) -> set[str]:
+        """Return the addresses of all living entries."""
+        with self._lock:
+            return {member.address for member in self._entry_by_name.values()}
+
+    def limit_of(self, upstream: str) -> int | None:
+        """Return how many slots a ticket allows, or None if none says."""
+        with self._lock:
+            return self._limit_by_upstream.get(upstream)
+
+    @property
+    def wants_load_reports(self) -> bool:
+        """Whether the policy in force needs `UpstreamLoad`."""
+        return self._policy.placement is PlacementPolicy.LEAST_REPORTED
+
+    def _apply_member(self, member: MemberRecord) -> None:
+        if member.role != _ENTRY_ROLE:
+            return
+        if member.alive and member.address:
+            self._entry_by_name[member.name] = member
+        else:
+            self._entry_by_name.pop(member.name, None)
+
+    def _apply_state(self, key: str, value: object) -> None:
+        if key != _POLICY_KEY and not key.startswith(_UPSTREAM_PREFIX):
+            return
+        try:
+            state = validate_state(key, value)
+        except InvalidInput as error:
+            log_event('agent:bad_configuration', key=key, why=str(error))
+            return
+        match state:
+            case Policy():
+                self._policy = state
+            case UpstreamLimit():
+                name = key.removeprefix(_UPSTREAM_PREFIX)
+                self._limit_by_upstream[name] = state.slots
+            case _:
+                pass
--- /dev/null
+++ b/baobabgap/agent/_upstream_state.py
@@ -0,0 +1,112 @@
+"""What the agent offers of its upstream at the moment."""
+
+import threading
+import time
+from typing import Any
+from typing import Final
+
+from baobabgap._exceptions import InvalidInput
+from baobabgap.agent._announcement import Announcement
+from baobabgap.agent._directory import EntryDirectory
+from baobabgap.agent._health import UpstreamHealth
+from baobabgap.agent._runner import UpstreamRunner
+from baobabgap.jobs import TaskSize
+from baobabgap.messages import UpstreamOffer
+
+# Upstream processes of the past that are recognised if they come back.
+_REMEMBERED_UPSTREAMS: Final = 1000
+
+
+class UpstreamState:
+    """Joins the announcement, the health and the limit into an offer."""
+
+    def __init__(
+        self,
+        health: UpstreamHealth,
+        runner: UpstreamRunner,
+        directory: EntryDirectory,
+    ) -> None:
+        self._health = health
+        self._runner = runner
+        self._directory = directory
+        self._lock = threading.Lock()
+        self._announcement: Announcement | None = None
+        self._earlier_incarnations: dict[str, None] = {}
+        self._earlier_upstreams = 0
+        self._is_stopping = False
+
+    def announce(self, announcement: Announcement) -> dict[str, Any]:
+        """Take an announcement; return the answer's document.
+
+        Raises `InvalidInput` if it comes from another upstream, or from a
+        process of it that a newer one has replaced.
+        """
+        with self._lock:
+            self._check_identity(announcement)
+            self._announcement = announcement
+            self._runner.meet(announcement)
+            return {
+                'agent_incarnation': self._runner.incarnation,
+                'earlier_upstreams': self._earlier_upstreams,
+            }
+
+    def stop_accepting(self) -> None:
+        """Offer nothing from now on: the agent is about to stop."""
+        self._is_stopping = True
+
+    def offer(self) -> UpstreamOffer:
+        """Return what to tell the entries now."""
+        announcement = self._announcement
+        if announcement is None:
+            return _offer_nothing('no upstream has announced itself')
+        slots = announcement.slots
+        limit = self._directory.limit_of(announcement.name)
+        if limit is not None:
+            slots = min(slots, limit)
+        fitness = self._health.fitness(slots, time.monotonic())
+        reason = self._find_obstacle(announcement, slots) or fitness.reason
+        return UpstreamOffer(
+            announcement.name,
+            fitness.slots if not reason else slots,
+            announcement.capacity,
+            not reason,
+            reason,
+            announcement.rack,
+        )
+
+    def _find_obstacle(self, announcement: Announcement, slots: int) -> str:
+        if self._is_stopping:
+            return 'the agent is about to stop'
+        if announcement.leaving:
+            return 'the upstream is leaving'
+        if not self._runner.is_adopted:
+            return 'the upstream is not bound to the agent yet'
+        if slots == 0:
+            return 'a ticket has taken the upstream out of use'
+        return ''
+
+    def _check_identity(self, announcement: Announcement) -> None:
+        known = self._announcement
+        if known is None or known.incarnation == announcement.incarnation:
+            return
+        if announcement.name != known.name:
+            raise InvalidInput(
+                f'this agent serves {known.name}, not {announcement.name}',
+                step='announce',
+                peer=announcement.address,
+            )
+        if announcement.incarnation in self._earlier_incarnations:
+            raise InvalidInput(
+                f'a newer process of {known.name} has announced itself',
+                step='announce',
+                peer=announcement.address,
+            )
+        self._earlier_incarnations[known.incarnation] = None
+        self._earlier_upstreams += 1
+        if len(self._earlier_incarnations) > _REMEMBERED_UPSTREAMS:
+            oldest = next(iter(self._earlier_incarnations))
+            del self._earlier_incarnations[oldest]
+
+
+def _offer_nothing(reason: str) -> UpstreamOffer:
+    return UpstreamOffer('', 0, TaskSize(0.0, 0, 0), False, reason)
--- /dev/null
+++ b/baobabgap/agent/tests/deployment.py
@@ -0,0 +1,93 @@
+"""An agent with a stand-in upstream and fake entries, for tests."""
+
+from typing import Any
+
+from baobabgap.agent import Agent
+from baobabgap.agent.tests.fake_entry import FakeEntry
+from baobabgap.messages import Changes
+from baobabgap.messages import ConfigurationEntry
+from baobabgap.settings import Settings
+from baobabgap.settings import settings_from_document
+from baobabgap.standin import StandInUpstream
+
+_CONTROL_HOSTS = [{'name': 'control-1', 'host': '127.0.0.1', 'port': 9}]
+
+
+class Deployment:
+    """Starts the parts, and stops whatever is left of them."""
+
+    def __init__(self, slots: int = 4, entries: int = 1) -> None:
+        self.slots = slots
+        self.entries = [
+            FakeEntry(f'entry-{letter}') for letter in 'abcdef'[:entries]
+        ]
+        self._version = 0
+        self.agent = self.start_agent()
+        self.upstream = self.start_upstream()
+
+    @property
+    def entry(self) -> FakeEntry:
+        """The first entry."""
+        return self.entries[0]
+
+    def start_agent(self, http_port: int = 0) -> Agent:
+        """Start an agent that knows the entries."""
+        self.agent = Agent.from_settings(agent_settings(http_port))
+        self.agent.start()
+        self.apply()
+        return self.agent
+
+    def start_upstream(self) -> StandInUpstream:
+        """Start a stand-in upstream that announces itself to the agent."""
+        settings = settings_from_document(
+            {
+                'role': 'stand-in',
+                'name': 'upstream-1',
+                'stand_in': {
+                    'agent_address': f'127.0.0.1:{self.agent.http_port}',
+                    'slots': self.slots,
+                },
+            },
+            source='test',
+        )
+        self.upstream = StandInUpstream.from_settings(settings)
+        self.upstream.start()
+        return self.upstream
+
+    def apply(self, **state_by_key: Any) -> None:
+        """Tell the agent of all entries and of a configuration."""
+        self._version += 1
+        self.agent.directory.apply(
+            Changes(
+                0,
+                self._version,
+                tuple(entry.member for entry in self.entries),
+                tuple(
+                    ConfigurationEntry(key, self._version, value)
+                    for key, value in state_by_key.items()
+                ),
+            )
+        )
+
+    def stop(self) -> None:
+        """Stop all parts."""
+        for entry in self.entries:
+            entry.acknowledges = True
+        self.upstream.stop()
+        self.agent.stop()
+        for entry in self.entries:
+            entry.stop()
+
+
+def agent_settings(http_port: int = 0) -> Settings:
+    """Settings of an agent with short pauses."""
+    return settings_from_document(
+        {
+            'role': 'agent',
+            'name': 'agent-1',
+            'control_hosts': _CONTROL_HOSTS,
+            'listen': {'http_port': http_port},
+            'agent': {'upstream_check_s': 0.1, 'upstream_silence_s': 0.5},
+        },
+        source='test',
+    )
--- a/baobabgap/messages/_agent.py
+++ b/baobabgap/messages/_agent.py
@@ -6,7 +6,9 @@
 other. A token belongs to a grant epoch: whenever the agent suspects that
 tokens were lost it starts a new epoch, and tokens of earlier ones are
 void. Tokens only avoid queues: the agent alone decides about starts, and
-a task that arrives with a void token waits there for a free slot.
+a task that arrives with a void token waits there for a free slot. A result
+brings a token of the current epoch whenever the idle tokens and the tasks
+at the agent are fewer than the slots, and none otherwise.
 """
 
 from dataclasses import dataclass
@@ -88,8 +90,12 @@
 
     # The job's identifier.
     job: str
-    # The entry's incarnation that owns the job's claim.
+    # The entry's incarnation that owns the job's claim; the same as in
+    # its `Hello`.
     owner_incarnation: str
+    # The agent's incarnation that granted the tokens. Another one never
+    # starts these tasks; it answers as to `ResumeTasks`.
+    agent_incarnation: str
     # The grant epoch whose tokens are spent.
     epoch: int
     # Milliseconds until the job's deadline at the time of sending.
@@ -143,7 +149,12 @@
 
 @dataclass(frozen=True, slots=True)
 class AcknowledgeResults:
-    """The entry has these results; the agent need not resend them."""
+    """The entry has these results; the agent need not resend them.
+
+    Until then the agent's answer for a task stays the same, also if the
+    task is placed there anew; so acknowledge `NOT_STARTED` before placing
+    the task again with the same agent.
+    """
 
     # Pairs of job and task identifiers.
     tasks: tuple[tuple[str, str], ...]
@@ -166,8 +177,12 @@
 
     For each task listed that the agent neither runs, queues, nor has a
     result for, the agent answers `NOT_STARTED` if it can prove that, and
-    `LOST` if it can't, for example after its own restart.
+    `LOST` if it can't, for example if both it and its upstream have
+    restarted. An agent that has just restarted answers once its upstream
+    has bound itself to it.
     """
 
+    # The agent's incarnation that the tasks were placed with.
+    agent_incarnation: str
     # Pairs of job and task identifiers.
     tasks: tuple[tuple[str, str], ...]
--- a/baobabgap/messages/tests/test_codec.py
+++ b/baobabgap/messages/tests/test_codec.py
@@ -20,6 +20,7 @@
         placed = PlaceTasks(
             job='kurek.1.a',
             owner_incarnation='i',
+            agent_incarnation='g',
             epoch=3,
             deadline_ms=900,
             tasks=(
--- /dev/null
+++ b/baobabgap/standin/_requests.py
@@ -0,0 +1,82 @@
+"""What an agent may ask of a stand-in upstream, validated."""
+
+from dataclasses import dataclass
+from typing import Annotated
+from typing import Any
+from typing import Final
+from typing import TypeVar
+
+from pydantic import Field
+from pydantic import TypeAdapter
+from pydantic import ValidationError
+
+from baobabgap._exceptions import InvalidInput
+
+RequestType = TypeVar('RequestType')
+
+
+@dataclass(frozen=True, slots=True)
+class StartLease:
+    """Starts one task and waits for its end."""
+
+    # The job's and the task's identifiers, with a slash between.
+    lease: Annotated[str, Field(pattern=r'^[^/]+/[^/]+$')]
+    # The agent's incarnation.
+    agent_incarnation: str
+    # The upstream's incarnation that the agent means.
+    upstream_incarnation: str
+    # Whose task it is; opaque to the upstream.
+    owner: str
+    # The sort of work.
+    kind: str
+    # Seconds until the lease lapses unless it is renewed.
+    lease_s: Annotated[float, Field(gt=0, le=600)]
+    # The task's own input.
+    payload: Any = None
+
+
+@dataclass(frozen=True, slots=True)
+class RenewLeases:
+    """Prolongs leases, and forgets those that are acknowledged."""
+
+    # The agent's incarnation.
+    agent_incarnation: str
+    # The leases to prolong.
+    leases: tuple[str, ...]
+    # Seconds until they lapse.
+    lease_s: Annotated[float, Field(gt=0, le=600)]
+    # Ended leases that the agent no longer needs.
+    acknowledged: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ControlLeases:
+    """Stops, checkpoints or throttles leases."""
+
+    # The agent's incarnation.
+    agent_incarnation: str
+    # The leases concerned.
+    leases: tuple[str, ...]
+    # The share of its speed that a throttled task keeps.
+    share: Annotated[float, Field(gt=0, le=1)] = 1.0
+
+
+_ADAPTER_BY_CLASS: Final[dict[type, TypeAdapter[Any]]] = {
+    request: TypeAdapter(request)
+    for request in (StartLease, RenewLeases, ControlLeases)
+}
+
+
+def read_request(request_class: type[RequestType], body: bytes) -> RequestType:
+    """Validate a JSON body; raise `InvalidInput` if it is wrong."""
+    try:
+        checked: RequestType = _ADAPTER_BY_CLASS[request_class].validate_json(
+            body
+        )
+    except ValidationError as error:
+        detail = error.errors(include_url=False, include_input=False)[0]
+        place = '.'.join(str(part) for part in detail['loc']) or 'body'
+        raise InvalidInput(
+            f'{place}: {detail["msg"]}', step='upstream'
+        ) from error
+    return checked
