--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -16,6 +16,7 @@
 from baobabgap.agent._runner import UpstreamRunner
 from baobabgap.agent._scheduler import TaskScheduler
 from baobabgap.agent._upstream_state import UpstreamState
+from baobabgap.control import ControlClient
 from baobabgap.messages import AcknowledgeResults
 from baobabgap.messages import CancelJobs
 from baobabgap.messages import Hello
@@ -72,6 +73,15 @@
         )
         self._runner.attach(self._scheduler)
         self.directory: Final = EntryDirectory(self._follow_directory)
+        self._control = ControlClient.from_settings(
+            settings,
+            'agent',
+            self.incarnation,
+            '',
+            self._pool,
+            self.directory.apply,
+            ('entry',),
+        )
         self._upstream = UpstreamState(health, self._runner, self.directory)
         self._application = AgentApplication(
             self._take_announcement,
@@ -104,6 +114,7 @@
         """Wait for the upstream's announcement, and dial the entries."""
         self._pool.submit(self._batch_log.run)
         self._server.start(self._pool)
+        self._control.start()
         self._pool.submit(self._runner.watch)
         self._pool.submit(self._tick_loop)
 
@@ -121,6 +132,7 @@
             self._dialer_by_address.clear()
         for dialer in dialers:
             dialer.stop()
+        self._control.stop()
         self._runner.stop()
         self._batch_log.stop()
         self._server.stop()
--- a/baobabgap/entry/_active_job.py
+++ b/baobabgap/entry/_active_job.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 from typing import Any
 
+from baobabgap.entry._job_log import JobLog
 from baobabgap.jobs import JobAnswer
 from baobabgap.jobs import JobSubmission
 from baobabgap.jobs import Ran
@@ -23,6 +24,8 @@
     expected_ms: float
     # The agent it was handed to, or empty while it waits.
     agent: str = ''
+    # The incarnation of that agent.
+    agent_incarnation: str = ''
     # Monotonic seconds when it was handed over.
     placed_at: float = 0.0
 
@@ -46,8 +49,8 @@
     arrived_at: float
     # Monotonic seconds by which the client wants the answer.
     deadline_at: float
-    # The serialised eliot action of the job.
-    log_action: str
+    # Where the job's events are logged.
+    log: JobLog
     # Where the answer goes.
     future: Future[JobAnswer]
     # Expected run time of the longest task, in milliseconds.
@@ -70,7 +73,7 @@
         *,
         token: int,
         now: float,
-        log_action: str,
+        log: JobLog,
         expected_ms_by_task: dict[str, float],
     ) -> 'ActiveJob':
         """Build the job with all of its tasks waiting."""
@@ -85,7 +88,7 @@
             token=token,
             arrived_at=now,
             deadline_at=now + submission.deadline_ms / 1000,
-            log_action=log_action,
+            log=log,
             future=Future(),
             longest_expected_ms=waiting[-1].expected_ms,
             waiting=waiting,
@@ -103,10 +106,13 @@
             return Ran.YES
         return Ran.UNKNOWN if self.may_have_started else Ran.NO
 
-    def place_next(self, agent: str, now: float) -> PendingTask:
+    def place_next(
+        self, agent: str, agent_incarnation: str, now: float
+    ) -> PendingTask:
         """Take the longest waiting task and note where it goes."""
         task = self.waiting.pop()
         task.agent = agent
+        task.agent_incarnation = agent_incarnation
         task.placed_at = now
         self.placed_by_task[task.submission.identifier] = task
         self.may_have_started = True
--- a/baobabgap/entry/_dispatcher.py
+++ b/baobabgap/entry/_dispatcher.py
@@ -16,10 +16,10 @@
 from baobabgap.entry._active_job import ActiveJob
 from baobabgap.entry._active_job import PendingTask
 from baobabgap.entry._balancer import Balancer
-from baobabgap.entry._job_log import log_in_job
 from baobabgap.entry._outstanding import OutstandingTasks
 from baobabgap.entry._queueing_placement import QueueingPlacement
 from baobabgap.entry._run_times import RunTimes
+from baobabgap.entry._token_pool import AgentTokens
 from baobabgap.entry._token_pool import TokenPool
 from baobabgap.entry._upstream_watch import UpstreamWatch
 from baobabgap.entry._waiting_queue import WaitingQueue
@@ -121,6 +121,7 @@
         with self.lock:
             if job.ended:
                 return False
+            job.log.event('claimed')
             self._queue.add(job, self._configuration.policy)
             self._dispatch()
             return True
@@ -134,6 +135,7 @@
             if job.ended:
                 return False
             self._close(job)
+            job.log.finish('not_owned')
             return True
 
     def fail(self, job: ActiveJob, failure: JobFailure) -> bool:
@@ -157,6 +159,8 @@
         self._job_by_identifier.pop(job.identifier, None)
 
     def _answer(self, job: ActiveJob, answer: JobAnswer) -> None:
+        failure = answer.failure
+        job.log.finish('whole' if failure is None else failure.code)
         self._on_end(job, answer)
         job.future.set_result(answer)
 
@@ -171,8 +175,8 @@
             is_near = link.peer.availability_zone == self._availability_zone
             self.pool.add(agent, link.peer.incarnation, is_near)
             outstanding = self._outstanding.link_returned(agent)
-            if outstanding:
-                link.send(ResumeTasks(tuple(outstanding)))
+            for incarnation, tasks in outstanding.items():
+                link.send(ResumeTasks(incarnation, tuple(tasks)))
 
     def agent_down(self, link: Connection) -> None:
         """Give up a lost link; its tasks wait for the agent's return."""
@@ -213,9 +217,11 @@
         """Take in results, and spend the tokens that came with them."""
         agent = link.peer.name
         with self.lock:
-            acknowledged = self._unacknowledged_by_agent.setdefault(agent, [])
             for result in message.results:
-                acknowledged.append((result.job, result.task))
+                unacknowledged = self._unacknowledged_by_agent.setdefault(
+                    agent, []
+                )
+                unacknowledged.append((result.job, result.task))
                 self._take_result(agent, result)
             self._dispatch()
 
@@ -231,7 +237,7 @@
             case TaskOutcome.DONE:
                 self._take_value(agent, job, task, result)
             case TaskOutcome.NOT_STARTED:
-                self._move(job, result)
+                self._move(agent, job, result)
             case TaskOutcome.FAILED:
                 self._fail_task(job, result, agent, FailureCode.TASK_FAILED)
             case TaskOutcome.LOST:
@@ -265,11 +271,14 @@
             if self.pool.get(agent) is not None:
                 self.pool.suspend(agent, False)
 
-    def _move(self, job: ActiveJob, result: TaskResult) -> None:
+    def _move(self, agent: str, job: ActiveJob, result: TaskResult) -> None:
         task = job.take_back(result.task)
         if task is None:
             return
         self._metrics.count('baobabgap_tasks_moved_total')
+        # The agent keeps its answer until it is acknowledged, and the task
+        # may go to the same agent again.
+        self._acknowledge(agent)
         self._waiting_work_ms += task.expected_ms
         self._queue.add(job, self._configuration.policy)
 
@@ -352,24 +361,28 @@
     ) -> bool:
         """Place a job's waiting tasks; False if some still wait."""
         while job.waiting:
-            agent = self._choose(job.waiting[-1])
-            if agent is None:
+            tokens = self._choose(job.waiting[-1])
+            if tokens is None:
                 return False
-            task = job.place_next(agent, now)
-            self._waiting_work_ms -= task.expected_ms
-            self._outstanding.add(agent, job, task)
-            place = (agent, job.identifier)
+            task = self._place_next(job, tokens, now)
+            place = (tokens.agent, job.identifier)
             tasks_by_place.setdefault(place, []).append(task)
         return True
 
-    def _choose(self, task: PendingTask) -> str | None:
+    def _place_next(
+        self, job: ActiveJob, tokens: AgentTokens, now: float
+    ) -> PendingTask:
+        task = job.place_next(tokens.agent, tokens.incarnation, now)
+        self._waiting_work_ms -= task.expected_ms
+        self._outstanding.add(tokens.agent, job, task)
+        return task
+
+    def _choose(self, task: PendingTask) -> AgentTokens | None:
         policy = self._configuration.policy.placement
-        if policy is not PlacementPolicy.TOKENS:
-            return self._queueing.choose(
-                policy, self.pool, task.submission.size
-            )
-        tokens = self.pool.spend(task.submission.size)
-        return None if tokens is None else tokens.agent
+        size = task.submission.size
+        if policy is PlacementPolicy.TOKENS:
+            return self.pool.spend(size)
+        return self._queueing.choose(policy, self.pool, size)
 
     def _send_placements(
         self,
@@ -381,15 +394,12 @@
             job = self._job_by_identifier[identifier]
             self._metrics.count('baobabgap_tasks_placed_total', len(tasks))
             epoch = self._epoch_for(agent)
-            self._send(agent, self._placement(job, tasks, epoch, now))
+            placement = self._placement(job, tasks, epoch, now)
+            self._send(agent, placement)
             agents_by_job.setdefault(identifier, {})[agent] = len(tasks)
         for identifier, tasks_by_agent in agents_by_job.items():
-            log_in_job(
-                self._job_by_identifier[identifier].log_action,
-                'placed',
-                job=identifier,
-                tasks_by_agent=tasks_by_agent,
-            )
+            job = self._job_by_identifier[identifier]
+            job.log.event('placed', tasks_by_agent=tasks_by_agent)
 
     def _epoch_for(self, agent: str) -> int:
         """Return the epoch of the token that was spent, or a void one."""
@@ -409,6 +419,7 @@
         return PlaceTasks(
             job=job.identifier,
             owner_incarnation=self._incarnation,
+            agent_incarnation=tasks[0].agent_incarnation,
             epoch=epoch,
             deadline_ms=max(int((job.deadline_at - now) * 1000), 0),
             tasks=tuple(
@@ -420,7 +431,7 @@
                 )
                 for task in tasks
             ),
-            log_action=job.log_action,
+            log_action=job.log.new_branch(),
         )
 
     # Regular checks
@@ -428,10 +439,13 @@
     def acknowledge_results(self) -> None:
         """Tell the agents which results need not be kept any more."""
         with self.lock:
-            for agent, tasks in self._unacknowledged_by_agent.items():
-                if tasks:
-                    self._send(agent, AcknowledgeResults(tuple(tasks)))
-            self._unacknowledged_by_agent.clear()
+            for agent in list(self._unacknowledged_by_agent):
+                self._acknowledge(agent)
+
+    def _acknowledge(self, agent: str) -> None:
+        tasks = self._unacknowledged_by_agent.pop(agent, [])
+        if tasks:
+            self._send(agent, AcknowledgeResults(tuple(tasks)))
 
     def expire(self, now: float) -> float:
         """Fail jobs that can't meet their deadline any more.
@@ -497,9 +511,7 @@
             return
         tokens = self.pool.spend_at(agent)
         if tokens is not None:
-            task = job.place_next(agent, now)
-            self._waiting_work_ms -= task.expected_ms
-            self._outstanding.add(agent, job, task)
+            task = self._place_next(job, tokens, now)
             self._watch.start_try(agent)
             self._send_placements({(agent, job.identifier): [task]}, now)
         if job.waiting:
--- a/baobabgap/entry/_outstanding.py
+++ b/baobabgap/entry/_outstanding.py
@@ -40,10 +40,17 @@
         if self._tasks_by_agent.get(agent):
             self._lost_at_by_agent[agent] = now
 
-    def link_returned(self, agent: str) -> list[_TaskKey]:
-        """Return the agent's outstanding tasks, to ask it about them."""
+    def link_returned(self, agent: str) -> dict[str, list[_TaskKey]]:
+        """Return the agent's outstanding tasks, to ask it about them.
+
+        They are listed by the incarnation that they were placed with.
+        """
         self._lost_at_by_agent.pop(agent, None)
-        return list(self._tasks_by_agent.get(agent, ()))
+        keys_by_incarnation: dict[str, list[_TaskKey]] = {}
+        for key, (_, task) in self._tasks_by_agent.get(agent, {}).items():
+            keys = keys_by_incarnation.setdefault(task.agent_incarnation, [])
+            keys.append(key)
+        return keys_by_incarnation
 
     def take_lost(
         self, lost_before: float
--- a/baobabgap/entry/_queueing_placement.py
+++ b/baobabgap/entry/_queueing_placement.py
@@ -32,7 +32,7 @@
 
     def choose(
         self, policy: PlacementPolicy, pool: TokenPool, size: TaskSize
-    ) -> str | None:
+    ) -> AgentTokens | None:
         """Return an agent that takes tasks of this size, or None."""
         fitting = pool.agents_where(
             lambda tokens: (
@@ -42,9 +42,9 @@
         if not fitting:
             return None
         if policy is PlacementPolicy.RANDOM:
-            return self._random.choice(fitting).agent
+            return self._random.choice(fitting)
         self._random.shuffle(fitting)
-        return min(fitting, key=self._reported_load).agent
+        return min(fitting, key=self._reported_load)
 
     def _reported_load(self, tokens: AgentTokens) -> float:
         load = self._load_by_agent.get(tokens.agent)
--- a/baobabgap/entry/_submissions.py
+++ b/baobabgap/entry/_submissions.py
@@ -11,7 +11,7 @@
 import time
 from typing import Protocol
 
-from returns.result import Failure
+from returns.pipeline import is_successful
 
 from baobabgap.control import ControlUnavailableError
 from baobabgap.entry._active_job import ActiveJob
@@ -19,6 +19,7 @@
 from baobabgap.entry._admission import draining_failure
 from baobabgap.entry._admission import Workload
 from baobabgap.entry._dispatcher import Dispatcher
+from baobabgap.entry._job_log import JobLog
 from baobabgap.entry._joins import Joins
 from baobabgap.entry._kept_answers import KeptAnswers
 from baobabgap.jobs import FailureCode
@@ -167,11 +168,7 @@
             self._dispatcher.configuration,
             now,
         )
-        match decision:
-            case Failure(failure):
-                return failure
-            case _:
-                return None
+        return None if is_successful(decision) else decision.failure()
 
     def _workload(self, submission: JobSubmission) -> Workload:
         dispatcher = self._dispatcher
@@ -210,7 +207,7 @@
             submission,
             token=next(self._token),
             now=now,
-            log_action=log_action,
+            log=JobLog.from_serialised(log_action, submission.identifier),
             expected_ms_by_task={
                 task.identifier: self._dispatcher.run_times.expected_ms(
                     client, task
--- a/baobabgap/entry/_token_pool.py
+++ b/baobabgap/entry/_token_pool.py
@@ -189,7 +189,7 @@
         """Yield agents with usable tokens, the best one first."""
         ranks = sorted(
             self._bucket_by_rank,
-            key=lambda rank: (rank[0] == far_first, rank[1]),
+            key=lambda rank: (rank[0] != far_first, rank[1]),
             reverse=True,
         )
         for rank in ranks:
