--- a/baobabgap/api/_application.py
+++ b/baobabgap/api/_application.py
@@ -93,6 +93,9 @@
     ) -> Iterable[bytes]:
         request = Request(environ)
         response = self._respond(request)
+        if not self._service.is_accepting():
+            # Clients leave this entry before its connections are closed.
+            response.headers['Connection'] = 'close'
         return response(environ, start_response)
 
     def _respond(self, request: Request) -> Response:
--- a/baobabgap/web/_server.py
+++ b/baobabgap/web/_server.py
@@ -5,11 +5,14 @@
 
 from cheroot.wsgi import Server
 
+from baobabgap.web._errors import JsonErrorConnection
+
 
 class WebServer:
     """Serves a WSGI application on one port with a fixed pool of threads.
 
-    Idle kept-alive connections hold no thread.
+    Idle kept-alive connections hold no thread. Requests that never reach
+    the application get their errors as JSON too.
     """
 
     def __init__(
@@ -28,6 +31,7 @@
             timeout=30,
             shutdown_timeout=5,
         )
+        self._server.ConnectionClass = JsonErrorConnection
         self._server.max_request_body_size = largest_body_bytes
         self._server.prepare()
 
