--- a/baobabgap/telemetry/__init__.py
+++ b/baobabgap/telemetry/__init__.py
@@ -1,7 +1,23 @@
-"""Logs and metrics of a process."""
+"""Logs, metrics and time lines."""
 
 from baobabgap.telemetry._logs import log_event
 from baobabgap.telemetry._logs import start_logging
 from baobabgap.telemetry._metrics import Metrics
+from baobabgap.telemetry._records import LogRecord
+from baobabgap.telemetry._records import read_records
+from baobabgap.telemetry._timeline import JobSummary
+from baobabgap.telemetry._timeline import summarize_jobs
+from baobabgap.telemetry._timeline import Timeline
+from baobabgap.telemetry._timeline import TimelineEvent
 
-__all__ = ['Metrics', 'log_event', 'start_logging']
+__all__ = [
+    'JobSummary',
+    'log_event',
+    'LogRecord',
+    'Metrics',
+    'read_records',
+    'start_logging',
+    'summarize_jobs',
+    'Timeline',
+    'TimelineEvent',
+]
