--- /dev/null
+++ b/tools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""A bench: real processes, seeded traces, one JSON line a case."""
--- /dev/null
+++ b/tools/bench/_caller.py
@@ -0,0 +1,143 @@
+"""The callers: open loop, so that a slow answer delays no later job."""
+
+from collections.abc import Sequence
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+import heapq
+import itertools
+import queue
+import statistics
+import time
+from typing import Final
+
+from baobabgap import ConnectionLost
+from baobabgap.web import WebClient
+from tools.bench._answers import End
+from tools.bench._answers import judge
+from tools.bench._answers import Outcome
+from tools.bench._answers import submission_document
+from tools.bench._trace import TraceJob
+
+_MOST_CALLERS: Final = 1500
+# Beyond the deadline, until a caller gives up on its response.
+_GRACE_S: Final = 20.0
+_CANCEL_LIMIT_S: Final = 10.0
+_WARM_CONNECTIONS: Final = 16
+_EMPTY_ROUND_TRIPS: Final = 200
+
+
+class Callers:
+    """Many callers that share kept-alive connections to the entries."""
+
+    def __init__(self, addresses: Sequence[str]) -> None:
+        self._addresses = tuple(addresses)
+        self._idle_by_address: dict[str, queue.LifoQueue[WebClient]] = {
+            address: queue.LifoQueue() for address in addresses
+        }
+        self._pool = ThreadPoolExecutor(_MOST_CALLERS, 'caller')
+        self._started_at = 0.0
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.shutdown()
+        for idle in self._idle_by_address.values():
+            while not idle.empty():
+                idle.get_nowait().close()
+
+    def measure_empty_round_trip_s(self) -> float:
+        """Return the median time of a request without any work."""
+        client = WebClient(self._addresses[0])
+        durations = []
+        for _ in range(_EMPTY_ROUND_TRIPS):
+            before = time.perf_counter()
+            client.request('GET', '/health', timeout_s=5.0)
+            durations.append(time.perf_counter() - before)
+        client.close()
+        return statistics.median(durations)
+
+    def run(self, jobs: Sequence[TraceJob], prefix: str) -> list[Outcome]:
+        """Submit and cancel as the trace says; return when all have ended.
+
+        The prefix makes the identifiers of this run its own. Submissions
+        and cancels go to the entries in turn.
+        """
+        issued_ms = time.time_ns() // 1_000_000
+        identifiers = [
+            f'{job.client}.{issued_ms + int(job.arrival_s * 1000)}'
+            f'.{prefix}-{job.number}'
+            for job in jobs
+        ]
+        moments = [
+            (job.arrival_s, index, False) for index, job in enumerate(jobs)
+        ] + [
+            (job.cancel_s, index, True)
+            for index, job in enumerate(jobs)
+            if job.cancel_s is not None
+        ]
+        heapq.heapify(moments)
+        self._warm_up()
+        turn = itertools.cycle(self._addresses)
+        futures: list[Future[Outcome]] = []
+        self._started_at = time.perf_counter()
+        while moments:
+            at_s, index, cancels = heapq.heappop(moments)
+            self._sleep_until(at_s)
+            job, identifier = jobs[index], identifiers[index]
+            if cancels:
+                self._pool.submit(self._cancel, next(turn), identifier)
+                continue
+            address = next(turn)
+            futures.append(
+                self._pool.submit(self._submit, address, job, identifier)
+            )
+        return [future.result() for future in futures]
+
+    def _warm_up(self) -> None:
+        """Open connections ahead, so that few jobs wait for one."""
+        for address, idle in self._idle_by_address.items():
+            fresh = [WebClient(address) for _ in range(_WARM_CONNECTIONS)]
+            for client in fresh:
+                client.request('GET', '/health', timeout_s=5.0)
+                idle.put(client)
+
+    def _sleep_until(self, at_s: float) -> None:
+        pause_s = self._started_at + at_s - time.perf_counter()
+        if pause_s > 0:
+            time.sleep(pause_s)
+
+    def _submit(self, address: str, job: TraceJob, identifier: str) -> Outcome:
+        client = self._take(address)
+        document = submission_document(job, identifier)
+        timeout_s = job.deadline_ms / 1000.0 + _GRACE_S
+        sent_at = time.perf_counter()
+        sent_s = sent_at - self._started_at
+        try:
+            response = client.request(
+                'POST', '/v1/jobs', document, timeout_s=timeout_s
+            )
+        except ConnectionLost as error:
+            client.close()
+            response_s = time.perf_counter() - sent_at
+            return Outcome(
+                job, identifier, End.NO_ANSWER, sent_s, response_s, str(error)
+            )
+        response_s = time.perf_counter() - sent_at
+        self._idle_by_address[address].put(client)
+        return judge(job, identifier, response, sent_s, response_s)
+
+    def _cancel(self, address: str, identifier: str) -> None:
+        client = self._take(address)
+        try:
+            client.request(
+                'DELETE', f'/v1/jobs/{identifier}', timeout_s=_CANCEL_LIMIT_S
+            )
+        except ConnectionLost:
+            client.close()
+            return
+        self._idle_by_address[address].put(client)
+
+    def _take(self, address: str) -> WebClient:
+        try:
+            return self._idle_by_address[address].get_nowait()
+        except queue.Empty:
+            return WebClient(address)
--- /dev/null
+++ b/tools/tests/dummy_daemon.py
@@ -0,0 +1,32 @@
+"""A process that is ready at once and does nothing, to test the launcher."""
+
+from http.server import BaseHTTPRequestHandler
+from http.server import HTTPServer
+import signal
+import sys
+
+from baobabgap.settings import load_settings
+
+
+class _Handler(BaseHTTPRequestHandler):
+    """Answers every GET with 200."""
+
+    def do_GET(self) -> None:
+        """Say that all is well."""
+        self.send_response(200)
+        self.send_header('Content-Length', '0')
+        self.end_headers()
+
+
+def main() -> None:
+    """Serve until SIGTERM; fail at once if named entry-9."""
+    settings = load_settings(sys.argv[sys.argv.index('--settings') + 1])
+    if settings.name == 'entry-9':
+        sys.exit('entry-9 never starts')
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(0))
+    listen = settings.listen
+    HTTPServer((listen.host, listen.http_port), _Handler).serve_forever()
+
+
+if __name__ == '__main__':
+    main()
