--- a/tools/deployment_plan.py
+++ b/tools/deployment_plan.py
@@ -46,7 +46,7 @@
         Control hosts come first, then entries, agents and stand-ins.
         """
         ports = _Ports()
-        control_hosts = [
+        control_hosts: list[dict[str, Any]] = [
             {'name': f'control-{n}', 'host': _HOST, 'port': ports.take()}
             for n in _numbers(self.control_hosts)
         ]
