--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,11 @@
 PYTHON ?= $(VENV)/bin/python
 BOOTSTRAP ?= python3
 
-.PHONY: demo test lint unit format
+.PHONY: demo test lint unit format bench
+
+CASES ?=
+SECONDS ?= 30
+SEED ?= 1
 
 $(VENV)/ready: | pyproject.toml constraints.txt
 	$(BOOTSTRAP) -m venv $(VENV)
@@ -24,3 +28,7 @@
 format: $(VENV)/ready
 	$(PYTHON) -m ruff check --fix baobabgap tools
 	$(PYTHON) -m ruff format baobabgap tools
+
+bench: $(VENV)/ready
+	$(PYTHON) -m tools.bench --cases='$(CASES)' --seconds=$(SECONDS) \
+		--seed=$(SEED)
--- /dev/null
+++ b/tools/bench/__main__.py
@@ -0,0 +1,51 @@
+"""The bench's command line; `make bench` calls it.
+
+python -m tools.bench --cases load-0.8,burst --seconds 30 --seed 1
+"""
+
+import argparse
+import json
+import signal
+import sys
+from types import FrameType
+from typing import Final
+
+from tools.bench._cases import all_cases
+from tools.bench._cases import choose_cases
+from tools.bench._run import run_cases
+
+_DEFAULT_SECONDS: Final = 30.0
+_DEFAULT_SEED: Final = 1
+
+
+def main() -> None:
+    """Run the chosen cases and print one JSON line for each."""
+    # So that the processes are ended also when the bench is.
+    signal.signal(signal.SIGTERM, _exit)
+    arguments = _parser().parse_args()
+    names = tuple(name for name in arguments.cases.split(',') if name)
+    cases = all_cases(arguments.seed, arguments.seconds)
+    try:
+        chosen = choose_cases(cases, names)
+    except ValueError as error:
+        sys.exit(str(error))
+    for line in run_cases(chosen, arguments.seed):
+        print(json.dumps(line), flush=True)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog='python -m tools.bench')
+    parser.add_argument(
+        '--cases', default='', help='names or their beginnings, with commas'
+    )
+    parser.add_argument('--seconds', type=float, default=_DEFAULT_SECONDS)
+    parser.add_argument('--seed', type=int, default=_DEFAULT_SEED)
+    return parser
+
+
+def _exit(number: int, frame: FrameType | None) -> None:
+    sys.exit(128 + number)
+
+
+if __name__ == '__main__':
+    main()
--- a/tools/bench/_answers.py
+++ b/tools/bench/_answers.py
@@ -72,10 +72,10 @@
 
 
 def task_payload(identifier: str, task: TraceTask) -> dict[str, Any]:
-    """Build what the stand-in gets: how long to run and what to echo."""
+    """Build what the stand-in gets: how long to run, and a mark of its own."""
     return {
-        'run_time_ms': task.true_ms,
-        'echo': f'{identifier}/{task.identifier}',
+        'sleep_ms': task.true_ms,
+        'note': f'{identifier}/{task.identifier}',
     }
 
 
@@ -134,6 +134,11 @@
     if [result['task'] for result in results] != expected:
         return End.PARTIAL
     for task, result in zip(job.tasks, results, strict=True):
-        if result['value'] != task_payload(identifier, task):
+        expected_value = {
+            'job': identifier,
+            'task': task.identifier,
+            'echo': task_payload(identifier, task),
+        }
+        if result['value'] != expected_value:
             return End.WRONG_CALLER
     return End.WHOLE
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -33,6 +33,9 @@
 
 _DAEMON: Final = (sys.executable, '-m', 'baobabgap.daemon')
 _ROOT: Final = Path(__file__).resolve().parent.parent
+_READY_PATH: Final = '/ready'
+# Stand-ins have no path of their own for it.
+_READY_PATH_BY_ROLE: Final = {'stand-in': '/stand-in/counts'}
 _READY_LIMIT_S: Final = 30.0
 _STOP_LIMIT_S: Final = 10.0
 _POLL_PAUSE_S: Final = 0.05
@@ -139,7 +142,7 @@
         names: Sequence[str] | None = None,
         limit_s: float = _READY_LIMIT_S,
     ) -> None:
-        """Wait until these processes, or all, answer /ready with 200."""
+        """Wait until these processes, or all, say that they are."""
         give_up_at = time.monotonic() + limit_s
         for name in self.names if names is None else names:
             while not self.is_ready(name):
@@ -151,9 +154,11 @@
 
     def is_ready(self, name: str) -> bool:
         """Ask the process once whether it is ready."""
+        role = self._planned_by_name[name].role
+        path = _READY_PATH_BY_ROLE.get(role, _READY_PATH)
         client = WebClient(self.http_address(name))
         try:
-            answer = client.request('GET', '/ready', timeout_s=1.0)
+            answer = client.request('GET', path, timeout_s=1.0)
         except ConnectionLost:
             return False
         finally:
