--- a/tools/bench/_faults.py
+++ b/tools/bench/_faults.py
@@ -58,6 +58,8 @@
         injected_at = time.monotonic()
         self._inject()
         while not self._over.wait(_WATCH_PAUSE_S):
+            if not self._launcher.is_running(_VICTIM):
+                continue
             starts = self._counts.refresh_one(_VICTIM) - before
             if starts > self._starts_after:
                 self._starts_after = starts
--- a/tools/bench/_reading.py
+++ b/tools/bench/_reading.py
@@ -92,28 +92,31 @@
 
     def __init__(self, launcher: Launcher) -> None:
         self._launcher = launcher
-        self._counts_by_name: dict[str, dict[str, Any]] = {}
+        # By name and process id, since a restarted one counts anew.
+        self._counts_by_process: dict[tuple[str, int], dict[str, Any]] = {}
 
     def refresh(self) -> None:
         """Read all stand-ins that run."""
         for name in self._launcher.names_with_role('stand-in'):
-            self.refresh_one(name)
+            if self._launcher.is_running(name):
+                self.refresh_one(name)
 
     def refresh_one(self, name: str) -> int:
         """Read one stand-in; return how many tasks it has started."""
+        process = (name, self._launcher.pid(name))
         address = self._launcher.http_address(name)
         try:
             counts = read_json(address, '/stand-in/counts', _READ_LIMIT_S)
         except ConnectionLost:
-            counts = self._counts_by_name.get(name, {'starts': 0})
+            counts = self._counts_by_process.get(process, {'starts': 0})
         else:
-            self._counts_by_name[name] = counts
+            self._counts_by_process[process] = counts
         return int(counts['starts'])
 
     def starts_by_task(self, jobs: set[str]) -> Counter[tuple[str, str]]:
         """Return how often each task of these jobs was started."""
         starts: Counter[tuple[str, str]] = Counter()
-        for counts in self._counts_by_name.values():
+        for counts in self._counts_by_process.values():
             for job, task in counts['started']:
                 if job in jobs:
                     starts[job, task] += 1
@@ -122,7 +125,7 @@
     def total(self, key: str) -> int:
         """Add up one of the stand-ins' own counts."""
         return sum(
-            int(counts[key]) for counts in self._counts_by_name.values()
+            int(counts[key]) for counts in self._counts_by_process.values()
         )
 
 
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -118,6 +118,10 @@
             text = yaml.safe_dump(planned.settings)
             self._settings_file(name).write_text(text)
 
+    def is_running(self, name: str) -> bool:
+        """Tell whether the process was started and has not been ended."""
+        return name in self._running_by_name
+
     def start_all(self) -> None:
         """Start every planned process."""
         self.write_settings()
