Replicate the log: storage, elections, streaming, membership

Records with checksum and sequence, group commit, pre-vote, check-quorum,

changes of one voter's store at a time.

--- /dev/null
+++ b/baobabgap/replication/_founding.py
@@ -0,0 +1,91 @@
+"""Founding a group, once, from hosts that are all empty."""
+
+import os
+from typing import Final
+
+from baobabgap.replication._entry import Entry
+from baobabgap.replication._entry import EntryKind
+from baobabgap.replication._membership import Member
+from baobabgap.replication._membership import Membership
+from baobabgap.replication._messages import Introduce
+from baobabgap.replication._peers import Peers
+from baobabgap.replication._state import GroupState
+from baobabgap.settings import ControlHost
+from baobabgap.telemetry import log_event
+
+_GROUP_BYTES: Final = 8
+_FIRST_TERM: Final = 1
+
+
+class Founding:
+    """Lets one host found the group, if that can't shadow an older one.
+
+    The first of the configured hosts founds the group, and only while
+    it is empty itself, every other host answers that it is empty too,
+    and all name the same hosts. So a first host that lost its disk can't
+    found a second group while any host that remembers the first one is
+    there, nor while any host does not answer.
+    """
+
+    def __init__(
+        self,
+        state: GroupState,
+        configured: tuple[ControlHost, ...],
+        peers: Peers,
+    ) -> None:
+        self._state: Final = state
+        self._configured: Final = configured
+        self._peers: Final = peers
+
+    def introduce(self) -> Introduce:
+        """Say which store this host keeps and which group it knows."""
+        return Introduce(
+            name=self._state.own.name,
+            store=self._state.store,
+            group=self._state.membership.group,
+            configured=self._configured_texts(),
+        )
+
+    def tick(self) -> None:
+        """Found the group if it is time; the lock is held."""
+        state = self._state
+        if state.membership.group or state.window.last_index:
+            return
+        if self._configured[0].name != state.own.name:
+            return
+        if not state.storage_ok or not self._all_are_empty():
+            return
+        self._found()
+
+    def _configured_texts(self) -> tuple[str, ...]:
+        return tuple(
+            f'{host.name}={host.address}' for host in self._configured
+        )
+
+    def _all_are_empty(self) -> bool:
+        for host in self._configured[1:]:
+            peer = self._peers.get(host.name)
+            introduced = peer.introduced if peer is not None else None
+            if introduced is None or introduced.group:
+                return False
+            if introduced.configured != self._configured_texts():
+                return False
+        return True
+
+    def _found(self) -> None:
+        state = self._state
+        membership = Membership(
+            os.urandom(_GROUP_BYTES).hex(),
+            tuple(self._as_member(host) for host in self._configured),
+        )
+        state.adopt_term(_FIRST_TERM)
+        state.append(
+            Entry(1, _FIRST_TERM, EntryKind.MEMBERSHIP, membership.to_bytes())
+        )
+        state.election_due_at = 0.0
+        log_event('group_founded', group=membership.group)
+
+    def _as_member(self, host: ControlHost) -> Member:
+        peer = self._peers.get(host.name)
+        store = peer.store if peer is not None else self._state.store
+        return Member.from_control_host(host, store, voter=True)
--- a/baobabgap/replication/_log.py
+++ b/baobabgap/replication/_log.py
@@ -1,24 +1,54 @@
 """The replicated log: what the control process builds on."""
 
+from collections.abc import Callable
 from concurrent.futures import Executor
 from concurrent.futures import Future
+from concurrent.futures import wait
 import threading
+import time
 from typing import Any
 from typing import Final
 
-from baobabgap.replication._errors import NotLeader
+from baobabgap.messages import Hello
+from baobabgap.replication._applier import Applier
+from baobabgap.replication._changes import MembershipChanges
+from baobabgap.replication._election import Election
+from baobabgap.replication._entry import EntryKind
+from baobabgap.replication._errors import OutcomeUnknown
+from baobabgap.replication._errors import StorageUnavailable
+from baobabgap.replication._folder import DataFolder
+from baobabgap.replication._folder import DiskFolder
+from baobabgap.replication._founding import Founding
+from baobabgap.replication._limits import LogLimits
 from baobabgap.replication._machine import StateMachine
-from baobabgap.replication._status import GroupRole
+from baobabgap.replication._messages import SeekElection
+from baobabgap.replication._messages import VoteAnswer
+from baobabgap.replication._peer import Peer
+from baobabgap.replication._peers import Peers
+from baobabgap.replication._reads import ReadBarriers
+from baobabgap.replication._session import PeerSession
+from baobabgap.replication._state import fail_futures
+from baobabgap.replication._state import GroupState
 from baobabgap.replication._status import LogStatus
+from baobabgap.replication._status import MemberStatus
+from baobabgap.replication._storage import Storage
+from baobabgap.replication._writer import LogWriter
 from baobabgap.settings import ControlHost
 from baobabgap.settings import Settings
+from baobabgap.telemetry import log_event
 from baobabgap.transport import Connection
+from baobabgap.transport import LinkTiming
+
+_TICKS_IN_ELECTION_TIMEOUT: Final = 10
+_HANDOVER_CHECK_S: Final = 0.005
+_STOP_LIMIT_S: Final = 5.0
 
 
 class ReplicatedLog:
     """A log of commands that a majority of the control hosts keeps.
 
-    Placeholder for a single host, without storage::
+    The process that owns the listener hands links of control hosts to
+    `serve`; everything else is done by tasks of the pool::
 
         log = ReplicatedLog.from_settings(settings, '1', machine, pool)
         log.start()
@@ -26,14 +56,63 @@
     """
 
     def __init__(
-        self, own: ControlHost, machine: StateMachine, pool: Executor
+        self,
+        settings: Settings,
+        incarnation: str,
+        machine: StateMachine,
+        pool: Executor,
+        folder: DataFolder,
+        limits: LogLimits,
     ) -> None:
-        self._own: Final = own
-        self._machine = machine
-        self._pool = pool
-        self._lock = threading.Lock()
-        self._applied = 0
-        self._running = False
+        """Open the folder; `from_settings` is the usual way here."""
+        own = _own_host(settings)
+        self._pool: Final = pool
+        self._limits: Final = limits
+        self._storage: Final = Storage.open(folder)
+        self._state: Final = GroupState(
+            own,
+            self._storage.identity,
+            self._storage.recovered,
+            settings.control.election_timeout_s,
+        )
+        self._state.run_later = pool.submit
+        self._writer: Final = LogWriter(self._state, self._storage)
+        self._peers: Final = Peers(
+            self._state,
+            settings.control_hosts,
+            self._make_peer,
+            _own_hello(settings, own, incarnation),
+            LinkTiming(settings.links.heartbeat_s, settings.links.silence_s),
+            pool,
+        )
+        self._reads: Final = ReadBarriers(
+            self._state,
+            self._peers.ask_round,
+            self._peers.confirmed_round_by_voter,
+        )
+        self._applier: Final = Applier(
+            self._state,
+            machine,
+            self._storage,
+            self._writer,
+            limits,
+            self._reads,
+            pool,
+        )
+        self._election: Final = Election(
+            self._state,
+            self._writer,
+            self._peers.broadcast,
+            self._peers.answering_voters,
+        )
+        self._founding: Final = Founding(
+            self._state, settings.control_hosts, self._peers
+        )
+        self._changes: Final = MembershipChanges(self._state, self._peers)
+        self._tasks: list[Future[None]] = []
+        self._sessions: set[Connection] = set()
+        self._ended = threading.Event()
+        self._wire()
 
     @classmethod
     def from_settings(
@@ -43,21 +122,45 @@
         machine: StateMachine,
         pool: Executor,
     ) -> 'ReplicatedLog':
-        """Open the data folder; raise `DamagedLog`, `DataFolderInUse`."""
-        own = next(
-            host
-            for host in settings.control_hosts
-            if host.name == settings.name
+        """Open the data folder that the settings name.
+
+        Raises `DataFolderInUse`, `DamagedLog` or `StorageUnavailable`.
+        """
+        folder = DiskFolder(
+            settings.control.data_folder,
+            settings.control.added_sync_delay_ms / 1000,
         )
-        return cls(own, machine, pool)
+        return cls(settings, incarnation, machine, pool, folder, LogLimits())
 
     def start(self) -> None:
         """Take part in the group."""
-        self._running = True
+        self._tasks = [
+            self._pool.submit(self._run_task, 'writer', self._writer.run),
+            self._pool.submit(self._run_task, 'applier', self._applier.run),
+            self._pool.submit(
+                self._run_task, 'ticks', self._tick_until_stopped
+            ),
+        ]
 
     def stop(self) -> None:
         """Move leadership away, then stop and close the storage."""
-        self._running = False
+        if self._ended.is_set():
+            return
+        self.transfer_leadership()
+        state = self._state
+        with state.lock:
+            state.stopping = True
+            state.stand_down('stopped')
+            state.writer_work.notify_all()
+            state.applier_work.notify_all()
+            self._peers.stop()
+            sessions = list(self._sessions)
+        for connection in sessions:
+            connection.close()
+        self._ended.set()
+        wait(self._tasks, timeout=_STOP_LIMIT_S)
+        self._fail_leftovers()
+        self._close_storage()
 
     def propose(self, command: bytes) -> Future[Any]:
         """Have a command committed; the future brings what apply returns.
@@ -65,67 +168,224 @@
         Fails with `NotLeader` (certainly unchanged) or `OutcomeUnknown`.
         """
         future: Future[Any] = Future()
-        if not self._running:
-            future.set_exception(NotLeader('propose', None))
-            return future
-        self._pool.submit(self._apply, command, future)
+        state = self._state
+        with state.lock:
+            if state.is_leader and not state.transferring:
+                entry = state.append_own(EntryKind.COMMAND, command)
+                state.future_by_index[entry.index] = future
+                return future
+            error = state.not_leader('propose')
+        future.set_exception(error)
         return future
 
     def read_barrier(self) -> Future[int]:
         """Complete once reads of the machine are linearizable.
 
-        Fails with `NotLeader`.
+        The result is the last index applied by then. Fails with
+        `NotLeader`.
         """
-        future: Future[int] = Future()
-        with self._lock:
-            future.set_result(self._applied)
-        return future
+        return self._reads.begin()
 
     def serve(self, connection: Connection) -> None:
         """Run the session of a link that a control host has dialled."""
-        for _message in connection.messages():
-            pass
+        session = PeerSession(
+            connection,
+            self._state,
+            self._writer,
+            self._storage,
+            self._applier,
+            self._election,
+            self._founding.introduce,
+        )
+        with self._state.lock:
+            if self._state.stopping:
+                return
+            self._sessions.add(connection)
+        try:
+            session.run()
+        finally:
+            with self._state.lock:
+                self._sessions.discard(connection)
 
     @property
     def is_leader(self) -> bool:
         """Tell whether this host leads as far as it knows."""
-        return self._running
+        return self._state.is_leader
 
     @property
     def leader(self) -> ControlHost | None:
         """The leader as far as known here."""
-        return self._own if self._running else None
+        with self._state.lock:
+            return self._state.leader_host
 
     def status(self) -> LogStatus:
         """Describe this moment."""
-        return LogStatus(
-            name=self._own.name,
-            role=GroupRole.LEADER,
-            leader=self._own.name,
-            term=1,
-            commit=self._applied,
-            applied=self._applied,
-            first_index=1,
-            last_index=self._applied,
-            durable=self._applied,
-            members=(),
-            disk_bytes=0,
-            storage_ok=True,
-        )
+        disk_bytes = self._storage.used_bytes()
+        state = self._state
+        with state.lock:
+            window = state.window
+            return LogStatus(
+                name=state.own.name,
+                role=state.role,
+                leader=state.leader,
+                term=state.term,
+                commit=state.commit,
+                applied=state.applied,
+                first_index=window.compacted_index + 1,
+                last_index=window.last_index,
+                durable=state.durable,
+                members=self._member_statuses(),
+                disk_bytes=disk_bytes,
+                storage_ok=state.storage_ok,
+            )
 
     def transfer_leadership(self) -> bool:
-        """Hand leadership to a peer; tell whether one has taken it."""
+        """Hand leadership to the peer that is furthest.
+
+        Tells whether another host has taken it.
+        """
+        state = self._state
+        with state.lock:
+            target = self._furthest_peer()
+            if not state.is_leader or target is None:
+                return False
+            state.transferring = True
+            term = state.term
+        asked = False
+        give_up_at = time.monotonic() + 2 * state.election_timeout_s
+        while time.monotonic() < give_up_at:
+            with state.lock:
+                if not state.is_leader and state.leader:
+                    return True
+                caught_up = target.progress.durable == state.window.last_index
+                if state.is_leader and caught_up and not asked:
+                    target.send(SeekElection(term))
+                    asked = True
+            time.sleep(_HANDOVER_CHECK_S)
+        with state.lock:
+            state.transferring = False
         return False
 
     def add_member(self, host: ControlHost) -> Future[None]:
-        """Add one host; completes once it counts toward the quorum."""
-        raise NotImplementedError
+        """Add one host; completes once it counts toward the quorum.
+
+        Fails with `MembershipChangeRefused` or `OutcomeUnknown`.
+        """
+        return self._changes.add(host)
 
     def remove_member(self, name: str) -> Future[None]:
-        """Remove one host; completes once that is committed."""
-        raise NotImplementedError
+        """Remove one host; completes once that is committed.
+
+        Fails with `MembershipChangeRefused` or `OutcomeUnknown`.
+        """
+        return self._changes.remove(name)
+
+    def _wire(self) -> None:
+        state = self._state
+        state.wake_peers = self._peers.wake
+        state.on_lead = self._peers.begin_to_lead
+        state.on_stand_down = self._fail_waiting
+        state.durable_by_voter = self._peers.durable_by_voter
+
+    def _make_peer(self, host: ControlHost) -> Peer:
+        return Peer(
+            host,
+            self._state,
+            self._storage,
+            self._limits,
+            self._founding.introduce,
+            self._take_vote,
+            self._reads.take_rounds,
+        )
+
+    def _take_vote(self, name: str, store: str, answer: VoteAnswer) -> None:
+        self._election.take_answer(name, store, answer)
+
+    def _fail_waiting(self) -> None:
+        self._reads.fail_all()
+        self._changes.fail_all()
+
+    def _run_task(self, name: str, run: Callable[[], None]) -> None:
+        """Run a task; if it fails this host takes no further part."""
+        try:
+            run()
+        except Exception as error:
+            log_event('replication_task_failed', task=name, error=repr(error))
+            state = self._state
+            with state.lock:
+                state.stopping = True
+                state.storage_ok = False
+                state.stand_down(f'{name} failed')
+                state.writer_work.notify_all()
+                state.applier_work.notify_all()
+
+    def _tick_until_stopped(self) -> None:
+        pause_s = self._state.election_timeout_s / _TICKS_IN_ELECTION_TIMEOUT
+        while not self._ended.wait(pause_s):
+            with self._state.lock:
+                if self._state.stopping:
+                    return
+                self._peers.refresh()
+                self._founding.tick()
+                self._election.tick()
+                self._changes.tick()
+
+    def _furthest_peer(self) -> Peer | None:
+        peers = [peer for peer in self._peers if peer.counts]
+        return max(peers, key=lambda peer: peer.progress.durable, default=None)
+
+    def _member_statuses(self) -> tuple[MemberStatus, ...]:
+        return tuple(
+            MemberStatus(
+                name=member.name,
+                address=member.control_host.address,
+                store=member.store,
+                voter=member.voter,
+                durable=self._durable_of(member.name),
+            )
+            for member in self._state.membership.members
+        )
+
+    def _durable_of(self, name: str) -> int:
+        if name == self._state.own.name:
+            return self._state.durable
+        peer = self._peers.get(name)
+        if peer is None or not self._state.is_leader:
+            return 0
+        return peer.progress.durable
+
+    def _fail_leftovers(self) -> None:
+        with self._state.lock:
+            futures = list(self._state.future_by_index.values())
+            self._state.future_by_index = {}
+            self._fail_waiting()
+        error = OutcomeUnknown('this host stopped', step='replicate')
+        fail_futures(futures, error)
+
+    def _close_storage(self) -> None:
+        try:
+            # An empty record after the last entry lets the next start
+            # tell damage to that entry from a torn write.
+            self._storage.append(self._state.term, self._state.vote, ())
+        except StorageUnavailable:
+            pass
+        self._storage.close()
+
+
+def _own_host(settings: Settings) -> ControlHost:
+    for host in settings.control_hosts:
+        if host.name == settings.name:
+            return host
+    raise ValueError(f'{settings.name} is not among control_hosts')
+
 
-    def _apply(self, command: bytes, future: Future[Any]) -> None:
-        with self._lock:
-            self._applied += 1
-            future.set_result(self._machine.apply(self._applied, command))
+def _own_hello(
+    settings: Settings, own: ControlHost, incarnation: str
+) -> Hello:
+    return Hello(
+        name=settings.name,
+        role='control',
+        incarnation=incarnation,
+        address=own.address,
+        availability_zone=settings.place.availability_zone,
+    )
--- /dev/null
+++ b/baobabgap/replication/_storage.py
@@ -0,0 +1,338 @@
+"""The durable state of one host: identity, term, vote, log, snapshot."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from dataclasses import dataclass
+import json
+import os
+import threading
+from typing import Final
+
+from baobabgap.replication._entry import Entry
+from baobabgap.replication._errors import DamagedLog
+from baobabgap.replication._errors import StorageUnavailable
+from baobabgap.replication._folder import AppendFile
+from baobabgap.replication._folder import DataFolder
+from baobabgap.replication._records import encode_record
+from baobabgap.replication._records import new_file_header
+from baobabgap.replication._records import Record
+from baobabgap.replication._records import scan_log
+from baobabgap.replication._snapshot import decode_snapshot
+from baobabgap.replication._snapshot import encode_snapshot
+from baobabgap.replication._snapshot import Snapshot
+
+FOLDER_FORMAT_VERSION: Final = 1
+_FORMAT_NAME: Final = 'format'
+_LOG_NAME: Final = 'log'
+_SNAPSHOT_NAME: Final = 'snapshot'
+_TEMPORARY_SUFFIX: Final = '.new'
+_IDENTITY_BYTES: Final = 8
+_LARGEST_RECORD_BYTES: Final = 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class RecoveredState:
+    """What a host remembers at its start."""
+
+    # The last synced term.
+    term: int
+    # The store that got the vote in that term, or empty.
+    vote: str
+    # The newest snapshot, or None.
+    snapshot: Snapshot | None
+    # The entries after the snapshot, without gaps.
+    entries: tuple[Entry, ...]
+
+
+class Storage:
+    """The files of one data folder.
+
+    `append` and `rewrite` belong to one task; `save_snapshot` and
+    `load_snapshot` may be called by any other. After a failure of
+    `append` nothing more is appended until `rewrite` has written the
+    whole log anew: what a failed sync left on the disk can't be known.
+    """
+
+    def __init__(
+        self, folder: DataFolder, identity: str, recovered: RecoveredState
+    ) -> None:
+        # The random identity of this data folder.
+        self.identity: Final = identity
+        self.recovered: Final = recovered
+        self._folder = folder
+        self._file: AppendFile | None = None
+        self._salt = 0
+        self._sequence = 0
+        self._log_bytes = 0
+        self._snapshot_lock = threading.Lock()
+        self._snapshot_index = (
+            recovered.snapshot.index if recovered.snapshot else 0
+        )
+
+    @classmethod
+    def open(cls, folder: DataFolder) -> 'Storage':
+        """Lock the folder and read it; set it up if it is empty.
+
+        A torn end of the log is cut. Raises `DataFolderInUse`,
+        `DamagedLog` or `StorageUnavailable`.
+        """
+        folder.lock()
+        try:
+            return cls._open_locked(folder)
+        except OSError as error:
+            folder.close()
+            raise StorageUnavailable(
+                str(error), step='open storage'
+            ) from error
+        except Exception:
+            folder.close()
+            raise
+
+    @classmethod
+    def _open_locked(cls, folder: DataFolder) -> 'Storage':
+        names = set(folder.names())
+        if _FORMAT_NAME not in names:
+            return cls._set_up(folder, names)
+        identity = _read_format(folder)
+        if _LOG_NAME not in names:
+            raise DamagedLog(
+                folder.path_of(_LOG_NAME), 0, 'the file is missing'
+            )
+        scanned = scan_log(folder.path_of(_LOG_NAME), folder.read(_LOG_NAME))
+        snapshot = None
+        if _SNAPSHOT_NAME in names:
+            path = folder.path_of(_SNAPSHOT_NAME)
+            snapshot = decode_snapshot(path, folder.read(_SNAPSHOT_NAME))
+        entries = _join_entries(folder, scanned.records, snapshot)
+        last = scanned.records[-1] if scanned.records else Record(0, '', ())
+        recovered = RecoveredState(last.term, last.vote, snapshot, entries)
+        storage = cls(folder, identity, recovered)
+        # Writing the log anew also cuts a torn end.
+        storage.rewrite(last.term, last.vote, entries)
+        return storage
+
+    @classmethod
+    def _set_up(cls, folder: DataFolder, names: set[str]) -> 'Storage':
+        """Make a new store; the format file, written last, seals it."""
+        if _SNAPSHOT_NAME in names:
+            raise DamagedLog(
+                folder.path_of(_FORMAT_NAME), 0, 'the file is missing'
+            )
+        if _LOG_NAME in names:
+            scanned = scan_log(
+                folder.path_of(_LOG_NAME), folder.read(_LOG_NAME)
+            )
+            if any(record.term for record in scanned.records):
+                raise DamagedLog(
+                    folder.path_of(_FORMAT_NAME), 0, 'the file is missing'
+                )
+        identity = os.urandom(_IDENTITY_BYTES).hex()
+        storage = cls(folder, identity, RecoveredState(0, '', None, ()))
+        storage.rewrite(0, '', ())
+        _write_format(folder, identity)
+        return storage
+
+    @property
+    def log_bytes(self) -> int:
+        """The size of the log's file."""
+        return self._log_bytes
+
+    def used_bytes(self) -> int:
+        """Return the size of all files in the folder."""
+        try:
+            return self._folder.used_bytes()
+        except OSError:
+            return 0
+
+    def append(self, term: int, vote: str, entries: Iterable[Entry]) -> None:
+        """Write one record and sync it; raise `StorageUnavailable`."""
+        if self._file is None:
+            raise StorageUnavailable('the log is not open', step='append')
+        record = Record(term, vote, tuple(entries))
+        data = encode_record(self._salt, self._sequence + 1, record)
+        try:
+            self._file.append(data)
+            self._file.sync()
+        except OSError as error:
+            self._give_up_file()
+            raise StorageUnavailable(str(error), step='append') from error
+        self._sequence += 1
+        self._log_bytes += len(data)
+
+    def rewrite(self, term: int, vote: str, entries: Iterable[Entry]) -> None:
+        """Put a whole new log in place of the old one, durably."""
+        temporary = _LOG_NAME + _TEMPORARY_SUFFIX
+        file: AppendFile | None = None
+        try:
+            self._folder.remove(temporary)
+            file = self._folder.open_append(temporary)
+            salt, header = new_file_header()
+            file.append(header)
+            log_bytes = len(header)
+            sequence = 0
+            for part in _split_entries(entries):
+                sequence += 1
+                record = Record(term, vote, part)
+                data = encode_record(salt, sequence, record)
+                file.append(data)
+                log_bytes += len(data)
+            file.sync()
+            self._folder.replace(temporary, _LOG_NAME)
+        except OSError as error:
+            if file is not None:
+                file.close()
+            self._give_up_file()
+            self._remove_quietly(temporary)
+            raise StorageUnavailable(str(error), step='rewrite') from error
+        if self._file is not None:
+            self._file.close()
+        self._file = file
+        self._salt = salt
+        self._sequence = sequence
+        self._log_bytes = log_bytes
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Put a newer snapshot in place of the old one, durably."""
+        temporary = _SNAPSHOT_NAME + _TEMPORARY_SUFFIX
+        with self._snapshot_lock:
+            if snapshot.index <= self._snapshot_index:
+                return
+            try:
+                _write_file(
+                    self._folder, _SNAPSHOT_NAME, encode_snapshot(snapshot)
+                )
+            except OSError as error:
+                self._remove_quietly(temporary)
+                raise StorageUnavailable(
+                    str(error), step='save snapshot'
+                ) from error
+            self._snapshot_index = snapshot.index
+
+    def load_snapshot(self) -> Snapshot:
+        """Read the newest snapshot; raise `StorageUnavailable`."""
+        with self._snapshot_lock:
+            try:
+                content = self._folder.read(_SNAPSHOT_NAME)
+            except OSError as error:
+                raise StorageUnavailable(
+                    str(error), step='load snapshot'
+                ) from error
+        path = self._folder.path_of(_SNAPSHOT_NAME)
+        return decode_snapshot(path, content)
+
+    def close(self) -> None:
+        """Release the files and the lock."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+        self._folder.close()
+
+    def _give_up_file(self) -> None:
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+    def _remove_quietly(self, name: str) -> None:
+        try:
+            self._folder.remove(name)
+        except OSError:
+            return
+
+
+def _split_entries(
+    entries: Iterable[Entry],
+) -> Iterator[tuple[Entry, ...]]:
+    """Split entries over records of bounded size.
+
+    An empty record ends them, so that damage to any entry stands before
+    a valid record and can't pass for a torn end.
+    """
+    part: list[Entry] = []
+    part_bytes = 0
+    for entry in entries:
+        part.append(entry)
+        part_bytes += entry.encoded_bytes
+        if part_bytes >= _LARGEST_RECORD_BYTES:
+            yield tuple(part)
+            part = []
+            part_bytes = 0
+    if part:
+        yield tuple(part)
+    yield ()
+
+
+def _join_entries(
+    folder: DataFolder,
+    records: Iterable[Record],
+    snapshot: Snapshot | None,
+) -> tuple[Entry, ...]:
+    """Return the entries that count; later ones replace earlier ones."""
+    path = folder.path_of(_LOG_NAME)
+    entries: list[Entry] = []
+    for record in records:
+        for entry in record.entries:
+            if entries:
+                keep = entry.index - entries[0].index
+                if keep < 0 or keep > len(entries):
+                    raise DamagedLog(path, 0, f'entry {entry.index} has a gap')
+                del entries[keep:]
+            entries.append(entry)
+    if snapshot is None:
+        if entries and entries[0].index != 1:
+            raise DamagedLog(
+                folder.path_of(_SNAPSHOT_NAME), 0, 'the file is missing'
+            )
+        return tuple(entries)
+    if entries and entries[0].index > snapshot.index + 1:
+        raise DamagedLog(path, 0, 'entries after the snapshot are missing')
+    return _after_snapshot(entries, snapshot)
+
+
+def _after_snapshot(
+    entries: list[Entry], snapshot: Snapshot
+) -> tuple[Entry, ...]:
+    """Drop what the snapshot covers, or a log that it has replaced."""
+    if not entries or entries[0].index == snapshot.index + 1:
+        return tuple(entries)
+    position = snapshot.index - entries[0].index
+    if position >= len(entries):
+        return ()
+    if entries[position].term != snapshot.term:
+        return ()
+    return tuple(entries[position + 1 :])
+
+
+def _write_file(folder: DataFolder, name: str, content: bytes) -> None:
+    temporary = name + _TEMPORARY_SUFFIX
+    folder.remove(temporary)
+    file = folder.open_append(temporary)
+    try:
+        file.append(content)
+        file.sync()
+    finally:
+        file.close()
+    folder.replace(temporary, name)
+
+
+def _write_format(folder: DataFolder, identity: str) -> None:
+    document = {'format_version': FOLDER_FORMAT_VERSION, 'store': identity}
+    _write_file(folder, _FORMAT_NAME, json.dumps(document).encode())
+
+
+def _read_format(folder: DataFolder) -> str:
+    path = folder.path_of(_FORMAT_NAME)
+    try:
+        document = json.loads(folder.read(_FORMAT_NAME))
+        version = document['format_version']
+        identity = str(document['store'])
+        bytes.fromhex(identity)
+    except (ValueError, KeyError, TypeError) as error:
+        raise DamagedLog(path, 0, f'unreadable: {error}') from error
+    if version != FOLDER_FORMAT_VERSION:
+        raise DamagedLog(
+            path,
+            0,
+            f'format version {version}; this program reads '
+            f'{FOLDER_FORMAT_VERSION}',
+        )
+    return identity
--- /dev/null
+++ b/baobabgap/replication/tests/_faults.py
@@ -0,0 +1,94 @@
+"""A data folder in memory whose disk can be made to fail."""
+
+from baobabgap.replication._errors import DataFolderInUse
+from baobabgap.replication._folder import AppendFile
+
+
+class FaultyFolder:
+    """Files in memory; what was not synced is lost by `crash`."""
+
+    def __init__(self) -> None:
+        self.content_by_name: dict[str, bytearray] = {}
+        self.synced_by_name: dict[str, int] = {}
+        self.locked = False
+        # Bytes that may still be written; None for no limit.
+        self.room: int | None = None
+        # Whether each sync fails.
+        self.sync_fails = False
+        # Whether syncs report success and do nothing.
+        self.sync_lies = False
+
+    def lock(self) -> None:
+        if self.locked:
+            raise DataFolderInUse('in use', step='open storage')
+        self.locked = True
+
+    def path_of(self, name: str) -> str:
+        return f'/memory/{name}'
+
+    def names(self) -> list[str]:
+        return sorted(self.content_by_name)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self.content_by_name[name])
+
+    def open_append(self, name: str) -> AppendFile:
+        self.content_by_name.setdefault(name, bytearray())
+        self.synced_by_name.setdefault(name, 0)
+        return FaultyFile(self, name)
+
+    def replace(self, temporary_name: str, name: str) -> None:
+        content = self.content_by_name.pop(temporary_name)
+        self.content_by_name[name] = content
+        self.synced_by_name[name] = self.synced_by_name.pop(temporary_name)
+
+    def remove(self, name: str) -> None:
+        self.content_by_name.pop(name, None)
+        self.synced_by_name.pop(name, None)
+
+    def used_bytes(self) -> int:
+        return sum(len(content) for content in self.content_by_name.values())
+
+    def close(self) -> None:
+        self.locked = False
+
+    def crash(self) -> 'FaultyFolder':
+        """Return the folder as a loss of power leaves it."""
+        left = FaultyFolder()
+        for name, content in self.content_by_name.items():
+            synced = self.synced_by_name[name]
+            left.content_by_name[name] = content[:synced]
+            left.synced_by_name[name] = synced
+        return left
+
+
+class FaultyFile:
+    """One file of a `FaultyFolder`."""
+
+    def __init__(self, folder: FaultyFolder, name: str) -> None:
+        self._folder = folder
+        self._content = folder.content_by_name[name]
+
+    def append(self, data: bytes) -> None:
+        room = self._folder.room
+        if room is not None and len(data) > room:
+            self._content += data[:room]
+            raise OSError(28, 'No space left on device')
+        if room is not None:
+            self._folder.room = room - len(data)
+        self._content += data
+
+    def sync(self) -> None:
+        if self._folder.sync_fails:
+            raise OSError(5, 'Input/output error')
+        if self._folder.sync_lies:
+            return
+        for name, content in self._folder.content_by_name.items():
+            if content is self._content:
+                self._folder.synced_by_name[name] = len(content)
+
+    def truncate(self, size: int) -> None:
+        del self._content[size:]
+
+    def close(self) -> None:
+        """Nothing to release."""
--- /dev/null
+++ b/baobabgap/replication/tests/_group.py
@@ -0,0 +1,216 @@
+"""A group of hosts in one process, over real links on the loopback."""
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+import time
+from typing import Any
+
+from baobabgap._exceptions import ConnectionLost
+from baobabgap.messages import Hello
+from baobabgap.replication._folder import DataFolder
+from baobabgap.replication._limits import LogLimits
+from baobabgap.replication._log import ReplicatedLog
+from baobabgap.replication.tests._faults import FaultyFolder
+from baobabgap.settings import ControlHost
+from baobabgap.settings import ControlSettings
+from baobabgap.settings import Links
+from baobabgap.settings import Role
+from baobabgap.settings import Settings
+from baobabgap.transport import Connection
+from baobabgap.transport import LinkTiming
+from baobabgap.transport import Listener
+
+ELECTION_TIMEOUT_S = 0.3
+WAIT_LIMIT_S = 15.0
+LIMITS = LogLimits(
+    snapshot_after_bytes=20_000,
+    kept_bytes=2_000,
+    message_bytes=4_000,
+    snapshot_part_bytes=3_000,
+)
+
+
+class ListMachine:
+    """Keeps all commands in order, so that hosts can be compared."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+
+    def apply(self, index: int, command: bytes) -> Any:
+        self.commands.append(command)
+        return len(self.commands)
+
+    def snapshot(self) -> bytes:
+        return b'\n'.join(self.commands)
+
+    def restore(self, index: int, snapshot: bytes) -> None:
+        self.commands = snapshot.split(b'\n') if snapshot else []
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Wait, within a limit, until a condition holds."""
+    give_up_at = time.monotonic() + WAIT_LIMIT_S
+    while not condition():
+        if time.monotonic() > give_up_at:
+            raise AssertionError(f'not within {WAIT_LIMIT_S} s: {what}')
+        time.sleep(0.005)
+
+
+class Host:
+    """One host that can be stopped, killed, cut off and restarted."""
+
+    def __init__(
+        self,
+        name: str,
+        pool: ThreadPoolExecutor,
+        may_pass: Callable[[str, str], bool],
+    ) -> None:
+        self.name = name
+        self.folder: DataFolder = FaultyFolder()
+        self.machine = ListMachine()
+        self.log: ReplicatedLog | None = None
+        self.configured: tuple[ControlHost, ...] = ()
+        self._pool = pool
+        self._may_pass = may_pass
+        self._links: set[Connection] = set()
+        self.listener = Listener(
+            '127.0.0.1',
+            0,
+            self._hello,
+            LinkTiming(0.1, 0.5),
+            pool,
+            self._serve,
+        )
+        self.listener.start()
+
+    @property
+    def address(self) -> ControlHost:
+        return ControlHost(self.name, '127.0.0.1', self.listener.port)
+
+    @property
+    def running(self) -> ReplicatedLog:
+        assert self.log is not None
+        return self.log
+
+    def start(self) -> None:
+        settings = Settings(
+            role=Role.CONTROL,
+            name=self.name,
+            control_hosts=self.configured,
+            links=Links(0.1, 0.5),
+            control=ControlSettings(election_timeout_s=ELECTION_TIMEOUT_S),
+        )
+        self.machine = ListMachine()
+        self.log = ReplicatedLog(
+            settings, '1', self.machine, self._pool, self.folder, LIMITS
+        )
+        self.log.start()
+
+    def kill(self) -> None:
+        """End without any farewell; what was not synced is lost."""
+        assert isinstance(self.folder, FaultyFolder)
+        left = self.folder.crash()
+        # What the old process still writes goes nowhere.
+        self.folder = left
+        log = self.running
+        self.log = None
+        self.cut_links()
+        log.transfer_leadership = lambda: False  # type: ignore[method-assign]
+        log.stop()
+
+    def lose_disk(self) -> None:
+        self.folder = FaultyFolder()
+
+    def cut_links(self) -> None:
+        for link in list(self._links):
+            link.close()
+
+    def _hello(self) -> Hello:
+        return Hello(name=self.name, role='control', incarnation='1')
+
+    def _serve(self, connection: Connection) -> None:
+        log = self.log
+        peer = connection.peer.name
+        if log is None or not self._may_pass(peer, self.name):
+            raise ConnectionLost('cut', step='test', peer=peer)
+        self._links.add(connection)
+        try:
+            log.serve(connection)
+        finally:
+            self._links.discard(connection)
+
+
+class Group:
+    """Several hosts, and cuts between them."""
+
+    def __init__(self, size: int) -> None:
+        self.pool = ThreadPoolExecutor(max_workers=400)
+        self.cuts: set[frozenset[str]] = set()
+        self.hosts = [
+            Host(f'host-{number}', self.pool, self._may_pass)
+            for number in range(1, size + 1)
+        ]
+        for host in self.hosts:
+            host.configured = tuple(other.address for other in self.hosts)
+
+    def start(self) -> None:
+        for host in self.hosts:
+            host.start()
+
+    def close(self) -> None:
+        for host in self.hosts:
+            if host.log is not None:
+                host.kill()
+            host.listener.stop()
+        self.pool.shutdown(wait=False, cancel_futures=True)
+
+    def isolate(self, *hosts: Host) -> None:
+        """Cut the links between these hosts and all others."""
+        inside = {host.name for host in hosts}
+        for one in inside:
+            for other in self.hosts:
+                if other.name not in inside:
+                    self.cuts.add(frozenset((one, other.name)))
+        for host in self.hosts:
+            host.cut_links()
+
+    def heal(self) -> None:
+        self.cuts = set()
+
+    def leader(self, among: list[Host] | None = None) -> Host:
+        """Wait for the one leader of the highest term."""
+        found: list[Host] = []
+
+        def one_leads() -> bool:
+            found[:] = [
+                host
+                for host in among or self.hosts
+                if host.log is not None and host.log.is_leader
+            ]
+            return len(found) == 1
+
+        wait_until(one_leads, 'one leader')
+        return found[0]
+
+    def followers(self) -> list[Host]:
+        leader = self.leader()
+        return [host for host in self.hosts if host is not leader]
+
+    def propose(self, *commands: bytes) -> None:
+        """Propose at the leader and wait for the results."""
+        log = self.leader().running
+        futures = [log.propose(command) for command in commands]
+        for future in futures:
+            future.result(timeout=WAIT_LIMIT_S)
+
+    def wait_for_commands(self, *hosts: Host) -> None:
+        """Wait until hosts have applied what the leader has."""
+        wanted = list(self.leader().machine.commands)
+        for host in hosts or tuple(self.hosts):
+            wait_until(
+                lambda: host.machine.commands == wanted,  # noqa: B023
+                f'{host.name} has applied {len(wanted)} commands',
+            )
+
+    def _may_pass(self, one: str, other: str) -> bool:
+        return frozenset((one, other)) not in self.cuts
