--- a/baobabgap/control/_request_desk.py
+++ b/baobabgap/control/_request_desk.py
@@ -31,6 +31,7 @@
 
 # Answered by the host that is asked, also without a leader.
 LOCAL_TOPIC: Final = 'status'
+_LARGEST_TOKEN: Final = 2**63 - 1
 
 Send = Callable[[object], None]
 
@@ -205,6 +206,12 @@
             raise ProtocolMismatch(
                 error.message, step='claim', peer=message.owner
             ) from error
+        if not 0 <= claim.token <= _LARGEST_TOKEN:
+            raise ProtocolMismatch(
+                f'token {claim.token} of {claim.job} is out of range',
+                step='claim',
+                peer=message.owner,
+            )
     return [(claim.job, claim.digest, claim.token) for claim in message.claims]
 
 
--- /dev/null
+++ b/baobabgap/control/tests/test_claims.py
@@ -0,0 +1,170 @@
+"""The claims within the replicated state."""
+
+import random
+import unittest
+
+from baobabgap.control._claims import ClaimLimits
+from baobabgap.control._claims import Claims
+from baobabgap.control._claims import outcome_from_row
+from baobabgap.control._commands import ClaimCommand
+from baobabgap.control._commands import LookupQuery
+from baobabgap.control._commands import ReleaseCommand
+from baobabgap.messages import ClaimStatus
+
+GRANTED = ClaimStatus.GRANTED
+OWNED = ClaimStatus.OWNED
+CONFLICT = ClaimStatus.CONFLICT
+UNCLAIMED = ClaimStatus.UNCLAIMED
+WINDOW_PASSED = ClaimStatus.WINDOW_PASSED
+
+
+def claims_with(
+    kept: int = 100, per_client: int = 100, window_ms: int = 10**9
+) -> Claims:
+    return Claims(ClaimLimits(kept, per_client, window_ms, clients=4))
+
+
+def put(
+    claims: Claims,
+    job: str,
+    owner: str = 'entry-1',
+    digest: bytes = b'd',
+    token: int = 1,
+    sequence: int = 1,
+    now_ms: int = 0,
+) -> ClaimStatus:
+    command = ClaimCommand(
+        owner, f'{owner}-a', 'host:1', sequence, [(job, digest, token)]
+    )
+    return outcome_from_row(claims.claim(command, now_ms)[0]).status
+
+
+def look(
+    claims: Claims, job: str, digest: bytes = b'd', token: int = 1
+) -> ClaimStatus:
+    query = LookupQuery('entry-1-a', [(job, digest, token)])
+    return outcome_from_row(claims.look_up(query)[0]).status
+
+
+class ClaimRulesTest(unittest.TestCase):
+    def test_second_claim_of_a_job(self) -> None:
+        cases = [
+            ('resend', 'entry-1', b'd', 1, GRANTED),
+            ('second submission', 'entry-1', b'd', 2, OWNED),
+            ('other entry', 'entry-2', b'd', 1, OWNED),
+            ('other content', 'entry-1', b'x', 1, CONFLICT),
+            ('other content and entry', 'entry-2', b'x', 1, CONFLICT),
+        ]
+        for name, owner, digest, token, expected in cases:
+            with self.subTest(name):
+                claims = claims_with()
+                put(claims, 'kurek.5.n')
+                status = put(claims, 'kurek.5.n', owner, digest, token)
+                self.assertIs(status, expected)
+                self.assertEqual(claims.kept, 1)
+
+    def test_lookup(self) -> None:
+        cases = [
+            ('own claim', 'kurek.5.n', b'd', 1, GRANTED),
+            ('other token', 'kurek.5.n', b'd', 2, OWNED),
+            ('empty digest', 'kurek.5.n', b'', 2, OWNED),
+            ('other content', 'kurek.5.n', b'x', 1, CONFLICT),
+            ('free', 'kurek.6.n', b'd', 1, UNCLAIMED),
+            ('free, other client', 'etna.1.n', b'd', 1, UNCLAIMED),
+            ('at the floor', 'kurek.4.z', b'd', 1, WINDOW_PASSED),
+        ]
+        claims = claims_with(per_client=1)
+        put(claims, 'kurek.4.n')
+        put(claims, 'kurek.5.n')
+        for name, job, digest, token, expected in cases:
+            with self.subTest(name):
+                self.assertIs(look(claims, job, digest, token), expected)
+
+    def test_release_is_fenced_by_later_requests(self) -> None:
+        cases = [
+            ('after the claim', 'entry-1-a', 2, UNCLAIMED),
+            ('overtaken by a resend', 'entry-1-a', 1, GRANTED),
+            ('by another entry', 'entry-2-a', 9, GRANTED),
+        ]
+        for name, incarnation, sequence, expected in cases:
+            with self.subTest(name):
+                claims = claims_with()
+                put(claims, 'kurek.5.n', sequence=1)
+                claims.release(
+                    ReleaseCommand(incarnation, sequence, ['kurek.5.n'])
+                )
+                self.assertIs(look(claims, 'kurek.5.n'), expected)
+
+
+class ClaimWindowTest(unittest.TestCase):
+    def test_evicted_claim_is_never_granted_again(self) -> None:
+        claims = claims_with(per_client=3)
+        for issued in (10, 30, 20, 40):
+            self.assertIs(put(claims, f'kurek.{issued}.n'), GRANTED)
+        cases = [
+            ('evicted', 'kurek.10.n', WINDOW_PASSED),
+            ('issued at the floor', 'kurek.10.z', WINDOW_PASSED),
+            ('kept', 'kurek.20.n', OWNED),
+            ('other client', 'etna.1.n', GRANTED),
+        ]
+        for name, job, expected in cases:
+            with self.subTest(name):
+                self.assertIs(put(claims, job, 'entry-2'), expected)
+
+    def test_full_client_refuses_what_is_older_than_all_kept(self) -> None:
+        claims = claims_with(per_client=2)
+        put(claims, 'kurek.10.n')
+        put(claims, 'kurek.20.n')
+        self.assertIs(put(claims, 'kurek.5.n'), WINDOW_PASSED)
+
+    def test_overflow_evicts_from_the_client_with_most(self) -> None:
+        claims = claims_with(kept=4)
+        for job in ('kurek.1.a', 'kurek.2.a', 'kurek.3.a', 'etna.1.a'):
+            put(claims, job)
+        put(claims, 'etna.2.a')
+        self.assertEqual(claims.kept, 4)
+        self.assertIs(look(claims, 'kurek.1.a'), WINDOW_PASSED)
+        self.assertIs(look(claims, 'etna.1.a'), GRANTED)
+
+    def test_age_is_measured_on_log_time(self) -> None:
+        claims = claims_with(window_ms=100)
+        put(claims, 'kurek.10.n', now_ms=0)
+        put(claims, 'kurek.20.n', now_ms=100)
+        self.assertIs(look(claims, 'kurek.10.n'), GRANTED)
+        put(claims, 'kurek.30.n', now_ms=101)
+        self.assertIs(look(claims, 'kurek.10.n'), WINDOW_PASSED)
+        self.assertIs(look(claims, 'kurek.20.n'), GRANTED)
+
+    def test_clock_far_ahead_does_no_lasting_harm(self) -> None:
+        claims = claims_with(window_ms=100)
+        put(claims, 'kurek.999999.n', now_ms=0)
+        self.assertIs(put(claims, 'kurek.10.n', now_ms=500), GRANTED)
+        self.assertIs(put(claims, 'kurek.11.n', now_ms=900), GRANTED)
+
+    def test_clients_are_bounded(self) -> None:
+        claims = claims_with()
+        for client in 'abcd':
+            self.assertIs(put(claims, f'{client}.1.n'), GRANTED)
+        self.assertIs(put(claims, 'e.1.n'), WINDOW_PASSED)
+        self.assertIs(put(claims, 'a.2.n'), GRANTED)
+
+    def test_never_granted_twice_under_random_commands(self) -> None:
+        """Releases by the holder apart, each job has one grant."""
+        chance = random.Random(7)
+        claims = claims_with(kept=20, per_client=12, window_ms=40)
+        holder_by_job: dict[str, tuple[str, int]] = {}
+        for step in range(4000):
+            client = chance.choice('abc')
+            job = f'{client}.{step // 20 + chance.randrange(30)}.n'
+            owner = chance.choice(['entry-1', 'entry-2'])
+            token = chance.randrange(3)
+            status = put(claims, job, owner, b'd', token, step, step)
+            if status is GRANTED:
+                holder = holder_by_job.setdefault(job, (owner, token))
+                self.assertEqual(holder, (owner, token))
+            if chance.random() < 0.05:
+                restored = claims_with(kept=20, per_client=12, window_ms=40)
+                restored.restore(claims.to_document())
+                self.assertEqual(restored.kept, claims.kept)
+                claims = restored
+            self.assertLessEqual(claims.kept, 20)
