--- a/tools/bench/_caller.py
+++ b/tools/bench/_caller.py
@@ -7,6 +7,7 @@
 import itertools
 import queue
 import statistics
+import threading
 import time
 from typing import Final
 
@@ -22,7 +23,9 @@
 # Beyond the deadline, until a caller gives up on its response.
 _GRACE_S: Final = 20.0
 _CANCEL_LIMIT_S: Final = 10.0
-_WARM_CONNECTIONS: Final = 16
+# For each entry.
+_WARM_CONNECTIONS: Final = 256
+_WARM_UP_LIMIT_S: Final = 20.0
 _EMPTY_ROUND_TRIPS: Final = 200
 
 
@@ -93,12 +96,22 @@
         return [future.result() for future in futures]
 
     def _warm_up(self) -> None:
-        """Open connections ahead, so that few jobs wait for one."""
-        for address, idle in self._idle_by_address.items():
-            fresh = [WebClient(address) for _ in range(_WARM_CONNECTIONS)]
-            for client in fresh:
-                client.request('GET', '/health', timeout_s=5.0)
-                idle.put(client)
+        """Make threads and connections ahead, so that few jobs wait."""
+        warm = _WARM_CONNECTIONS * len(self._addresses)
+        all_there = threading.Barrier(warm)
+        addresses = itertools.cycle(self._addresses)
+        futures = [
+            self._pool.submit(self._connect, next(addresses), all_there)
+            for _ in range(warm)
+        ]
+        for future in futures:
+            future.result()
+
+    def _connect(self, address: str, all_there: threading.Barrier) -> None:
+        client = WebClient(address)
+        client.request('GET', '/health', timeout_s=_WARM_UP_LIMIT_S)
+        self._idle_by_address[address].put(client)
+        all_there.wait(_WARM_UP_LIMIT_S)
 
     def _sleep_until(self, at_s: float) -> None:
         pause_s = self._started_at + at_s - time.perf_counter()
