--- a/tools/bench/_caller.py
+++ b/tools/bench/_caller.py
@@ -61,7 +61,8 @@
     def run(self, jobs: Sequence[TraceJob], prefix: str) -> list[Outcome]:
         """Submit and cancel as the trace says; return when all have ended.
 
-        The prefix makes the identifiers of this run its own. Submissions
+        The prefix makes the identifiers of this run its own; it may have
+        letters, digits and hyphens. Submissions
         and cancels go to the entries in turn.
         """
         issued_ms = time.time_ns() // 1_000_000
--- a/tools/bench/_report.py
+++ b/tools/bench/_report.py
@@ -91,6 +91,11 @@
         for outcome in run.outcomes
         if outcome.end is End.WHOLE
     ]
+    over_ms = [
+        (outcome.response_s - outcome.job.longest_s - trip_s) * 1000
+        for outcome in run.outcomes
+        if outcome.end is End.WHOLE
+    ]
     best_by_number = omniscient_responses(run.jobs, run.slots)
     best = [
         (best_by_number[job.number] + trip_s) / (job.longest_s + trip_s)
@@ -108,6 +113,8 @@
         'response_over_omniscient_p99': _quotient(ours, best, 0.99),
         'omniscient_p50': _rounded(quantile(best, 0.5)),
         'omniscient_p99': _rounded(quantile(best, 0.99)),
+        'over_ideal_ms_p50': _rounded(quantile(over_ms, 0.5)),
+        'over_ideal_ms_p99': _rounded(quantile(over_ms, 0.99)),
         'empty_round_trip_ms': _rounded(trip_s * 1000),
         'send_lag_ms_p99': _rounded((quantile(lags_s, 0.99) or 0.0) * 1000),
     }
--- a/tools/bench/_run.py
+++ b/tools/bench/_run.py
@@ -86,7 +86,7 @@
         before = Reading.take(self._launcher)
         if driver is not None:
             driver.start()
-        outcomes = callers.run(case.jobs, f'{case.name}-{self._run_number}')
+        outcomes = callers.run(case.jobs, f'run-{self._run_number}')
         extra = driver.finish() if driver is not None else {}
         time.sleep(_STAND_INS_KEEP_RUNNING_S)
         reading = Reading.take(self._launcher).since(before)
