Test votes at one host directly, and the old store's end before the new

Now a request is put to one host whose disk hangs. Errors of a peer are logged once, not at each dial.

--- a/baobabgap/replication/_peer.py
+++ b/baobabgap/replication/_peer.py
@@ -66,6 +66,7 @@
         self._dialer: Dialer | None = None
         self._pool: Executor | None = None
         self._read_round = 0
+        self._last_error = ''
         self._heartbeat_s = (
             state.election_timeout_s / _HEARTBEATS_IN_ELECTION_TIMEOUT
         )
@@ -74,7 +75,12 @@
         """Begin to dial the peer."""
         self._pool = pool
         self._dialer = Dialer(
-            self.host.address, own, timing, pool, self._hold_link, _log_error
+            self.host.address,
+            own,
+            timing,
+            pool,
+            self._hold_link,
+            self._log_error,
         )
         self._dialer.start()
 
@@ -208,7 +214,7 @@
                 self._wake.wait(pause_s)
                 self._wake.clear()
         except BaobabgapError as error:
-            _log_error(error)
+            self._log_error(error)
             connection.close()
 
     def _send_due(self, connection: Connection) -> float:
@@ -247,7 +253,7 @@
         try:
             snapshot = self._storage.load_snapshot()
         except StorageUnavailable as error:
-            _log_error(error)
+            self._log_error(error)
             self.progress.sent_at = time.monotonic()
             return
         with self._state.lock:
@@ -343,6 +349,16 @@
             data=snapshot.state[start:end],
         )
 
+    def _log_error(self, error: BaobabgapError) -> None:
+        """Log an error unless it only repeats the last one."""
+        text = str(error)
+        if text == self._last_error:
+            return
+        self._last_error = text
+        log_event(
+            'peer_error', step=error.step, peer=self.host.name, error=text
+        )
+
 
 class _Batch:
     """Entries chosen with the lock held, and encoded without it."""
@@ -364,7 +380,3 @@
             read_round=head.read_round,
             entries=encode_entries(self._entries),
         )
-
-
-def _log_error(error: BaobabgapError) -> None:
-    log_event('peer_error', step=error.step, peer=error.peer, error=str(error))
--- a/baobabgap/replication/tests/test_election.py
+++ b/baobabgap/replication/tests/test_election.py
@@ -8,6 +8,7 @@
 from baobabgap.replication._messages import VoteRequest
 from baobabgap.replication.tests._group import ELECTION_TIMEOUT_S
 from baobabgap.replication.tests._group import Group
+from baobabgap.replication.tests._group import Host
 from baobabgap.replication.tests._group import WAIT_LIMIT_S
 from baobabgap.replication.tests._group import wait_until
 
@@ -23,6 +24,29 @@
         group.propose(b'first')
         return group
 
+    def ask_for_vote(
+        self,
+        host: Host,
+        store: str,
+        answers: list[bool],
+        pre_vote: bool = False,
+    ) -> None:
+        """Ask one host as a candidate of a far later term would."""
+        request = VoteRequest(
+            group=host.running._state.membership.group,
+            term=1000,
+            store=store,
+            last_index=1000,
+            last_term=1000,
+            pre_vote=pre_vote,
+            transfer=True,
+        )
+        log = host.running
+        with log._state.lock:
+            log._election.consider(
+                request, lambda answer: answers.append(answer.granted)
+            )
+
     def test_another_host_leads_after_a_death(self) -> None:
         for size in (3, 5):
             with self.subTest(size=size):
@@ -81,55 +105,46 @@
 
     def test_vote_is_synced_before_it_is_answered(self) -> None:
         group = self.make_group()
-        leader = group.leader()
-        slow, other = group.followers()
-        slow.folder.sync_gate.clear()
-        leader.kill()
-        time.sleep(SEVERAL_ELECTIONS_S)
-        self.assertFalse(slow.running.is_leader)
-        self.assertFalse(other.running.is_leader)
-        slow.folder.sync_gate.set()
-        group.propose(b'second')
+        host = group.followers()[0]
+        group.isolate(host)
+        host.folder.sync_gate.clear()
+        answers: list[bool] = []
+        self.ask_for_vote(host, 'one', answers)
+        time.sleep(ELECTION_TIMEOUT_S)
+        self.assertEqual([], answers)
+        host.folder.sync_gate.set()
+        wait_until(lambda: answers == [True], 'the vote')
 
     def test_host_that_cannot_sync_does_not_vote(self) -> None:
         group = self.make_group()
-        leader = group.leader()
-        broken, other = group.followers()
-        broken.folder.sync_fails = True
-        leader.running.propose(b'second').result(WAIT_LIMIT_S)
+        host = group.followers()[0]
+        host.folder.sync_fails = True
+        group.leader().running.propose(b'second').result(WAIT_LIMIT_S)
         wait_until(
-            lambda: not broken.running.status().storage_ok, 'sync has failed'
+            lambda: not host.running.status().storage_ok, 'sync has failed'
         )
-        leader.kill()
-        time.sleep(SEVERAL_ELECTIONS_S)
-        self.assertFalse(other.running.is_leader)
-        broken.folder.sync_fails = False
-        group.propose(b'third')
-        leader.start()
-        group.wait_for_commands()
+        group.isolate(host)
+        time.sleep(2 * ELECTION_TIMEOUT_S)
+        answers: list[bool] = []
+        self.ask_for_vote(host, 'one', answers, pre_vote=True)
+        self.ask_for_vote(host, 'one', answers)
+        time.sleep(ELECTION_TIMEOUT_S)
+        self.assertEqual([False], answers)
+        host.folder.sync_fails = False
+        wait_until(
+            lambda: host.running.status().storage_ok, 'sync works again'
+        )
+        self.ask_for_vote(host, 'one', answers)
+        wait_until(lambda: answers == [False, True], 'the vote')
 
     def test_one_vote_in_a_term_also_after_a_crash(self) -> None:
         group = self.make_group()
         host = group.followers()[0]
-        term = host.running.status().term + 5
         answers: list[bool] = []
 
         def ask(store: str) -> None:
-            request = VoteRequest(
-                group='',
-                term=term,
-                store=store,
-                last_index=1000,
-                last_term=term,
-                pre_vote=False,
-                transfer=True,
-            )
             count = len(answers)
-            log = host.running
-            with log._state.lock:
-                log._election.consider(
-                    request, lambda answer: answers.append(answer.granted)
-                )
+            self.ask_for_vote(host, store, answers)
             wait_until(lambda: len(answers) > count, 'an answer')
 
         group.isolate(host)
--- a/baobabgap/replication/tests/test_store_identity.py
+++ b/baobabgap/replication/tests/test_store_identity.py
@@ -49,6 +49,24 @@
             [b'first', b'second', b'third'], group.leader().machine.commands
         )
 
+    def test_old_store_is_out_before_the_new_one_counts(self) -> None:
+        group = self.make_group()
+        group.start()
+        group.propose(b'first')
+        group.wait_for_commands()
+        leader = group.leader()
+        slow, lost = group.followers()
+        lost.kill()
+        lost.lose_disk()
+        slow.folder.sync_gate.clear()
+        lost.start()
+        future = leader.running.propose(b'second')
+        time.sleep(SEVERAL_ELECTIONS_S)
+        self.assertFalse(future.done())
+        slow.folder.sync_gate.set()
+        future.result(WAIT_LIMIT_S)
+        wait_until(lambda: self.repaired(group, lost), 'repair')
+
     def test_second_failure_right_after_the_repair(self) -> None:
         group = self.make_group()
         group.start()
