--- a/baobabgap/control/_client.py
+++ b/baobabgap/control/_client.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from concurrent.futures import Executor
 from concurrent.futures import Future
+import random
 import threading
 import time
 from typing import Any
@@ -77,6 +78,7 @@
         self._version = 0
         self._last_contact = time.monotonic()
         self._is_superseded = False
+        self._messages_taken = 0
 
     @classmethod
     def from_settings(
@@ -118,6 +120,11 @@
         connection = self._connection
         return connection is not None and not connection.is_closed
 
+    @property
+    def peer(self) -> str:
+        """The name of the host that the link goes, or last went, to."""
+        return self._pending.peer
+
     @property
     def is_superseded(self) -> bool:
         """Tell whether another process has taken this one's name."""
@@ -215,17 +222,19 @@
     def _run(self) -> None:
         pause_s = _FIRST_PAUSE_S
         while not self._stopping.is_set() and not self._is_superseded:
+            before = self._messages_taken
             try:
                 self._hold_link(self._choose_address())
             except BaobabgapError as error:
                 log_event('control_client:link_lost', error=str(error))
-            if self._has_just_been_connected():
+            except Exception as error:
+                log_event('control_client:failed', error=repr(error))
+            if self._messages_taken != before:
                 pause_s = _FIRST_PAUSE_S
-            self._stopping.wait(pause_s)
-            pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
-
-    def _has_just_been_connected(self) -> bool:
-        return time.monotonic() - self._last_contact < _TICK_S
+            self._stopping.wait(pause_s * random.uniform(0.5, 1.0))
+            # Agents are many and in no hurry.
+            longest_s = max(_LONGEST_PAUSE_S, self._timing.heartbeat_s)
+            pause_s = min(2 * pause_s, longest_s)
 
     def _choose_address(self) -> str:
         """Return the leader for an entry that knows it, else the next."""
@@ -244,6 +253,7 @@
             self._connection = connection
             self._send_waiting()
             for message in connection.messages():
+                self._messages_taken += 1
                 self._take(connection, message)
         finally:
             self._last_contact = time.monotonic()
--- a/baobabgap/control/_host.py
+++ b/baobabgap/control/_host.py
@@ -1,5 +1,6 @@
 """The process of one control host."""
 
+from collections.abc import Callable
 from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
 import threading
@@ -46,7 +47,9 @@
 _HTTP_THREADS: Final = 4
 _LARGEST_BODY_BYTES: Final = 64 * 1024
 _TICK_S: Final = 0.25
+_LEAVE_WAIT_S: Final = 1.0
 _STOP_WAIT_S: Final = 5.0
+_ELECTIONS_BEFORE_CUT_OFF: Final = 4
 
 
 class ControlHostProcess:
@@ -100,6 +103,11 @@
             _HTTP_THREADS,
             _LARGEST_BODY_BYTES,
         )
+        self._leader_reached_at = time.monotonic()
+        # An election takes less than this as a rule.
+        self._cut_off_after_s = (
+            _ELECTIONS_BEFORE_CUT_OFF * settings.control.election_timeout_s
+        )
         self._add_metrics()
 
     @classmethod
@@ -120,7 +128,7 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether requests can be carried out here."""
-        return not self._is_draining and self._log.leader is not None
+        return not self._is_draining and self._reaches_leader()
 
     def status(self) -> dict[str, Any]:
         """Describe this host for operators."""
@@ -244,6 +252,9 @@
             return None
         return leader
 
+    def _reaches_leader(self) -> bool:
+        return self._log.is_leader or self._relay.is_open
+
     def _live_hosts(self) -> set[str] | None:
         if not self._log.is_leader:
             return None
@@ -284,28 +295,40 @@
             self._has_new_version.wait()
             self._stopping.wait(pause_s)
             self._has_new_version.clear()
-            self._sessions.push_changes()
+            self._run_logged(self._sessions.push_changes)
 
     def _tick_loop(self) -> None:
         while not self._stopping.wait(_TICK_S):
-            try:
-                self._tick()
-            except BaobabgapError as error:
-                log_event('control:tick_failed', error=str(error))
+            self._run_logged(self._tick)
+
+    def _run_logged(self, step: Callable[[], None]) -> None:
+        """Run one step of a loop that must go on if the step fails."""
+        try:
+            step()
+        except Exception as error:
+            log_event('control:step_failed', error=repr(error))
 
     def _tick(self) -> None:
-        leader = self._log.leader
         self._relay.check_leader()
-        if leader is None:
+        now = time.monotonic()
+        if self._reaches_leader():
+            self._leader_reached_at = now
+            self._tick_with_leader()
+        elif now - self._leader_reached_at > self._cut_off_after_s:
+            # Members do better to try the other hosts.
+            self._sessions.close_all()
+
+    def _tick_with_leader(self) -> None:
+        leader = self._log.leader
+        if leader is None or self._is_draining:
             return
         is_own = leader.name == self._settings.name
         address = self._address if is_own else leader.address
         self._sessions.show_leader(LeaderHint(leader.name, address))
         if not is_own:
             self._sessions.pass_reports_on(self._relay.report)
-        if not self._is_draining:
-            self._keep_own_record()
-            self._reaper.run_once()
+        self._keep_own_record()
+        self._reaper.run_once()
 
     def _keep_own_record(self) -> None:
         known = self._state.member(self._settings.name)
@@ -328,7 +351,7 @@
             LeaveCommand(self._settings.name, self._incarnation)
         )
         try:
-            leaving.result(self._settings.control.request_wait_s)
+            leaving.result(_LEAVE_WAIT_S)
         except (BaobabgapError, TimeoutError) as error:
             log_event('control:left_unrecorded', error=str(error))
 
--- a/baobabgap/control/_reaper.py
+++ b/baobabgap/control/_reaper.py
@@ -73,7 +73,7 @@
         if last is not None and now - last < _PROPOSE_AGAIN_S:
             return
         session.join_proposed_at = now
-        self._submit(
+        proposed = self._submit(
             JoinCommand(
                 peer.name,
                 peer.role,
@@ -87,6 +87,7 @@
                 ),
             )
         )
+        proposed.add_done_callback(session.note_join)
 
     def _bury_missing(self, now: float) -> None:
         live_hosts = self._live_hosts()
--- a/baobabgap/control/_relay.py
+++ b/baobabgap/control/_relay.py
@@ -87,6 +87,12 @@
             connection.send(RelayReports(version_by_member))
             return True
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether there is a link to the leader."""
+        connection = self._connection
+        return connection is not None and not connection.is_closed
+
     def check_leader(self) -> None:
         """Give the link up if another host leads by now."""
         if self._leader is not None and self._leader != self._other_leader():
--- a/baobabgap/control/_sessions.py
+++ b/baobabgap/control/_sessions.py
@@ -1,7 +1,9 @@
 """The sessions of members and tools with one control host."""
 
 from collections.abc import Callable
+from concurrent.futures import Future
 import threading
+from typing import Any
 from typing import Final
 
 from baobabgap.control._state import ControlState
@@ -42,6 +44,11 @@
         """Tell whether the other end is a member, not a tool."""
         return self.connection.peer.role in MEMBER_ROLES
 
+    def note_join(self, proposed: Future[Any]) -> None:
+        """Have the join proposed again soon if it has failed."""
+        if proposed.exception() is not None:
+            self.join_proposed_at = None
+
     def subscribe(self, message: Subscribe, state: ControlState) -> None:
         """Push what the member has missed, now and from now on."""
         with self._lock:
--- a/baobabgap/control/tests/_group.py
+++ b/baobabgap/control/tests/_group.py
@@ -150,6 +150,10 @@
             ),
         )
 
+    def pause(self, seconds: float) -> None:
+        """Let time pass in which something must not happen."""
+        time.sleep(seconds)
+
     def wait_until(self, condition: Callable[[], bool], what: str) -> None:
         """Wait for a condition, and fail the test if it stays false."""
         deadline = time.monotonic() + LONGEST_WAIT_S
--- a/baobabgap/control/tests/test_single_host.py
+++ b/baobabgap/control/tests/test_single_host.py
@@ -61,12 +61,11 @@
 
         def shown_version() -> int:
             page = tool.client.query('members').result(LONGEST_WAIT_S)
-            versions = [
-                row['version_in_force']
+            version_by_name = {
+                row['name']: row['version_in_force'] or 0
                 for row in page['members']
-                if row['name'] == 'agent-1'
-            ]
-            return versions[0] or 0
+            }
+            return version_by_name.get('agent-1', 0)
 
         self.wait_until(
             lambda: shown_version() >= outcome.version,
--- a/baobabgap/settings/_control.py
+++ b/baobabgap/settings/_control.py
@@ -44,6 +44,6 @@
     # Milliseconds for which changes are gathered before they are sent.
     change_pause_ms: Annotated[float, Field(ge=0, le=5000)] = 50.0
     # Seconds after which a member gives up a claim.
-    claim_wait_s: Annotated[float, Field(gt=0, le=60)] = 3.0
+    claim_wait_s: Annotated[float, Field(gt=0, le=60)] = 8.0
     # Seconds after which a member gives up any other request.
-    request_wait_s: Annotated[float, Field(gt=0, le=60)] = 5.0
+    request_wait_s: Annotated[float, Field(gt=0, le=60)] = 8.0
