--- a/baobabgap/control/_pending.py
+++ b/baobabgap/control/_pending.py
@@ -152,6 +152,11 @@
                         item.unchanged = False
                         item.reason = f'no answer from {self.peer}'
                         expired.append(item)
+            self._batch_by_request = {
+                request: batch
+                for request, batch in self._batch_by_request.items()
+                if any(item.deadline > now for item in batch.items)
+            }
             expired.extend(
                 item for item in self._waiting if item.deadline <= now
             )
--- a/baobabgap/control/tests/_group.py
+++ b/baobabgap/control/tests/_group.py
@@ -76,6 +76,7 @@
     hosts = 1
     control = ControlSettings(
         election_timeout_s=0.4,
+        request_wait_s=3.0,
         return_grace_s=0.5,
         change_pause_ms=10.0,
         member_heartbeat_s=0.2,
