Compare records and sessions only when either has changed

The comparison four times a second was two thirds of the processor time of a host with 800 members at rest (29 ticks in 10 s before, 10 after, of which 6 are the measuring thread's own).

--- a/baobabgap/control/_members.py
+++ b/baobabgap/control/_members.py
@@ -45,6 +45,8 @@
         self._member_by_name: dict[str, Member] = {}
         self._gone = 0
         self._complete_since = 0
+        # Counts changes of any kind, on this host only.
+        self.revision = 0
 
     @property
     def complete_since(self) -> int:
@@ -76,6 +78,7 @@
 
         That is another one than the sender's if it was superseded.
         """
+        self.revision += 1
         attachment = Attachment(*command.attachment)
         record = MemberRecord(
             command.name,
@@ -109,6 +112,7 @@
 
     def leave(self, command: LeaveCommand, index: int) -> None:
         """Note that the incarnation has left for good."""
+        self.revision += 1
         known = self._member_by_name.get(command.name)
         if known is None or known.record.incarnation != command.incarnation:
             return
@@ -119,6 +123,7 @@
 
     def die(self, command: DeathCommand, index: int) -> None:
         """Note a death, unless the member was attached elsewhere since."""
+        self.revision += 1
         known = self._member_by_name.get(command.name)
         if known is None or not known.record.alive:
             return
@@ -175,6 +180,7 @@
 
     def restore(self, document: list[Any]) -> None:
         """Replace everything by what `to_document` has returned."""
+        self.revision += 1
         self._complete_since, rows = document
         self._member_by_name = {}
         self._gone = 0
--- a/baobabgap/control/_reaper.py
+++ b/baobabgap/control/_reaper.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from concurrent.futures import Future
+from dataclasses import dataclass
 import time
 from typing import Any
 from typing import Final
@@ -18,6 +19,18 @@
 _PROPOSE_AGAIN_S: Final = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    """Changes whenever records and sessions may differ anew."""
+
+    # Counts changes of the members.
+    members: int
+    # Counts sessions that were opened or closed.
+    sessions: int
+    # The hosts that the leader hears of; None on the others.
+    live_hosts: frozenset[str] | None
+
+
 class Reaper:
     """Proposes joins of members with a session, and deaths of the others.
 
@@ -46,14 +59,30 @@
         self._host_grace_s = host_grace_s
         # When each attachment was first seen without a session.
         self._missing_since: dict[Attachment, float] = {}
+        self._has_difference = False
+        # What was seen when records and sessions agreed.
+        self._agreed: _Seen | None = None
 
     def run_once(self) -> None:
-        """Compare records and sessions, and propose what differs."""
+        """Compare records and sessions, and propose what differs.
+
+        Nothing is compared while nothing has changed since they agreed.
+        """
         now = time.monotonic()
+        live_hosts = self._live_hosts()
+        seen = _Seen(
+            self._state.members.revision,
+            self._sessions.revision,
+            None if live_hosts is None else frozenset(live_hosts),
+        )
+        if seen == self._agreed:
+            return
+        self._has_difference = False
         for session in self._sessions.all():
             if session.is_member and not session.has_left:
                 self.keep_joined(session, now)
-        self._bury_missing(now)
+        self._bury_missing(now, live_hosts)
+        self._agreed = None if self._has_difference else seen
 
     def keep_joined(self, session: Session, now: float) -> None:
         """Propose the join of a member unless it is recorded."""
@@ -69,6 +98,7 @@
                 return
             if _is_recorded(known, peer.incarnation, attachment):
                 return
+        self._has_difference = True
         last = session.join_proposed_at
         if last is not None and now - last < _PROPOSE_AGAIN_S:
             return
@@ -89,8 +119,7 @@
         )
         proposed.add_done_callback(session.note_join)
 
-    def _bury_missing(self, now: float) -> None:
-        live_hosts = self._live_hosts()
+    def _bury_missing(self, now: float, live_hosts: set[str] | None) -> None:
         missing_since: dict[Attachment, float] = {}
         with self._state.lock:
             members = self._state.members.all()
@@ -98,6 +127,7 @@
             grace_s = self._grace_of_missing(member, live_hosts)
             if grace_s is None:
                 continue
+            self._has_difference = True
             attachment = member.attachment
             since = self._missing_since.get(attachment, now)
             missing_since[attachment] = since
--- a/baobabgap/control/_sessions.py
+++ b/baobabgap/control/_sessions.py
@@ -98,12 +98,15 @@
         self._version_by_member: dict[str, int] = {}
         self._unreported: set[str] = set()
         self._hint: LeaderHint | None = None
+        # Counts sessions that were opened or closed.
+        self.revision = 0
 
     def open(self, connection: Connection) -> Session:
         """Begin a session."""
         with self._lock:
             session = Session(connection, self._next_number)
             self._next_number += 1
+            self.revision += 1
             self._session_by_number[session.number] = session
             hint = self._hint
         if hint is not None and connection.peer.role == ENTRY_ROLE:
@@ -113,6 +116,7 @@
     def close(self, session: Session) -> None:
         """End a session."""
         with self._lock:
+            self.revision += 1
             self._session_by_number.pop(session.number, None)
 
     def is_open(self, number: int) -> bool:
