--- a/baobabgap/control/_client.py
+++ b/baobabgap/control/_client.py
@@ -142,22 +142,19 @@
         self._pool.submit(self._run)
         self._pool.submit(self._tick_loop)
 
-    def stop(self) -> None:
-        """Leave, close the link and fail what was not answered."""
+    def stop(self, *, leaving: bool = True) -> None:
+        """Leave, close the link and fail what was not answered.
+
+        A process that does not leave is taken for dead a little later.
+        """
         self._stopping.set()
         connection = self._connection
         if connection is not None:
-            connection.send(Leave())
+            if leaving:
+                connection.send(Leave())
             connection.flush_and_close()
         self._pending.fail_all('this process stops')
 
-    def kill(self) -> None:
-        """Stop without a word, as if the process had died."""
-        self._stopping.set()
-        connection = self._connection
-        if connection is not None:
-            connection.close()
-
     def claim(self, claim: Claim) -> Future[ClaimOutcome]:
         """Claim a job; fails with `ControlUnavailableError` in time."""
         future = self._pending.add_claim(
--- /dev/null
+++ b/tools/slopes_claims.py
@@ -0,0 +1,152 @@
+"""What a claim costs the control group, as slopes over the batch size.
+
+Starts three control hosts as processes of their own and claims jobs on
+one link to the leader, four requests on the way at once, as the members'
+client does. Prints one JSON line for each batch size::
+
+    python -m tools.slopes_claims --sync-delay-ms=4
+"""
+
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from itertools import count
+import json
+import tempfile
+import time
+from typing import Any
+from typing import Final
+
+import fire
+
+from baobabgap.messages import Claim
+from baobabgap.messages import ClaimJobs
+from baobabgap.messages import ClaimOutcomes
+from baobabgap.messages import Hello
+from baobabgap.messages import LeaderHint
+from baobabgap.transport import Connection
+from baobabgap.transport import dial
+from baobabgap.transport import LinkTiming
+from tools._measured_group import MeasuredGroup
+from tools._measured_group import process_usage
+
+_BATCH_SIZES: Final = (1, 8, 64, 512)
+_REQUESTS_ON_THE_WAY: Final = 4
+_SAMPLE_S: Final = 5.0
+_FIRST_ISSUED_MS: Final = 1_764_800_000_000
+_CLIENTS: Final = 40
+
+
+def main(sync_delay_ms: float = 4.0) -> None:
+    """Measure at each batch size; the delay is added to each sync."""
+    with tempfile.TemporaryDirectory() as folder:
+        group = MeasuredGroup.start(folder, 3, sync_delay_ms)
+        try:
+            with ThreadPoolExecutor(8) as pool:
+                _measure(group, pool, sync_delay_ms)
+        finally:
+            group.stop()
+
+
+def _measure(
+    group: MeasuredGroup, pool: ThreadPoolExecutor, sync_delay_ms: float
+) -> None:
+    link, leader = _dial_leader(group, pool)
+    messages = link.messages()
+    numbers = count(1)
+    for batch in _BATCH_SIZES:
+        before = [process_usage(host.pid) for host in group.hosts]
+        figures = _claim_for_a_while(link, messages, batch, numbers)
+        after = [process_usage(host.pid) for host in group.hosts]
+        cpu_us_by_host = {
+            host.name: round(
+                1e6 * (end.cpu_s - begin.cpu_s) / figures['claims'], 1
+            )
+            for host, begin, end in zip(
+                group.hosts, before, after, strict=True
+            )
+        }
+        line = {
+            'batch': batch,
+            'sync_delay_ms': sync_delay_ms,
+            **figures,
+            'leader': leader,
+            'cpu_us_per_claim': cpu_us_by_host,
+            'leader_memory_mb': round(
+                max(usage.memory_mb for usage in after), 1
+            ),
+        }
+        print(json.dumps(line), flush=True)
+    link.close()
+
+
+def _dial_leader(
+    group: MeasuredGroup, pool: ThreadPoolExecutor
+) -> tuple[Connection, str]:
+    """Follow the hint that any host gives."""
+    own = Hello('entry-1', 'entry', 'entry-1-a', '127.0.0.1:4000')
+    address = f'127.0.0.1:{group.hosts[0].internal_port}'
+    link = dial(address, own, LinkTiming(), pool)
+    for message in link.messages():
+        if isinstance(message, LeaderHint):
+            if message.leader == link.peer.name:
+                return link, message.leader
+            link.close()
+            link = dial(message.address, own, LinkTiming(), pool)
+            return link, message.leader
+    raise AssertionError('the link ends with an error')
+
+
+def _claim_for_a_while(
+    link: Connection,
+    messages: Iterator[Any],
+    batch: int,
+    numbers: Iterator[int],
+) -> dict[str, float]:
+    sent_at_by_request: dict[int, float] = {}
+    latencies: list[float] = []
+    refused = 0
+
+    def send() -> None:
+        request = next(numbers)
+        claims = tuple(_claim(next(numbers)) for _ in range(batch))
+        sent_at_by_request[request] = time.monotonic()
+        link.send(
+            ClaimJobs(
+                request, 'entry-1', 'entry-1-a', '127.0.0.1:4000', claims
+            )
+        )
+
+    begin = time.monotonic()
+    for _ in range(_REQUESTS_ON_THE_WAY):
+        send()
+    while sent_at_by_request:
+        message = next(messages)
+        if not isinstance(message, ClaimOutcomes):
+            refused += message.__class__.__name__ == 'ControlUnavailable'
+            continue
+        now = time.monotonic()
+        latencies.append(now - sent_at_by_request.pop(message.request))
+        if now - begin < _SAMPLE_S:
+            send()
+    seconds = time.monotonic() - begin
+    latencies.sort()
+    claims = len(latencies) * batch
+    return {
+        'claims': claims,
+        'claims_per_s': round(claims / seconds),
+        'latency_p50_ms': round(1000 * latencies[len(latencies) // 2], 2),
+        'latency_p99_ms': round(
+            1000 * latencies[len(latencies) * 99 // 100], 2
+        ),
+        'refused_requests': refused,
+    }
+
+
+def _claim(number: int) -> Claim:
+    issued_ms = _FIRST_ISSUED_MS + number
+    job = f'client-{number % _CLIENTS}.{issued_ms}.{number:08d}'
+    return Claim(job, number.to_bytes(32, 'big'), number)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
