--- a/baobabgap/control/_sessions.py
+++ b/baobabgap/control/_sessions.py
@@ -1,7 +1,9 @@
 """The sessions of members and tools with one control host."""
 
 from collections.abc import Callable
+from concurrent.futures import Future
 import threading
+from typing import Any
 from typing import Final
 
 from baobabgap.control._state import ControlState
@@ -42,6 +44,11 @@
         """Tell whether the other end is a member, not a tool."""
         return self.connection.peer.role in MEMBER_ROLES
 
+    def note_join(self, proposed: Future[Any]) -> None:
+        """Have the join proposed again soon if it has failed."""
+        if proposed.exception() is not None:
+            self.join_proposed_at = None
+
     def subscribe(self, message: Subscribe, state: ControlState) -> None:
         """Push what the member has missed, now and from now on."""
         with self._lock:
@@ -91,12 +98,15 @@
         self._version_by_member: dict[str, int] = {}
         self._unreported: set[str] = set()
         self._hint: LeaderHint | None = None
+        # Counts sessions that were opened or closed.
+        self.revision = 0
 
     def open(self, connection: Connection) -> Session:
         """Begin a session."""
         with self._lock:
             session = Session(connection, self._next_number)
             self._next_number += 1
+            self.revision += 1
             self._session_by_number[session.number] = session
             hint = self._hint
         if hint is not None and connection.peer.role == ENTRY_ROLE:
@@ -106,6 +116,7 @@
     def close(self, session: Session) -> None:
         """End a session."""
         with self._lock:
+            self.revision += 1
             self._session_by_number.pop(session.number, None)
 
     def is_open(self, number: int) -> bool:
