--- a/baobabgap/agent/_scheduler.py
+++ b/baobabgap/agent/_scheduler.py
@@ -1,8 +1,6 @@
 """The only judge of starts on one upstream."""
 
 from collections.abc import Callable
-from collections.abc import Iterator
-from contextlib import contextmanager
 import threading
 import time
 from typing import Any
@@ -16,6 +14,7 @@
 from baobabgap.agent._memory import StartMemory
 from baobabgap.agent._memory import TaskRecord
 from baobabgap.agent._memory import TaskState
+from baobabgap.agent._outbox import ResultOutbox
 from baobabgap.agent._queue import TaskQueue
 from baobabgap.agent._resources import RunningResources
 from baobabgap.agent._resumption import Resumption
@@ -77,7 +76,7 @@
         self._resources = RunningResources()
         self._resumption = Resumption(incarnation)
         self._offer = _NO_UPSTREAM
-        self._outbox: list[tuple[EntryLink, TaskResult]] = []
+        self._outbox = ResultOutbox(self._lock)
 
     @property
     def offer(self) -> UpstreamOffer:
@@ -91,7 +90,7 @@
 
     def set_offer(self, offer: UpstreamOffer) -> None:
         """Tell the entries of a changed offer, and share its slots out."""
-        with self._exclusively():
+        with self._outbox:
             if offer == self._offer:
                 return
             self._offer = offer
@@ -103,7 +102,7 @@
 
     def open_link(self, link: EntryLink) -> None:
         """Take an entry's new link, and resend what it lacks."""
-        with self._exclusively():
+        with self._outbox:
             self._links.open(link)
             link.send(self._offer)
             name, incarnation = link.peer.name, link.peer.incarnation
@@ -126,7 +125,7 @@
 
     def lose_link(self, link: EntryLink) -> None:
         """Share the slots out anew after a link has ended."""
-        with self._exclusively():
+        with self._outbox:
             if self._links.lose(link, time.monotonic()):
                 self._redistribute()
 
@@ -135,7 +134,7 @@
         batch = None
         if message.agent_incarnation == self._incarnation:
             batch = self._batch_log.open(message)
-        with self._exclusively():
+        with self._outbox:
             if not self._links.is_current(link):
                 self._waste('old_link')
                 return
@@ -157,7 +156,7 @@
         run_time_ms: float = 0.0,
     ) -> None:
         """Record how a task ended, and tell its entry at once."""
-        with self._exclusively():
+        with self._outbox:
             if record.state is TaskState.ENDED:
                 self._waste('late_result')
                 return
@@ -168,7 +167,7 @@
         """Drop queued tasks of jobs, and stop those that run."""
         jobs = set(message.jobs)
         incarnation = link.peer.incarnation
-        with self._exclusively():
+        with self._outbox:
             concerned = [
                 record
                 for record in self._memory.records()
@@ -197,7 +196,7 @@
         self, link: EntryLink, message: AcknowledgeResults
     ) -> None:
         """Forget results that the entry has."""
-        with self._exclusively():
+        with self._outbox:
             for job, task in message.tasks:
                 record = self._memory.find(job, task)
                 if record is None or record.state is not TaskState.ENDED:
@@ -207,13 +206,13 @@
 
     def resume(self, link: EntryLink, message: ResumeTasks) -> None:
         """Answer for each task that an entry still waits for."""
-        with self._exclusively():
+        with self._outbox:
             if self._links.is_current(link):
                 self._resume(link, message)
 
     def adopt(self, listing: LeaseListing) -> None:
         """Take over the leases that an earlier agent process started."""
-        with self._exclusively():
+        with self._outbox:
             for report in listing.leases:
                 self._adopt_one(report)
             self._resumption.learn(listing)
@@ -223,7 +222,7 @@
 
     def give_up_running(self, reason: str) -> list[str]:
         """Report all running tasks as lost; return their leases."""
-        with self._exclusively():
+        with self._outbox:
             records = self.running()
             for record in records:
                 self._finish(record, TaskOutcome.LOST, reason, 0.0)
@@ -240,17 +239,17 @@
 
     def take_acknowledged_leases(self) -> list[str]:
         """Return, once, the leases that the upstream may forget."""
-        with self._exclusively():
+        with self._outbox:
             return self._memory.take_acknowledged_leases()
 
     def give_back_acknowledged_leases(self, leases: list[str]) -> None:
         """Take leases back that could not be told to the upstream."""
-        with self._exclusively():
+        with self._outbox:
             self._memory.give_back_acknowledged_leases(leases)
 
     def report_load(self) -> None:
         """Tell the entries how busy the upstream is."""
-        with self._exclusively():
+        with self._outbox:
             self._links.send_to_all(
                 UpstreamLoad(self._ledger.running, self._ledger.queued)
             )
@@ -258,7 +257,7 @@
     def tick(self) -> None:
         """Do what is due: deadlines, lost links, leaks, old records."""
         now = time.monotonic()
-        with self._exclusively():
+        with self._outbox:
             self._drop_queued(
                 lambda record: record.deadline < now,
                 'the deadline passed before a slot was free',
@@ -293,7 +292,7 @@
             self._waste('duplicate_placement')
             self._note_end(batch, 'duplicate')
             lost = _lost(message.job, placement.task, _ANSWERED_BEFORE)
-            self._outbox.append((link, lost))
+            self._outbox.add(link, lost)
             return
         record = TaskRecord(
             message.job,
@@ -383,7 +382,7 @@
             f'baobabgap_tasks_ended_total{{outcome="{outcome.value}"}}'
         )
         if link is not None:
-            self._outbox.append((link, result))
+            self._outbox.add(link, result)
 
     def _drop_queued(
         self, wanted: Callable[[TaskRecord], bool], reason: str
@@ -402,9 +401,9 @@
         """Answer for a task that is known already, if it has ended."""
         if record.owner_incarnation != link.peer.incarnation:
             lost = _lost(record.job, record.task, _OTHER_OWNER)
-            self._outbox.append((link, lost))
+            self._outbox.add(link, lost)
         elif record.result is not None:
-            self._outbox.append((link, record.result))
+            self._outbox.add(link, record.result)
 
     def _resume(self, link: EntryLink, message: ResumeTasks) -> None:
         if self._resumption.must_wait(link, message):
@@ -420,7 +419,7 @@
                 result = self._resumption.answer(
                     message.agent_incarnation, job, task
                 )
-            self._outbox.append((link, result))
+            self._outbox.add(link, result)
 
     def _adopt_one(self, report: LeaseReport) -> None:
         job, _, task = report.lease.partition('/')
@@ -452,18 +451,6 @@
         for entry, grant in self._ledger.redistribute().items():
             self._links.send_to(entry, grant)
 
-    @contextmanager
-    def _exclusively(self) -> Iterator[None]:
-        """Hold the lock, and then send all results at once."""
-        with self._lock:
-            yield
-            results_by_link: dict[EntryLink, list[TaskResult]] = {}
-            for link, result in self._outbox:
-                results_by_link.setdefault(link, []).append(result)
-            self._outbox.clear()
-            for link, results in results_by_link.items():
-                link.send(TaskResults(tuple(results)))
-
     def _note_end(self, batch: Batch | None, outcome: str) -> None:
         if batch is not None and batch.note_end(outcome):
             self._batch_log.close(batch)
--- a/baobabgap/web/_client.py
+++ b/baobabgap/web/_client.py
@@ -10,6 +10,8 @@
 
 from baobabgap._exceptions import ConnectionLost
 
+# Headers that libcurl would add; each costs the server time to read.
+_LEFT_OUT_HEADERS: Final = ('Expect:', 'Accept:', 'User-Agent:')
 _METHODS_WITH_BODY: Final = ('POST', 'PUT', 'PATCH')
 
 
@@ -19,11 +21,21 @@
 
     # The HTTP status.
     status: int
-    # Header values by lower-case name.
-    header_by_name: dict[str, str]
+    # The status line and the headers as they came.
+    head: tuple[bytes, ...]
     # The body as it came.
     body: bytes
 
+    @property
+    def header_by_name(self) -> dict[str, str]:
+        """Header values by lower-case name."""
+        header_by_name: dict[str, str] = {}
+        for line in self.head:
+            name, separator, value = line.decode('latin-1').partition(':')
+            if separator:
+                header_by_name[name.strip().lower()] = value.strip()
+        return header_by_name
+
     def document(self) -> Any:
         """Decode the body as JSON."""
         return json.loads(self.body) if self.body else None
@@ -54,7 +66,7 @@
     ) -> WebResponse:
         """Send one request and wait for its response."""
         body = BytesIO()
-        header_by_name: dict[str, str] = {}
+        head: list[bytes] = []
         curl = self._curl
         curl.reset()
         curl.setopt(pycurl.URL, f'http://{self._address}{path}')
@@ -64,11 +76,8 @@
         curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
         curl.setopt(pycurl.TCP_NODELAY, 1)
         curl.setopt(pycurl.WRITEDATA, body)
-        curl.setopt(
-            pycurl.HEADERFUNCTION,
-            lambda line: _add_header(header_by_name, line),
-        )
-        headers = ['Expect:']
+        curl.setopt(pycurl.HEADERFUNCTION, head.append)
+        headers = list(_LEFT_OUT_HEADERS)
         if document is not None or method in _METHODS_WITH_BODY:
             headers.append('Content-Type: application/json')
             curl.setopt(pycurl.POSTFIELDS, json.dumps(document))
@@ -80,10 +89,4 @@
                 str(error.args[-1]), step='request', peer=self._address
             ) from error
         status = int(curl.getinfo(pycurl.RESPONSE_CODE))
-        return WebResponse(status, header_by_name, body.getvalue())
-
-
-def _add_header(header_by_name: dict[str, str], line: bytes) -> None:
-    name, separator, value = line.decode('latin-1').partition(':')
-    if separator:
-        header_by_name[name.strip().lower()] = value.strip()
+        return WebResponse(status, tuple(head), body.getvalue())
