--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -31,7 +31,9 @@
 from baobabgap.web import WebServer
 
 _THREADS: Final = 2048
-_HTTP_THREADS: Final = 4
+_HTTP_THREADS: Final = 8
+# Seconds that a client may take to send a request.
+_HTTP_READ_TIMEOUT_S: Final = 1.0
 _LARGEST_BODY_BYTES: Final = 64 * 1024
 _TICK_S: Final = 0.1
 # Seconds that a planned stop waits for tasks to end and for entries to
@@ -84,6 +86,7 @@
             self._application,
             _HTTP_THREADS,
             _LARGEST_BODY_BYTES,
+            _HTTP_READ_TIMEOUT_S,
         )
         self._dialer_lock = threading.Lock()
         self._dialer_by_address: dict[str, Dialer] = {}
@@ -116,17 +119,30 @@
         self._upstream.stop_accepting()
         self._scheduler.set_offer(self._upstream.offer())
         self._drain()
-        with self._dialer_lock:
-            dialers = list(self._dialer_by_address.values())
-            self._dialer_by_address.clear()
-        for dialer in dialers:
-            dialer.stop()
+        self._stop_dialers()
         self._runner.stop()
         self._batch_log.stop()
         self._server.stop()
         self._is_stopped.set()
         self._pool.shutdown(wait=True)
 
+    def kill(self) -> None:
+        """Stop without a word, as if the process had died."""
+        self._is_stopping.set()
+        self._is_stopped.set()
+        self._stop_dialers()
+        self._runner.stop()
+        self._batch_log.stop()
+        self._server.stop()
+        self._pool.shutdown(wait=False)
+
+    def _stop_dialers(self) -> None:
+        with self._dialer_lock:
+            dialers = list(self._dialer_by_address.values())
+            self._dialer_by_address.clear()
+        for dialer in dialers:
+            dialer.stop()
+
     def _drain(self) -> None:
         give_up_at = time.monotonic() + _DRAIN_LIMIT_S
         while self._scheduler.outstanding_tasks:
--- a/baobabgap/agent/_runner.py
+++ b/baobabgap/agent/_runner.py
@@ -9,6 +9,7 @@
 from baobabgap.agent._announcement import Announcement
 from baobabgap.agent._health import UpstreamHealth
 from baobabgap.agent._memory import TaskRecord
+from baobabgap.agent._memory import TaskState
 from baobabgap.agent._scheduler import TaskScheduler
 from baobabgap.agent._upstream import is_connection_refused
 from baobabgap.agent._upstream import LeaseReport
@@ -57,9 +58,7 @@
         self._given_up: list[str] = []
         self._wake = threading.Event()
         self._stopping = threading.Event()
-        self._lease_s = (
-            settings.upstream_silence_s + 2 * settings.upstream_check_s
-        )
+        self._lease_s = settings.lease_s
 
     def attach(self, scheduler: TaskScheduler) -> None:
         """Say who is to hear of the ends of tasks."""
@@ -124,7 +123,12 @@
             self._lease_s,
         )
         left_s = max(0.0, record.deadline - time.monotonic())
-        match client.start(request, left_s + _REQUEST_AFTER_DEADLINE_S):
+        answer = client.start(
+            request,
+            left_s + _REQUEST_AFTER_DEADLINE_S,
+            lambda: record.state is TaskState.ENDED or self._stopping.is_set(),
+        )
+        match answer:
             case LeaseReport() as report:
                 self._end(record, report)
             case StartRefused(reason):
--- a/baobabgap/agent/_upstream.py
+++ b/baobabgap/agent/_upstream.py
@@ -1,6 +1,7 @@
 """The agent's HTTP requests to its upstream."""
 
 from collections import deque
+from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -128,9 +129,12 @@
         self._idle_clients: deque[WebClient] = deque()
 
     def start(
-        self, request: LeaseRequest, timeout_s: float
+        self,
+        request: LeaseRequest,
+        timeout_s: float,
+        is_given_up: Callable[[], bool],
     ) -> LeaseReport | StartRefused | StartUnknown:
-        """Start a task and wait for its end."""
+        """Start a task and wait for its end, or until it is given up."""
         document = {
             'lease': request.lease,
             'owner': request.owner,
@@ -141,7 +145,9 @@
             'upstream_incarnation': self.incarnation,
         }
         try:
-            response = self._request('POST', '/v1/leases', document, timeout_s)
+            response = self._request(
+                'POST', '/v1/leases', document, timeout_s, is_given_up
+            )
             if response.status in _REFUSED_STATUSES:
                 return StartRefused(_error_of(response))
             report: LeaseReport = self._read(_REPORT, response)
@@ -190,7 +196,12 @@
         return stopped.leases
 
     def _request(
-        self, method: str, path: str, document: Any, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        document: Any,
+        timeout_s: float,
+        is_given_up: Callable[[], bool] | None = None,
     ) -> WebResponse:
         try:
             client = self._idle_clients.pop()
@@ -198,7 +209,11 @@
             client = WebClient(self.address)
         try:
             response = client.request(
-                method, path, document, timeout_s=timeout_s
+                method,
+                path,
+                document,
+                timeout_s=timeout_s,
+                is_given_up=is_given_up,
             )
         except ConnectionLost:
             client.close()
--- a/baobabgap/agent/tests/deployment.py
+++ b/baobabgap/agent/tests/deployment.py
@@ -87,7 +87,11 @@
             'name': 'agent-1',
             'control_hosts': _CONTROL_HOSTS,
             'listen': {'http_port': http_port},
-            'agent': {'upstream_check_s': 0.1, 'upstream_silence_s': 0.5},
+            'agent': {
+                'upstream_check_s': 0.1,
+                'upstream_silence_s': 0.5,
+                'lease_s': 2.5,
+            },
         },
         source='test',
     )
--- a/baobabgap/agent/tests/test_agent.py
+++ b/baobabgap/agent/tests/test_agent.py
@@ -1,9 +1,15 @@
 """An agent serves entries with a stand-in upstream over loopback."""
 
+import socket
 import unittest
 
 from baobabgap.agent.tests.deployment import Deployment
+from baobabgap.messages import AcknowledgeResults
+from baobabgap.messages import CancelJobs
+from baobabgap.messages import ResumeTasks
 from baobabgap.messages import TaskOutcome
+from baobabgap.standin import Behaviour
+from baobabgap.web import WebClient
 
 
 class AgentTest(unittest.TestCase):
@@ -11,10 +17,26 @@
         self.deployment = Deployment()
         self.addCleanup(self.deployment.stop)
         self.entry = self.deployment.entry
-
-    def test_grants_tokens_runs_tasks_and_returns_results(self) -> None:
         self.entry.wait_until_accepting()
         self.entry.wait(lambda: self.entry.grants[-1].tokens == 4)
+
+    def outcomes(self, count: int) -> dict[str, TaskOutcome]:
+        results = self.entry.wait_for_results(count)
+        return {result.task: result.outcome for result in results}
+
+    def wait_for_starts(self, count: int) -> None:
+        self.entry.wait(
+            lambda: self.deployment.upstream.counts()['starts'] >= count
+        )
+
+    def assert_started_once(self, *tasks: str) -> None:
+        counts = self.deployment.upstream.counts()
+        self.assertEqual(0, counts['duplicates'])
+        self.assertEqual(
+            sorted(tasks), sorted(task for _, task in counts['started'])
+        )
+
+    def test_grants_tokens_runs_tasks_and_returns_results(self) -> None:
         self.entry.place('a.1.x', {'t1': {'sleep_ms': 20}, 't2': {}})
         results = self.entry.wait_for_results(2)
         self.assertEqual(
@@ -25,6 +47,167 @@
             {result.task: result.value['echo'] for result in results},
         )
         self.assertTrue(all(result.token_returns for result in results))
-        counts = self.deployment.upstream.counts()
-        self.assertEqual(2, counts['starts'])
-        self.assertEqual(0, counts['duplicates'])
+        self.assert_started_once('t1', 't2')
+
+    def test_resent_on_a_new_link_while_the_first_start_runs(self) -> None:
+        self.deployment.upstream.behave(Behaviour(forgetful=True))
+        message = self.entry.place('a.1.x', {'t1': {'sleep_ms': 400}})
+        self.wait_for_starts(1)
+        grants = len(self.entry.grants)
+        self.entry.drop_link()
+        self.entry.wait(lambda: len(self.entry.grants) > grants)
+        self.entry.wait_for_link().send(message)
+        self.assertEqual({'t1': TaskOutcome.DONE}, self.outcomes(1))
+        self.assert_started_once('t1')
+
+    def test_a_result_waits_for_the_entry_to_come_back(self) -> None:
+        self.entry.place('a.1.x', {'t1': {'sleep_ms': 100}})
+        self.wait_for_starts(1)
+        self.entry.drop_link()
+        self.assertEqual({'t1': TaskOutcome.DONE}, self.outcomes(1))
+
+    def test_an_agent_restarts_while_its_upstream_runs_tasks(self) -> None:
+        old = self.deployment.agent
+        link = self.entry.wait_for_link()
+        self.entry.place('a.1.x', {'t1': {'sleep_ms': 900}})
+        self.wait_for_starts(1)
+        old.kill()
+        link.close()
+        agent = self.deployment.start_agent()
+        self.entry.wait(lambda: self.entry.link is not link)
+        new_link = self.entry.wait_for_link()
+        new_link.send(
+            ResumeTasks(old.incarnation, (('a.1.x', 't1'), ('a.1.x', 't2')))
+        )
+        address = f'127.0.0.1:{agent.http_port}'
+        self.deployment.upstream.announce_to(address)
+        self.assertEqual(
+            {'t1': TaskOutcome.DONE, 't2': TaskOutcome.NOT_STARTED},
+            self.outcomes(2),
+        )
+        self.assert_started_once('t1')
+
+    def test_a_frozen_upstream_loses_its_tasks_and_gets_no_more(self) -> None:
+        self.entry.place('a.1.x', {'t1': {'sleep_ms': 300}})
+        self.wait_for_starts(1)
+        self.deployment.upstream.behave(Behaviour(frozen=True))
+        self.entry.wait_until_accepting(False)
+        self.entry.place('a.2.x', {'t2': {}})
+        self.assertEqual(
+            {'t1': TaskOutcome.LOST, 't2': TaskOutcome.NOT_STARTED},
+            self.outcomes(2),
+        )
+        self.deployment.upstream.behave(Behaviour())
+        self.entry.wait_until_accepting()
+        self.assert_started_once('t1')
+
+    def test_an_upstream_that_fails_every_task_is_ejected(self) -> None:
+        self.deployment.upstream.behave(Behaviour(fails_every_task=True))
+        for number in range(5):
+            self.entry.place(f'a.{number}.x', {f't{number}': {}})
+            self.entry.wait_for_results(number + 1)
+        self.assertEqual({TaskOutcome.FAILED}, set(self.outcomes(5).values()))
+        self.entry.wait_until_accepting(False)
+        self.deployment.upstream.behave(Behaviour())
+        self.entry.wait_until_accepting()
+        self.assertEqual(1, self.entry.offers[-1].slots)
+        self.entry.place('a.9.x', {'t9': {'sleep_ms': 1}})
+        self.entry.wait(lambda: self.entry.offers[-1].slots == 4)
+
+    def test_a_vanished_upstream_gets_no_more_and_its_tasks_are_lost(
+        self,
+    ) -> None:
+        self.entry.place('a.1.x', {'t1': {'sleep_ms': 600_000}})
+        self.wait_for_starts(1)
+        self.deployment.upstream.behave(Behaviour(vanished=True))
+        self.entry.wait_until_accepting(False)
+        self.assertEqual({'t1': TaskOutcome.LOST}, self.outcomes(1))
+
+    def test_a_restarted_upstream_loses_its_tasks(self) -> None:
+        self.entry.place('a.1.x', {'t1': {'sleep_ms': 600_000}})
+        self.wait_for_starts(1)
+        self.deployment.upstream.behave(Behaviour(vanished=True))
+        self.deployment.start_upstream()
+        self.assertEqual({'t1': TaskOutcome.LOST}, self.outcomes(1))
+        self.entry.wait_until_accepting()
+        self.entry.place('a.2.x', {'t2': {}})
+        self.assertIs(TaskOutcome.DONE, self.outcomes(2)['t2'])
+
+    def test_a_leaving_upstream_gets_no_more_at_once(self) -> None:
+        self.deployment.upstream.stop()
+        self.entry.wait_until_accepting(False)
+        self.assertIn('leaving', self.entry.offers[-1].reason)
+
+    def test_cancelled_tasks_are_answered(self) -> None:
+        tasks = {f't{number}': {'sleep_ms': 600_000} for number in range(6)}
+        self.entry.place('a.1.x', tasks)
+        self.wait_for_starts(4)
+        self.entry.wait_for_link().send(CancelJobs(('a.1.x',)))
+        outcomes = list(self.outcomes(6).values())
+        self.assertEqual(4, outcomes.count(TaskOutcome.FAILED))
+        self.assertEqual(2, outcomes.count(TaskOutcome.NOT_STARTED))
+
+    def test_a_task_is_stopped_soon_after_its_deadline(self) -> None:
+        self.entry.place(
+            'a.1.x', {'t1': {'sleep_ms': 600_000}}, deadline_ms=50
+        )
+        self.assertEqual({'t1': TaskOutcome.FAILED}, self.outcomes(1))
+
+    def test_a_ticket_limits_the_slots(self) -> None:
+        self.deployment.apply(**{'upstream/upstream-1': {'slots': 1}})
+        self.entry.wait(lambda: self.entry.offers[-1].slots == 1)
+        self.deployment.apply(**{'upstream/upstream-1': {'slots': 0}})
+        self.entry.wait_until_accepting(False)
+
+    def test_a_planned_stop_ends_what_runs(self) -> None:
+        self.entry.place('a.1.x', {'t1': {'sleep_ms': 300}})
+        self.wait_for_starts(1)
+        self.deployment.agent.stop()
+        self.assertEqual({'t1': TaskOutcome.DONE}, self.outcomes(1))
+        self.assertFalse(self.entry.offers[-1].accepting)
+
+    def test_garbage_and_many_connections_do_no_harm(self) -> None:
+        address = ('127.0.0.1', self.deployment.agent.http_port)
+        sockets = [socket.create_connection(address) for _ in range(64)]
+        for number, opened in enumerate(sockets):
+            self.addCleanup(opened.close)
+            opened.sendall(b'\xff\x00 garbage\r\n\r\n' if number % 2 else b'P')
+        client = WebClient(f'127.0.0.1:{address[1]}')
+        self.addCleanup(client.close)
+        response = client.request('GET', '/ready', timeout_s=10)
+        self.assertEqual(200, response.status)
+        self.entry.wait_for_link().send(AcknowledgeResults((('no', 'no'),)))
+        self.entry.place('a.1.x', {'t1': {}})
+        self.assertEqual({'t1': TaskOutcome.DONE}, self.outcomes(1))
+
+
+class AnnouncementTest(unittest.TestCase):
+    def test_bad_announcements_get_a_clear_answer(self) -> None:
+        deployment = Deployment()
+        self.addCleanup(deployment.stop)
+        deployment.entry.wait_until_accepting()
+        client = WebClient(f'127.0.0.1:{deployment.agent.http_port}')
+        self.addCleanup(client.close)
+        good = {
+            'name': 'upstream-1',
+            'incarnation': 'i',
+            'address': '127.0.0.1:1',
+            'slots': 4,
+            'capacity': {},
+        }
+        cases = {
+            'no object': ([], 400, 'object'),
+            'missing field': ({'name': 'a'}, 400, 'incarnation'),
+            'no slots': (good | {'slots': 0}, 400, 'slots'),
+            'host name': (good | {'address': 'localhost:1'}, 400, 'address'),
+            'unknown field': (good | {'speed': 1}, 400, 'speed'),
+            'another upstream': (good | {'name': 'u2'}, 409, 'upstream-1'),
+        }
+        for name, (document, status, word) in cases.items():
+            with self.subTest(name):
+                response = client.request(
+                    'POST', '/v1/upstream/announce', document, timeout_s=10
+                )
+                self.assertEqual(status, response.status)
+                self.assertIn(word, response.document()['error'])
+        self.assertTrue(deployment.entry.offers[-1].accepting)
--- /dev/null
+++ b/baobabgap/agent/tests/test_scheduler.py
@@ -0,0 +1,293 @@
+"""The rules of starts, without a network."""
+
+from collections.abc import Callable
+import unittest
+
+from baobabgap.agent._batch_log import BatchLog
+from baobabgap.agent._memory import TaskRecord
+from baobabgap.agent._scheduler import TaskScheduler
+from baobabgap.agent._upstream import LeaseListing
+from baobabgap.agent._upstream import LeaseReport
+from baobabgap.jobs import TaskSize
+from baobabgap.messages import AcknowledgeResults
+from baobabgap.messages import CancelJobs
+from baobabgap.messages import Hello
+from baobabgap.messages import PlaceTasks
+from baobabgap.messages import ResumeTasks
+from baobabgap.messages import SlotGrant
+from baobabgap.messages import TaskOutcome
+from baobabgap.messages import TaskPlacement
+from baobabgap.messages import TaskResult
+from baobabgap.messages import TaskResults
+from baobabgap.messages import UpstreamOffer
+from baobabgap.telemetry import Metrics
+
+_AGENT = 'agent-process-1'
+_CAPACITY = TaskSize(4.0, 1000, 1)
+_JOB = 'a.1.x'
+_SMALL = TaskSize(1.0, 1, 0)
+
+
+class FakeLink:
+    """Keeps what was sent to the entry."""
+
+    def __init__(self, name: str = 'entry-a', incarnation: str = 'a1') -> None:
+        self.peer = Hello(name, 'entry', incarnation)
+        self.sent: list[object] = []
+
+    def send(self, *messages: object) -> None:
+        self.sent.extend(messages)
+
+    @property
+    def results(self) -> list[TaskResult]:
+        return [
+            result
+            for message in self.sent
+            if isinstance(message, TaskResults)
+            for result in message.results
+        ]
+
+    @property
+    def outcomes(self) -> list[TaskOutcome]:
+        return [result.outcome for result in self.results]
+
+    @property
+    def epoch(self) -> int:
+        grants = [m for m in self.sent if isinstance(m, SlotGrant)]
+        return grants[-1].epoch
+
+
+class SchedulerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.started: list[TaskRecord] = []
+        self.stopped: list[str] = []
+        self.metrics = Metrics()
+        self.scheduler = TaskScheduler(
+            'agent-1',
+            _AGENT,
+            self.metrics,
+            BatchLog('agent-1'),
+            self.started.append,
+            self.stopped.extend,
+        )
+        self.accept()
+        self.link = self.open_link()
+
+    def accept(self, accepting: bool = True, slots: int = 2) -> None:
+        reason = '' if accepting else 'told so'
+        self.scheduler.set_offer(
+            UpstreamOffer('u', slots, _CAPACITY, accepting, reason)
+        )
+
+    def open_link(
+        self, name: str = 'entry-a', incarnation: str = 'a1'
+    ) -> FakeLink:
+        link = FakeLink(name, incarnation)
+        self.scheduler.open_link(link)
+        return link
+
+    def place(
+        self,
+        link: FakeLink,
+        *tasks: str,
+        owner: str = '',
+        agent: str = _AGENT,
+        deadline_ms: int = 5000,
+        epoch: int = 0,
+        size: TaskSize = _SMALL,
+    ) -> None:
+        message = PlaceTasks(
+            _JOB,
+            owner or link.peer.incarnation,
+            agent,
+            epoch or link.epoch,
+            deadline_ms,
+            tuple(TaskPlacement(task, 'k', None, size) for task in tasks),
+        )
+        self.scheduler.place(link, message)
+
+    def end(self, number: int, value: str = 'v') -> None:
+        self.scheduler.end(self.started[number], TaskOutcome.DONE, value)
+
+    def wasted(self, kind: str) -> int:
+        return self.metrics.value(
+            f'baobabgap_wasted_messages_total{{kind="{kind}"}}'
+        )
+
+    def test_a_placement_resent_on_a_new_link_starts_once(self) -> None:
+        """While it waits, runs, has ended, and after its acknowledgement."""
+        self.place(self.link, 'r1', 'r2', 'queued')
+        link = self.open_link()
+        self.place(link, 'r1', 'r2', 'queued')
+        self.assertEqual(2, len(self.started))
+        self.end(0)
+        self.assertEqual(['r1', 'r2', 'queued'], self.started_tasks())
+        link = self.open_link()
+        self.place(link, 'r1')
+        self.assertEqual(['r1', 'r1'], [r.task for r in link.results])
+        self.assertEqual({'v'}, {r.value for r in link.results})
+        self.scheduler.acknowledge(link, AcknowledgeResults(((_JOB, 'r1'),)))
+        self.place(link, 'r1')
+        self.assertEqual(3, len(self.started))
+        self.assertIs(TaskOutcome.LOST, link.outcomes[-1])
+        self.assertEqual(5, self.wasted('duplicate_placement'))
+
+    def test_placements_that_must_never_start(self) -> None:
+        self.place(self.link, 'first')
+        other = self.open_link('entry-b', 'b1')
+        cases: dict[str, tuple[Callable[[], None], FakeLink, str]] = {
+            'another owner of the job': (
+                lambda: self.place(other, 'new'),
+                other,
+                'belongs to another incarnation',
+            ),
+            'an owner that is not the sender': (
+                lambda: self.place(self.link, 'new2', owner='a0'),
+                self.link,
+                'another incarnation of the entry',
+            ),
+            'larger than the upstream': (
+                lambda: self.place(self.link, 'new3', size=TaskSize(5.0)),
+                self.link,
+                'larger than the upstream',
+            ),
+            'deadline passed': (
+                lambda: self.place(self.link, 'new4', deadline_ms=0),
+                self.link,
+                'deadline has passed',
+            ),
+        }
+        for name, (act, link, reason) in cases.items():
+            with self.subTest(name):
+                act()
+                self.assertIs(TaskOutcome.NOT_STARTED, link.outcomes[-1])
+                self.assertIn(reason, link.results[-1].value)
+                self.assertEqual(['first'], self.started_tasks())
+
+    def test_a_task_started_for_another_owner_is_not_called_unstarted(
+        self,
+    ) -> None:
+        self.place(self.link, 'first')
+        other = self.open_link('entry-b', 'b1')
+        self.place(other, 'first')
+        self.assertEqual([TaskOutcome.LOST], other.outcomes)
+        self.assertEqual(['first'], self.started_tasks())
+
+    def test_a_placement_for_an_earlier_agent_process_never_starts(
+        self,
+    ) -> None:
+        self.scheduler.adopt(_listing({'earlier': True, 'roving': False}))
+        self.place(self.link, 'running', 't1', agent='earlier')
+        self.place(self.link, 't2', agent='roving')
+        self.assertEqual([], self.started)
+        self.assertEqual(
+            {
+                'ended': TaskOutcome.DONE,
+                't1': TaskOutcome.NOT_STARTED,
+                't2': TaskOutcome.LOST,
+            },
+            {r.task: r.outcome for r in self.link.results},
+        )
+
+    def test_questions_about_an_earlier_agent_process_wait(self) -> None:
+        self.scheduler.resume(
+            self.link, ResumeTasks('earlier', ((_JOB, 't1'), (_JOB, 'ended')))
+        )
+        self.assertEqual([], self.link.results)
+        self.scheduler.adopt(_listing({'earlier': True}))
+        self.assertEqual(
+            {'t1': TaskOutcome.NOT_STARTED, 'ended': TaskOutcome.DONE},
+            {r.task: r.outcome for r in self.link.results},
+        )
+
+    def test_a_forgetful_upstream_proves_nothing(self) -> None:
+        self.scheduler.adopt(_listing({'earlier': True}, complete=False))
+        self.scheduler.resume(
+            self.link, ResumeTasks('earlier', ((_JOB, 't1'),))
+        )
+        self.assertIs(TaskOutcome.LOST, self.link.outcomes[-1])
+
+    def test_resuming_answers_each_task_as_it_stands(self) -> None:
+        self.place(self.link, 'done', 'running')
+        self.end(0)
+        link = self.open_link()
+        self.scheduler.resume(
+            link,
+            ResumeTasks(
+                _AGENT, ((_JOB, 'done'), (_JOB, 'running'), (_JOB, 'never'))
+            ),
+        )
+        outcomes = {result.task: result.outcome for result in link.results}
+        self.assertEqual(
+            {'done': TaskOutcome.DONE, 'never': TaskOutcome.NOT_STARTED},
+            outcomes,
+        )
+
+    def test_a_message_of_an_old_link_is_void(self) -> None:
+        self.open_link()
+        self.place(self.link, 't1')
+        self.assertEqual([], self.started)
+        self.assertEqual(1, self.wasted('old_link'))
+
+    def test_a_void_token_waits_for_a_slot_and_brings_none_back(self) -> None:
+        old_epoch = self.link.epoch
+        self.open_link('entry-b', 'b1')
+        self.place(self.link, 't1', 't2', 't3', epoch=old_epoch)
+        self.assertEqual(['t1', 't2'], self.started_tasks())
+        self.end(0)
+        self.assertEqual(['t1', 't2', 't3'], self.started_tasks())
+        self.end(1)
+        self.end(2)
+        self.assertEqual(
+            [False, False, False],
+            [result.token_returns for result in self.link.results],
+        )
+
+    def test_declared_resources_are_kept(self) -> None:
+        big = TaskSize(3.0, 10, 0)
+        self.place(self.link, 't1', 't2', size=big)
+        self.assertEqual(['t1'], self.started_tasks())
+        self.end(0)
+        self.assertEqual(['t1', 't2'], self.started_tasks())
+
+    def test_cancelling_drops_what_waits_and_stops_what_runs(self) -> None:
+        self.place(self.link, 't1', 't2', 't3', 't4')
+        other = self.open_link('entry-b', 'b1')
+        self.scheduler.cancel(other, CancelJobs((_JOB,)))
+        self.assertEqual([], self.stopped)
+        self.scheduler.cancel(self.link, CancelJobs((_JOB, 'a.2.y')))
+        self.assertEqual(
+            {'t3', 't4'}, {result.task for result in self.link.results}
+        )
+        self.assertEqual({TaskOutcome.NOT_STARTED}, set(self.link.outcomes))
+        self.assertEqual([f'{_JOB}/t1', f'{_JOB}/t2'], self.stopped)
+        self.assertEqual(2, self.wasted('late_cancel'))
+
+    def test_an_upstream_that_accepts_nothing_frees_its_queue(self) -> None:
+        self.place(self.link, 't1', 't2', 't3')
+        self.accept(False)
+        self.assertEqual(['t3'], [r.task for r in self.link.results])
+        self.place(self.link, 't4')
+        self.assertEqual([TaskOutcome.NOT_STARTED] * 2, self.link.outcomes)
+        self.end(0)
+        self.assertEqual(['t1', 't2'], self.started_tasks())
+
+    def test_a_late_result_changes_nothing(self) -> None:
+        self.place(self.link, 't1')
+        self.scheduler.give_up_running('silent')
+        self.end(0)
+        self.assertEqual([TaskOutcome.LOST], self.link.outcomes)
+        self.assertEqual(1, self.wasted('late_result'))
+
+    def started_tasks(self) -> list[str]:
+        return [record.task for record in self.started]
+
+
+def _listing(
+    sole_by_agent: dict[str, bool], complete: bool = True
+) -> LeaseListing:
+    reports = (
+        LeaseReport(f'{_JOB}/running', 'entry-a/a1', 'running', None, 0.0),
+        LeaseReport(f'{_JOB}/ended', 'entry-a/a1', 'done', 'v', 1.0),
+    )
+    return LeaseListing('u1', _AGENT, sole_by_agent, reports, complete)
--- a/baobabgap/settings/_agent.py
+++ b/baobabgap/settings/_agent.py
@@ -17,5 +17,8 @@
     upstream_check_s: Annotated[float, Field(gt=0, le=10)] = 0.5
     # Seconds without a good check after which the upstream is silent.
     upstream_silence_s: Annotated[float, Field(gt=0, le=60)] = 2.0
+    # Seconds without renewal after which the upstream stops a task; an
+    # agent that restarts within them loses no running task.
+    lease_s: Annotated[float, Field(gt=0, le=60)] = 5.0
     # Failures in a row after which the upstream gets no new tasks.
     failures_before_ejection: Annotated[int, Field(ge=1)] = 5
--- a/baobabgap/settings/_load.py
+++ b/baobabgap/settings/_load.py
@@ -59,6 +59,12 @@
             'links.silence_s: must be at least twice links.heartbeat_s, '
             f'so {2 * links.heartbeat_s} or more (got {links.silence_s})'
         )
+    agent = settings.agent
+    if agent.lease_s <= agent.upstream_silence_s:
+        return (
+            'agent.lease_s: must exceed agent.upstream_silence_s, '
+            f'{agent.upstream_silence_s} (got {agent.lease_s})'
+        )
     names = [host.name for host in settings.control_hosts]
     if len(set(names)) != len(names):
         return 'control_hosts: each host needs a name of its own'
--- a/baobabgap/standin/_application.py
+++ b/baobabgap/standin/_application.py
@@ -64,6 +64,8 @@
             response = _reply(400, {'error': error.message})
         if not request.path.startswith('/stand-in/'):
             self._thawed.wait()
+            if self._behaviour.vanished:
+                response = _reply(503, {})
         return response(environment, start_response)
 
     def bind(self, agent_incarnation: str, is_sole: bool) -> None:
--- a/baobabgap/web/_client.py
+++ b/baobabgap/web/_client.py
@@ -1,5 +1,6 @@
 """Small HTTP requests with JSON documents, by pycurl."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from io import BytesIO
 import json
@@ -63,8 +64,13 @@
         document: Any = None,
         *,
         timeout_s: float,
+        is_given_up: Callable[[], bool] | None = None,
     ) -> WebResponse:
-        """Send one request and wait for its response."""
+        """Send one request and wait for its response.
+
+        `is_given_up` is asked about once a second; when it says so, the
+        request ends with `ConnectionLost`.
+        """
         body = BytesIO()
         head: list[bytes] = []
         curl = self._curl
@@ -82,6 +88,11 @@
             headers.append('Content-Type: application/json')
             curl.setopt(pycurl.POSTFIELDS, json.dumps(document))
         curl.setopt(pycurl.HTTPHEADER, headers)
+        if is_given_up is not None:
+            curl.setopt(pycurl.NOPROGRESS, 0)
+            curl.setopt(
+                pycurl.XFERINFOFUNCTION, lambda *progress: is_given_up()
+            )
         try:
             curl.perform()
         except pycurl.error as error:
--- a/baobabgap/web/_server.py
+++ b/baobabgap/web/_server.py
@@ -9,7 +9,8 @@
 class WebServer:
     """Serves a WSGI application on one port with a fixed pool of threads.
 
-    Idle kept-alive connections hold no thread.
+    Idle kept-alive connections hold no thread; one that stops in the
+    middle of a request holds a thread for `read_timeout_s` seconds.
     """
 
     def __init__(
@@ -19,13 +20,14 @@
         application: Any,
         threads: int,
         largest_body_bytes: int,
+        read_timeout_s: float = 30.0,
     ) -> None:
         self._server = Server(
             (host, port),
             application,
             numthreads=threads,
             request_queue_size=1024,
-            timeout=30,
+            timeout=read_timeout_s,
             shutdown_timeout=5,
         )
         self._server.max_request_body_size = largest_body_bytes
