--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -16,6 +16,7 @@
 from baobabgap.agent._runner import UpstreamRunner
 from baobabgap.agent._scheduler import TaskScheduler
 from baobabgap.agent._upstream_state import UpstreamState
+from baobabgap.control import ControlClient
 from baobabgap.messages import AcknowledgeResults
 from baobabgap.messages import CancelJobs
 from baobabgap.messages import Hello
@@ -33,7 +34,7 @@
 _THREADS: Final = 2048
 _HTTP_THREADS: Final = 8
 # Seconds that a client may take to send a request.
-_HTTP_READ_TIMEOUT_S: Final = 1.0
+_HTTP_READ_TIMEOUT_S: Final = 1
 _LARGEST_BODY_BYTES: Final = 64 * 1024
 _TICK_S: Final = 0.1
 # Seconds that a planned stop waits for tasks to end and for entries to
@@ -74,6 +75,15 @@
         )
         self._runner.attach(self._scheduler)
         self.directory: Final = EntryDirectory(self._follow_directory)
+        self._control = ControlClient.from_settings(
+            settings,
+            'agent',
+            self.incarnation,
+            '',
+            self._pool,
+            self.directory.apply,
+            ('entry',),
+        )
         self._upstream = UpstreamState(health, self._runner, self.directory)
         self._application = AgentApplication(
             self._take_announcement,
@@ -107,6 +117,7 @@
         """Wait for the upstream's announcement, and dial the entries."""
         self._pool.submit(self._batch_log.run)
         self._server.start(self._pool)
+        self._control.start()
         self._pool.submit(self._runner.watch)
         self._pool.submit(self._tick_loop)
 
@@ -120,6 +131,7 @@
         self._scheduler.set_offer(self._upstream.offer())
         self._drain()
         self._stop_dialers()
+        self._control.stop()
         self._runner.stop()
         self._batch_log.stop()
         self._server.stop()
@@ -131,6 +143,7 @@
         self._is_stopping.set()
         self._is_stopped.set()
         self._stop_dialers()
+        self._control.kill()
         self._runner.stop()
         self._batch_log.stop()
         self._server.stop()
--- a/baobabgap/web/_client.py
+++ b/baobabgap/web/_client.py
@@ -22,21 +22,11 @@
 
     # The HTTP status.
     status: int
-    # The status line and the headers as they came.
-    head: tuple[bytes, ...]
+    # Header values by lower-case name.
+    header_by_name: dict[str, str]
     # The body as it came.
     body: bytes
 
-    @property
-    def header_by_name(self) -> dict[str, str]:
-        """Header values by lower-case name."""
-        header_by_name: dict[str, str] = {}
-        for line in self.head:
-            name, separator, value = line.decode('latin-1').partition(':')
-            if separator:
-                header_by_name[name.strip().lower()] = value.strip()
-        return header_by_name
-
     def document(self) -> Any:
         """Decode the body as JSON."""
         return json.loads(self.body) if self.body else None
@@ -100,4 +90,13 @@
                 str(error.args[-1]), step='request', peer=self._address
             ) from error
         status = int(curl.getinfo(pycurl.RESPONSE_CODE))
-        return WebResponse(status, tuple(head), body.getvalue())
+        return WebResponse(status, _parse_head(head), body.getvalue())
+
+
+def _parse_head(lines: list[bytes]) -> dict[str, str]:
+    header_by_name: dict[str, str] = {}
+    for line in lines:
+        name, separator, value = line.decode('latin-1').partition(':')
+        if separator:
+            header_by_name[name.strip().lower()] = value.strip()
+    return header_by_name
