Tell a request that was never sent from one whose end is unknown

libcurl sends a POST again when a kept-alive connection ends under it, so a refused connect or a 409 after it proves nothing (seen on a small server: it read the request once, the client reported 'failed to connect'). Only a transfer that has sent no byte proves that nothing started; such a task is given back and the entries are told first.

--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -73,7 +73,7 @@
             self._runner.run,
             self._runner.stop_leases,
         )
-        self._runner.attach(self._scheduler)
+        self._runner.attach(self._scheduler, self._refresh_offer)
         self.directory: Final = EntryDirectory(self._follow_directory)
         self._control = ControlClient.from_settings(
             settings,
@@ -128,7 +128,7 @@
             return
         self._is_stopping.set()
         self._upstream.stop_accepting()
-        self._scheduler.set_offer(self._upstream.offer())
+        self._refresh_offer()
         self._drain()
         self._stop_dialers()
         self._control.stop()
@@ -167,9 +167,13 @@
 
     def _take_announcement(self, announcement: Announcement) -> dict[str, Any]:
         answer = self._upstream.announce(announcement)
-        self._scheduler.set_offer(self._upstream.offer())
+        self._refresh_offer()
         return answer
 
+    def _refresh_offer(self) -> None:
+        """Tell the entries at once if the offer has changed."""
+        self._scheduler.set_offer(self._upstream.offer())
+
     def _follow_directory(self) -> None:
         """Dial entries that are new, and drop those that are gone."""
         wanted = self.directory.entry_addresses()
@@ -222,7 +226,7 @@
 
     def _tick_loop(self) -> None:
         while not self._is_stopped.wait(_TICK_S):
-            self._scheduler.set_offer(self._upstream.offer())
+            self._refresh_offer()
             self._scheduler.tick()
             if self.directory.wants_load_reports:
                 self._scheduler.report_load()
--- a/baobabgap/agent/_health.py
+++ b/baobabgap/agent/_health.py
@@ -5,6 +5,8 @@
 
 from baobabgap.settings import AgentSettings
 
+# Seconds without new tasks after a start was refused.
+_REFUSAL_PAUSE_S: Final = 0.5
 _FIRST_EJECTION_S: Final = 1.0
 _LONGEST_EJECTION_S: Final = 30.0
 _PROBATION_SLOTS: Final = 1
@@ -37,6 +39,7 @@
         self._last_good_check = 0.0
         self._failed_checks = 0
         self._is_unreachable = False
+        self._refused_until = 0.0
 
     def restart(self, now: float) -> None:
         """Forget all that was known: there is a new upstream process."""
@@ -58,6 +61,10 @@
         """Record that nobody listens where the upstream was."""
         self._is_unreachable = True
 
+    def note_refusal(self, now: float) -> None:
+        """Record that the upstream refused a start, so that it rests."""
+        self._refused_until = now + _REFUSAL_PAUSE_S
+
     def note_success(self) -> None:
         """Record that a task returned a value."""
         self._failed_jobs.clear()
@@ -86,6 +93,8 @@
             and silent_s > self._settings.upstream_silence_s
         ):
             return Fitness(0, 'its application is silent')
+        if now < self._refused_until:
+            return Fitness(0, 'it refuses to start tasks')
         if now < self._ejected_until:
             return Fitness(0, 'ejected: it fails task after task')
         if self._ejection_s > 0:
--- a/baobabgap/agent/_runner.py
+++ b/baobabgap/agent/_runner.py
@@ -1,5 +1,6 @@
 """Runs tasks at the upstream, and keeps watch over it."""
 
+from collections.abc import Callable
 from concurrent.futures import Executor
 import threading
 import time
@@ -11,16 +12,17 @@
 from baobabgap.agent._memory import TaskRecord
 from baobabgap.agent._memory import TaskState
 from baobabgap.agent._scheduler import TaskScheduler
-from baobabgap.agent._upstream import is_connection_refused
 from baobabgap.agent._upstream import LeaseReport
 from baobabgap.agent._upstream import LeaseRequest
 from baobabgap.agent._upstream import RenewalReport
 from baobabgap.agent._upstream import StartRefused
 from baobabgap.agent._upstream import StartUnknown
 from baobabgap.agent._upstream import UpstreamClient
+from baobabgap.agent._upstream import UpstreamUnreachable
 from baobabgap.messages import TaskOutcome
 from baobabgap.settings import AgentSettings
 from baobabgap.telemetry import log_event
+from baobabgap.web import RequestNeverSent
 
 # Seconds between attempts to read the leases of a new upstream.
 _ADOPTION_PAUSE_S: Final = 0.02
@@ -52,6 +54,7 @@
         self._pool = pool
         self._health = health
         self._scheduler: TaskScheduler
+        self._refresh_offer: Callable[[], None]
         self._client: UpstreamClient | None = None
         self._is_adopted = False
         # Leases of tasks reported lost while the upstream was silent.
@@ -60,9 +63,12 @@
         self._stopping = threading.Event()
         self._lease_s = settings.lease_s
 
-    def attach(self, scheduler: TaskScheduler) -> None:
-        """Say who is to hear of the ends of tasks."""
+    def attach(
+        self, scheduler: TaskScheduler, refresh_offer: Callable[[], None]
+    ) -> None:
+        """Say who is to hear of the ends of tasks and of changed health."""
         self._scheduler = scheduler
+        self._refresh_offer = refresh_offer
 
     @property
     def is_adopted(self) -> bool:
@@ -132,12 +138,21 @@
             case LeaseReport() as report:
                 self._end(record, report)
             case StartRefused(reason):
-                self._scheduler.end(record, TaskOutcome.NOT_STARTED, reason)
+                self._health.note_refusal(time.monotonic())
+                self._end_unstarted(record, reason)
+            case UpstreamUnreachable(reason):
+                self._health.note_unreachable()
+                self._end_unstarted(record, reason)
             case StartUnknown(reason):
                 log_event('agent:start_unknown', job=record.job, why=reason)
                 record.adrift = True
                 self._wake.set()
 
+    def _end_unstarted(self, record: TaskRecord, reason: str) -> None:
+        """Give a task back, and first tell the entries to place no more."""
+        self._refresh_offer()
+        self._scheduler.end(record, TaskOutcome.NOT_STARTED, reason)
+
     def _end(self, record: TaskRecord, report: LeaseReport) -> None:
         outcome = report.outcome
         if outcome is None:
@@ -146,6 +161,7 @@
             self._health.note_success()
         elif report.state == 'failed':
             self._health.note_failure(record.job, time.monotonic())
+            self._refresh_offer()
         self._scheduler.end(record, outcome, report.value, report.run_time_ms)
 
     def _stop_leases(self, leases: list[str]) -> None:
@@ -176,6 +192,7 @@
         self._scheduler.adopt(listing)
         self._health.restart(sent_at)
         self._is_adopted = True
+        self._refresh_offer()
         log_event('agent:upstream_adopted', leases=len(listing.leases))
         return True
 
@@ -207,8 +224,9 @@
 
     def _note_failed_check(self, error: BaobabgapError) -> None:
         self._health.note_failed_check()
-        if is_connection_refused(error):
+        if isinstance(error, RequestNeverSent):
             self._health.note_unreachable()
+            self._refresh_offer()
         if self._health.has_lapsed(time.monotonic(), self._lease_s):
             self._given_up += self._scheduler.give_up_running(
                 'the upstream is silent, and the lease has lapsed'
--- a/baobabgap/agent/_upstream.py
+++ b/baobabgap/agent/_upstream.py
@@ -7,18 +7,21 @@
 from typing import Any
 from typing import Final
 
-import pycurl
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 
 from baobabgap._exceptions import ConnectionLost
 from baobabgap._exceptions import ProtocolMismatch
 from baobabgap.messages import TaskOutcome
+from baobabgap.web import RequestNeverSent
 from baobabgap.web import WebClient
 from baobabgap.web import WebResponse
 
 _OK: Final = 200
-_REFUSED_STATUSES: Final = (400, 409, 429)
+# The upstream did not start the task. 409 is not among them: a request
+# that the library has sent twice may have started the first time, with an
+# upstream process that is gone.
+_REFUSED_STATUSES: Final = (400, 429)
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +92,14 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamUnreachable:
+    """The request was never sent, so the task has not started."""
+
+    # Why, for a person.
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class StartUnknown:
     """The request got no usable answer: nobody knows if it started."""
@@ -133,7 +144,7 @@
         request: LeaseRequest,
         timeout_s: float,
         is_given_up: Callable[[], bool],
-    ) -> LeaseReport | StartRefused | StartUnknown:
+    ) -> LeaseReport | StartRefused | UpstreamUnreachable | StartUnknown:
         """Start a task and wait for its end, or until it is given up."""
         document = {
             'lease': request.lease,
@@ -151,6 +162,8 @@
             if response.status in _REFUSED_STATUSES:
                 return StartRefused(_error_of(response))
             report: LeaseReport = self._read(_REPORT, response)
+        except RequestNeverSent as error:
+            return UpstreamUnreachable(str(error))
         except (ConnectionLost, ProtocolMismatch) as error:
             return StartUnknown(str(error))
         return report
@@ -205,6 +218,9 @@
     ) -> WebResponse:
         try:
             client = self._idle_clients.pop()
+            if client.has_hung_up():
+                client.close()
+                client = WebClient(self.address)
         except IndexError:
             client = WebClient(self.address)
         try:
@@ -246,15 +262,6 @@
     leases: tuple[LeaseReport, ...]
 
 
-def is_connection_refused(error: BaseException) -> bool:
-    """Tell whether an error means that nobody listens there."""
-    cause = error.__cause__
-    return (
-        isinstance(cause, pycurl.error)
-        and cause.args[0] == pycurl.E_COULDNT_CONNECT
-    )
-
-
 def _error_of(response: WebResponse) -> str:
     return response.body[:200].decode('utf-8', 'replace')
 
--- a/baobabgap/web/__init__.py
+++ b/baobabgap/web/__init__.py
@@ -1,7 +1,8 @@
 """HTTP plumbing: a server for WSGI applications and a small client."""
 
+from baobabgap.web._client import RequestNeverSent
 from baobabgap.web._client import WebClient
 from baobabgap.web._client import WebResponse
 from baobabgap.web._server import WebServer
 
-__all__ = ['WebClient', 'WebResponse', 'WebServer']
+__all__ = ['RequestNeverSent', 'WebClient', 'WebResponse', 'WebServer']
--- a/baobabgap/web/_client.py
+++ b/baobabgap/web/_client.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from io import BytesIO
 import json
+import select
 from typing import Any
 from typing import Final
 
@@ -32,11 +33,17 @@
         return json.loads(self.body) if self.body else None
 
 
+class RequestNeverSent(ConnectionLost):
+    """Not a byte of the request has left, so the server knows nothing."""
+
+
 class WebClient:
     """One kept-alive HTTP client; use it from one thread at a time.
 
     The timeout of a request is in seconds. A request that got no whole
-    response raises `ConnectionLost`; `sent` on the error can't be known.
+    response raises `ConnectionLost`: the server may have acted on it. The
+    library sends a request twice if a kept-alive connection ends under
+    it, so only `RequestNeverSent` proves that the server has not.
     """
 
     def __init__(self, address: str) -> None:
@@ -47,6 +54,15 @@
         """Close the connection."""
         self._curl.close()
 
+    def has_hung_up(self) -> bool:
+        """Tell whether the server has closed the idle connection."""
+        socket = self._curl.getinfo(pycurl.ACTIVESOCKET)
+        if socket < 0:
+            return False
+        poller = select.poll()
+        poller.register(socket, select.POLLIN)
+        return bool(poller.poll(0))
+
     def request(
         self,
         method: str,
@@ -86,7 +102,9 @@
         try:
             curl.perform()
         except pycurl.error as error:
-            raise ConnectionLost(
+            was_sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
+            error_class = ConnectionLost if was_sent else RequestNeverSent
+            raise error_class(
                 str(error.args[-1]), step='request', peer=self._address
             ) from error
         status = int(curl.getinfo(pycurl.RESPONSE_CODE))
