--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -13,6 +13,7 @@
 from baobabgap.agent._batch_log import BatchLog
 from baobabgap.agent._directory import EntryDirectory
 from baobabgap.agent._health import UpstreamHealth
+from baobabgap.agent._monitor import UpstreamMonitor
 from baobabgap.agent._runner import UpstreamRunner
 from baobabgap.agent._scheduler import TaskScheduler
 from baobabgap.agent._upstream_state import UpstreamState
@@ -62,9 +63,7 @@
         self._pool = ThreadPoolExecutor(_THREADS, thread_name_prefix='agent')
         self._batch_log = BatchLog(settings.name)
         health = UpstreamHealth(settings.agent)
-        self._runner = UpstreamRunner(
-            settings.agent, self.incarnation, self._pool, health
-        )
+        self._runner = UpstreamRunner(settings.agent, self._pool, health)
         self._scheduler = TaskScheduler(
             settings.name,
             self.incarnation,
@@ -74,6 +73,14 @@
             self._runner.stop_leases,
         )
         self._runner.attach(self._scheduler, self._refresh_offer)
+        self._monitor = UpstreamMonitor(
+            settings.agent,
+            self.incarnation,
+            health,
+            self._runner,
+            self._scheduler,
+            self._refresh_offer,
+        )
         self.directory: Final = EntryDirectory(self._follow_directory)
         self._control = ControlClient.from_settings(
             settings,
@@ -84,7 +91,7 @@
             self.directory.apply,
             ('entry',),
         )
-        self._upstream = UpstreamState(health, self._runner, self.directory)
+        self._upstream = UpstreamState(health, self._monitor, self.directory)
         self._application = AgentApplication(
             self._take_announcement,
             lambda: self._scheduler.offer,
@@ -118,7 +125,7 @@
         self._pool.submit(self._batch_log.run)
         self._server.start(self._pool)
         self._control.start()
-        self._pool.submit(self._runner.watch)
+        self._pool.submit(self._monitor.watch)
         self._pool.submit(self._tick_loop)
 
     def stop(self) -> None:
@@ -132,6 +139,7 @@
         self._drain()
         self._stop_dialers()
         self._control.stop()
+        self._monitor.stop()
         self._runner.stop()
         self._batch_log.stop()
         self._server.stop()
@@ -144,6 +152,7 @@
         self._is_stopped.set()
         self._stop_dialers()
         self._control.kill()
+        self._monitor.stop()
         self._runner.stop()
         self._batch_log.stop()
         self._server.stop()
--- a/baobabgap/agent/_resumption.py
+++ b/baobabgap/agent/_resumption.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from baobabgap.agent._links import EntryLink
-from baobabgap.agent._upstream import LeaseListing
+from baobabgap.agent._upstream_reports import LeaseListing
 from baobabgap.messages import ResumeTasks
 from baobabgap.messages import TaskOutcome
 from baobabgap.messages import TaskResult
--- a/baobabgap/agent/_scheduler.py
+++ b/baobabgap/agent/_scheduler.py
@@ -1,33 +1,26 @@
 """The only judge of starts on one upstream."""
 
 from collections.abc import Callable
-import threading
 import time
 from typing import Any
 from typing import Final
 
-from baobabgap.agent._batch_log import Batch
 from baobabgap.agent._batch_log import BatchLog
-from baobabgap.agent._ledger import SlotLedger
+from baobabgap.agent._intake import ANSWERED_BEFORE
+from baobabgap.agent._intake import TaskIntake
 from baobabgap.agent._links import EntryLink
-from baobabgap.agent._links import EntryLinks
-from baobabgap.agent._memory import StartMemory
 from baobabgap.agent._memory import TaskRecord
 from baobabgap.agent._memory import TaskState
-from baobabgap.agent._outbox import ResultOutbox
-from baobabgap.agent._queue import TaskQueue
-from baobabgap.agent._resources import RunningResources
 from baobabgap.agent._resumption import Resumption
-from baobabgap.agent._upstream import LeaseListing
-from baobabgap.agent._upstream import LeaseReport
-from baobabgap.jobs import TaskSize
+from baobabgap.agent._task_desk import lost_result
+from baobabgap.agent._task_desk import TaskDesk
+from baobabgap.agent._upstream_reports import LeaseListing
+from baobabgap.agent._upstream_reports import LeaseReport
 from baobabgap.messages import AcknowledgeResults
 from baobabgap.messages import CancelJobs
 from baobabgap.messages import PlaceTasks
 from baobabgap.messages import ResumeTasks
 from baobabgap.messages import TaskOutcome
-from baobabgap.messages import TaskPlacement
-from baobabgap.messages import TaskResult
 from baobabgap.messages import TaskResults
 from baobabgap.messages import UpstreamLoad
 from baobabgap.messages import UpstreamOffer
@@ -35,15 +28,9 @@
 
 # Seconds after which an entry without a link loses its queued tasks.
 _LOST_LINK_GRACE_S: Final = 3.0
-# Seconds after a job's deadline for which its results are kept.
-_KEPT_AFTER_DEADLINE_S: Final = 30.0
 # The longest deadline of a job, for tasks of which it isn't known.
 _LONGEST_DEADLINE_S: Final = 600.0
 
-_NO_UPSTREAM: Final = UpstreamOffer(
-    '', 0, TaskSize(0.0, 0, 0), False, 'no upstream has announced itself'
-)
-
 
 class TaskScheduler:
     """Takes tasks from entries, starts each at most once, sends results.
@@ -64,49 +51,38 @@
         stop: Callable[[list[str]], None],
     ) -> None:
         self._incarnation = incarnation
-        self._metrics = metrics
         self._batch_log = batch_log
-        self._run = run
         self._stop = stop
-        self._lock = threading.RLock()
-        self._links = EntryLinks()
-        self._ledger = SlotLedger(agent)
-        self._memory = StartMemory()
-        self._queue = TaskQueue()
-        self._resources = RunningResources()
+        self._desk = TaskDesk(agent, metrics, batch_log, run)
+        self._intake = TaskIntake(self._desk)
         self._resumption = Resumption(incarnation)
-        self._offer = _NO_UPSTREAM
-        self._outbox = ResultOutbox(self._lock)
 
     @property
     def offer(self) -> UpstreamOffer:
         """What the entries were told last."""
-        return self._offer
+        return self._desk.offer
 
     @property
     def outstanding_tasks(self) -> int:
         """Tasks that run, wait, or have a result not yet acknowledged."""
-        return len(self._memory)
+        return len(self._desk.memory)
 
     def set_offer(self, offer: UpstreamOffer) -> None:
         """Tell the entries of a changed offer, and share its slots out."""
-        with self._outbox:
-            if offer == self._offer:
+        with self._desk.outbox:
+            if offer == self._desk.offer:
                 return
-            self._offer = offer
-            self._ledger.set_slots(offer.slots if offer.accepting else 0)
-            self._links.send_to_all(offer)
-            if not offer.accepting:
-                self._drop_queued(lambda record: True, offer.reason)
-            self._redistribute()
+            self._desk.links.send_to_all(offer)
+            self._desk.set_offer(offer)
+            self._desk.redistribute()
 
     def open_link(self, link: EntryLink) -> None:
         """Take an entry's new link, and resend what it lacks."""
-        with self._outbox:
-            self._links.open(link)
-            link.send(self._offer)
+        with self._desk.outbox:
+            self._desk.links.open(link)
+            link.send(self._desk.offer)
             name, incarnation = link.peer.name, link.peer.incarnation
-            self._drop_queued(
+            self._desk.drop_queued(
                 lambda record: (
                     record.owner == name
                     and record.owner_incarnation != incarnation
@@ -115,28 +91,28 @@
             )
             kept = [
                 record.result
-                for record in self._memory.records()
+                for record in self._desk.memory.records()
                 if record.result is not None
                 and record.owner_incarnation == incarnation
             ]
             if kept:
                 link.send(TaskResults(tuple(kept)))
-            self._redistribute()
+            self._desk.redistribute()
 
     def lose_link(self, link: EntryLink) -> None:
         """Share the slots out anew after a link has ended."""
-        with self._outbox:
-            if self._links.lose(link, time.monotonic()):
-                self._redistribute()
+        with self._desk.outbox:
+            if self._desk.links.lose(link, time.monotonic()):
+                self._desk.redistribute()
 
     def place(self, link: EntryLink, message: PlaceTasks) -> None:
         """Start tasks, or let them wait, or tell why not."""
         batch = None
         if message.agent_incarnation == self._incarnation:
             batch = self._batch_log.open(message)
-        with self._outbox:
-            if not self._links.is_current(link):
-                self._waste('old_link')
+        with self._desk.outbox:
+            if not self._desk.links.is_current(link):
+                self._desk.waste('old_link')
                 return
             if message.agent_incarnation != self._incarnation:
                 pairs = tuple((message.job, t.task) for t in message.tasks)
@@ -145,8 +121,8 @@
                 )
                 return
             for placement in message.tasks:
-                self._place_one(link, message, placement, batch)
-            self._start_waiting()
+                self._intake.take(link, message, placement, batch)
+            self._desk.start_waiting()
 
     def end(
         self,
@@ -156,28 +132,28 @@
         run_time_ms: float = 0.0,
     ) -> None:
         """Record how a task ended, and tell its entry at once."""
-        with self._outbox:
+        with self._desk.outbox:
             if record.state is TaskState.ENDED:
-                self._waste('late_result')
+                self._desk.waste('late_result')
                 return
-            self._finish(record, outcome, value, run_time_ms)
-            self._start_waiting()
+            self._desk.finish(record, outcome, value, run_time_ms)
+            self._desk.start_waiting()
 
     def cancel(self, link: EntryLink, message: CancelJobs) -> None:
         """Drop queued tasks of jobs, and stop those that run."""
         jobs = set(message.jobs)
         incarnation = link.peer.incarnation
-        with self._outbox:
+        with self._desk.outbox:
             concerned = [
                 record
-                for record in self._memory.records()
+                for record in self._desk.memory.records()
                 if record.job in jobs
                 and record.owner_incarnation == incarnation
                 and record.state is not TaskState.ENDED
             ]
             late = jobs - {record.job for record in concerned}
-            self._waste('late_cancel', len(late))
-            self._drop_queued(
+            self._desk.waste('late_cancel', len(late))
+            self._desk.drop_queued(
                 lambda record: (
                     record.job in jobs
                     and record.owner_incarnation == incarnation
@@ -196,234 +172,105 @@
         self, link: EntryLink, message: AcknowledgeResults
     ) -> None:
         """Forget results that the entry has."""
-        with self._outbox:
+        with self._desk.outbox:
             for job, task in message.tasks:
-                record = self._memory.find(job, task)
+                record = self._desk.memory.find(job, task)
                 if record is None or record.state is not TaskState.ENDED:
-                    self._waste('late_acknowledgement')
+                    self._desk.waste('late_acknowledgement')
                 elif record.owner_incarnation == link.peer.incarnation:
-                    self._memory.acknowledge(record)
+                    self._desk.memory.acknowledge(record)
 
     def resume(self, link: EntryLink, message: ResumeTasks) -> None:
         """Answer for each task that an entry still waits for."""
-        with self._outbox:
-            if self._links.is_current(link):
+        with self._desk.outbox:
+            if self._desk.links.is_current(link):
                 self._resume(link, message)
 
     def adopt(self, listing: LeaseListing) -> None:
         """Take over the leases that an earlier agent process started."""
-        with self._outbox:
+        with self._desk.outbox:
             for report in listing.leases:
                 self._adopt_one(report)
             self._resumption.learn(listing)
             for link, message in self._resumption.take_waiting():
-                if self._links.is_current(link):
+                if self._desk.links.is_current(link):
                     self._resume(link, message)
 
     def give_up_running(self, reason: str) -> list[str]:
         """Report all running tasks as lost; return their leases."""
-        with self._outbox:
+        with self._desk.outbox:
             records = self.running()
             for record in records:
-                self._finish(record, TaskOutcome.LOST, reason, 0.0)
+                self._desk.finish(record, TaskOutcome.LOST, reason, 0.0)
         return [record.lease for record in records]
 
     def running(self) -> list[TaskRecord]:
         """Return the records of the tasks that run."""
-        with self._lock:
+        with self._desk.outbox:
             return [
                 record
-                for record in self._memory.records()
+                for record in self._desk.memory.records()
                 if record.state is TaskState.RUNNING
             ]
 
     def take_acknowledged_leases(self) -> list[str]:
         """Return, once, the leases that the upstream may forget."""
-        with self._outbox:
-            return self._memory.take_acknowledged_leases()
+        with self._desk.outbox:
+            return self._desk.memory.take_acknowledged_leases()
 
     def give_back_acknowledged_leases(self, leases: list[str]) -> None:
         """Take leases back that could not be told to the upstream."""
-        with self._outbox:
-            self._memory.give_back_acknowledged_leases(leases)
+        with self._desk.outbox:
+            self._desk.memory.give_back_acknowledged_leases(leases)
 
     def report_load(self) -> None:
         """Tell the entries how busy the upstream is."""
-        with self._outbox:
-            self._links.send_to_all(
-                UpstreamLoad(self._ledger.running, self._ledger.queued)
+        with self._desk.outbox:
+            ledger = self._desk.ledger
+            self._desk.links.send_to_all(
+                UpstreamLoad(ledger.running, ledger.queued)
             )
 
     def tick(self) -> None:
         """Do what is due: deadlines, lost links, leaks, old records."""
         now = time.monotonic()
-        with self._outbox:
-            self._drop_queued(
+        with self._desk.outbox:
+            self._desk.drop_queued(
                 lambda record: record.deadline < now,
                 'the deadline passed before a slot was free',
             )
-            gone = self._links.take_long_lost(now - _LOST_LINK_GRACE_S)
+            gone = self._desk.links.take_long_lost(now - _LOST_LINK_GRACE_S)
             if gone:
-                self._drop_queued(
+                self._desk.drop_queued(
                     lambda record: record.owner in gone, 'the entry is gone'
                 )
-            self._drop_expired(now)
+            self._desk.drop_expired(now)
             for link, message in self._resumption.take_overdue(now):
-                if self._links.is_current(link):
+                if self._desk.links.is_current(link):
                     self._resume(link, message)
-            leaks = self._ledger.suspects_leak(now)
-            if leaks or self._ledger.has_unclaimed_slots:
-                self._redistribute()
-
-    def _place_one(
-        self,
-        link: EntryLink,
-        message: PlaceTasks,
-        placement: TaskPlacement,
-        batch: Batch | None,
-    ) -> None:
-        known = self._memory.find(message.job, placement.task)
-        if known is not None:
-            self._waste('duplicate_placement')
-            self._note_end(batch, 'duplicate')
-            self._repeat(link, known)
-            return
-        if self._memory.has_started(message.job, placement.task):
-            self._waste('duplicate_placement')
-            self._note_end(batch, 'duplicate')
-            lost = _lost(message.job, placement.task, _ANSWERED_BEFORE)
-            self._outbox.add(link, lost)
-            return
-        record = TaskRecord(
-            message.job,
-            placement,
-            placement.task,
-            link.peer.name,
-            link.peer.incarnation,
-            time.monotonic() + message.deadline_ms / 1000,
-            batch=batch,
-        )
-        problem = self._find_refusal(link, message, placement)
-        self._memory.add(record)
-        self._ledger.receive(message.epoch)
-        if problem:
-            self._waste('refused_placement')
-            self._finish(record, TaskOutcome.NOT_STARTED, problem, 0.0)
-        else:
-            self._queue.append(record)
-
-    def _find_refusal(
-        self, link: EntryLink, message: PlaceTasks, placement: TaskPlacement
-    ) -> str:
-        """Return why a new task must not start here, or an empty text."""
-        owner = message.owner_incarnation
-        if owner != link.peer.incarnation:
-            return 'placed for another incarnation of the entry'
-        if not self._memory.settle_owner(message.job, owner):
-            return 'the job belongs to another incarnation of an entry'
-        if not self._offer.accepting:
-            return self._offer.reason
-        if not placement.size.fits_in(self._offer.capacity):
-            return 'the task is larger than the upstream'
-        if message.deadline_ms <= 0:
-            return 'the deadline has passed'
-        if self._memory.is_full:
-            return 'too many results wait to be acknowledged'
-        return ''
-
-    def _start_waiting(self) -> None:
-        """Start what waits for as long as slots and resources are free."""
-        now = time.monotonic()
-        while self._ledger.free_slots > 0:
-            free = self._resources.free(self._offer.capacity)
-            record = self._queue.pop_fitting(free)
-            if record is None:
-                return
-            if record.deadline < now:
-                reason = 'the deadline passed before a slot was free'
-                self._finish(record, TaskOutcome.NOT_STARTED, reason, 0.0)
-                continue
-            record.state = TaskState.RUNNING
-            record.started_at = now
-            self._ledger.begin()
-            self._resources.take(record)
-            self._metrics.count('baobabgap_tasks_started_total')
-            self._run(record)
-
-    def _finish(
-        self,
-        record: TaskRecord,
-        outcome: TaskOutcome,
-        value: Any,
-        run_time_ms: float,
-    ) -> None:
-        """End a task, and send its result if its entry is linked."""
-        if record.state is TaskState.RUNNING:
-            self._ledger.end_running()
-            self._resources.give_back(record)
-        else:
-            self._ledger.end_queued()
-        link = self._links.find(record.owner, record.owner_incarnation)
-        returns = link is not None and self._ledger.give_back_token()
-        record.state = TaskState.ENDED
-        result = TaskResult(
-            record.job,
-            record.task,
-            outcome,
-            value,
-            run_time_ms,
-            returns,
-            self._ledger.epoch,
-        )
-        # A resent result brings no second token.
-        record.result = _without_token(result) if returns else result
-        self._note_end(record.batch, outcome.value)
-        self._metrics.count(
-            f'baobabgap_tasks_ended_total{{outcome="{outcome.value}"}}'
-        )
-        if link is not None:
-            self._outbox.add(link, result)
-
-    def _drop_queued(
-        self, wanted: Callable[[TaskRecord], bool], reason: str
-    ) -> None:
-        for record in self._queue.take(wanted):
-            self._finish(record, TaskOutcome.NOT_STARTED, reason, 0.0)
-
-    def _drop_expired(self, now: float) -> None:
-        """Drop results that no entry has fetched long after the deadline."""
-        for record in self._memory.records():
-            expired_at = record.deadline + _KEPT_AFTER_DEADLINE_S
-            if record.state is TaskState.ENDED and expired_at < now:
-                self._memory.drop(record)
-
-    def _repeat(self, link: EntryLink, record: TaskRecord) -> None:
-        """Answer for a task that is known already, if it has ended."""
-        if record.owner_incarnation != link.peer.incarnation:
-            lost = _lost(record.job, record.task, _OTHER_OWNER)
-            self._outbox.add(link, lost)
-        elif record.result is not None:
-            self._outbox.add(link, record.result)
+            leaks = self._desk.ledger.suspects_leak(now)
+            if leaks or self._desk.ledger.has_unclaimed_slots:
+                self._desk.redistribute()
 
     def _resume(self, link: EntryLink, message: ResumeTasks) -> None:
         if self._resumption.must_wait(link, message):
             return
         for job, task in message.tasks:
-            known = self._memory.find(job, task)
+            known = self._desk.memory.find(job, task)
             if known is not None:
-                self._repeat(link, known)
+                self._desk.repeat(link, known)
                 continue
-            if self._memory.has_started(job, task):
-                result = _lost(job, task, _ANSWERED_BEFORE)
+            if self._desk.memory.has_started(job, task):
+                result = lost_result(job, task, ANSWERED_BEFORE)
             else:
                 result = self._resumption.answer(
                     message.agent_incarnation, job, task
                 )
-            self._outbox.add(link, result)
+            self._desk.outbox.add(link, result)
 
     def _adopt_one(self, report: LeaseReport) -> None:
         job, _, task = report.lease.partition('/')
-        if report.state == 'revoked' or self._memory.find(job, task):
+        if report.state == 'revoked' or self._desk.memory.find(job, task):
             return
         owner, _, owner_incarnation = report.owner.partition('/')
         now = time.monotonic()
@@ -438,45 +285,8 @@
             now,
             adrift=True,
         )
-        self._memory.add(record)
-        self._memory.settle_owner(job, owner_incarnation)
-        self._ledger.adopt()
+        self._desk.adopt(record)
         if report.outcome is not None:
-            self._finish(
+            self._desk.finish(
                 record, report.outcome, report.value, report.run_time_ms
             )
-
-    def _redistribute(self) -> None:
-        self._ledger.set_entries(self._links.entries)
-        for entry, grant in self._ledger.redistribute().items():
-            self._links.send_to(entry, grant)
-
-    def _note_end(self, batch: Batch | None, outcome: str) -> None:
-        if batch is not None and batch.note_end(outcome):
-            self._batch_log.close(batch)
-
-    def _waste(self, kind: str, messages: int = 1) -> None:
-        if messages:
-            self._metrics.count(
-                f'baobabgap_wasted_messages_total{{kind="{kind}"}}', messages
-            )
-
-
-_ANSWERED_BEFORE: Final = 'started, and its result was acknowledged before'
-_OTHER_OWNER: Final = 'placed before by another incarnation of an entry'
-
-
-def _lost(job: str, task: str, reason: str) -> TaskResult:
-    return TaskResult(job, task, TaskOutcome.LOST, reason, 0.0, False, 0)
-
-
-def _without_token(result: TaskResult) -> TaskResult:
-    return TaskResult(
-        result.job,
-        result.task,
-        result.outcome,
-        result.value,
-        result.run_time_ms,
-        False,
-        result.epoch,
-    )
--- a/baobabgap/agent/_upstream.py
+++ b/baobabgap/agent/_upstream.py
@@ -3,7 +3,6 @@
 from collections import deque
 from collections.abc import Callable
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Any
 from typing import Final
 
@@ -12,7 +11,14 @@
 
 from baobabgap._exceptions import ConnectionLost
 from baobabgap._exceptions import ProtocolMismatch
-from baobabgap.messages import TaskOutcome
+from baobabgap.agent._upstream_reports import LeaseListing
+from baobabgap.agent._upstream_reports import LeaseReport
+from baobabgap.agent._upstream_reports import LeaseRequest
+from baobabgap.agent._upstream_reports import RenewalReport
+from baobabgap.agent._upstream_reports import StartRefused
+from baobabgap.agent._upstream_reports import StartUnknown
+from baobabgap.agent._upstream_reports import StoppedLeases
+from baobabgap.agent._upstream_reports import UpstreamUnreachable
 from baobabgap.web import RequestNeverSent
 from baobabgap.web import WebClient
 from baobabgap.web import WebResponse
@@ -24,106 +30,6 @@
 _REFUSED_STATUSES: Final = (400, 429)
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseReport:
-    """What the upstream says of one lease."""
-
-    # The job's and the task's identifiers, with a slash between.
-    lease: str
-    # The owner that the agent named at the start.
-    owner: str
-    # running, done, failed, stopped, lapsed or revoked.
-    state: str
-    # What the task returned, or why it has not.
-    value: Any
-    # Milliseconds from start to end.
-    run_time_ms: float
-
-    @property
-    def outcome(self) -> TaskOutcome | None:
-        """How the task ended, or None while it runs."""
-        match self.state:
-            case 'running':
-                return None
-            case 'done':
-                return TaskOutcome.DONE
-            case 'revoked':
-                return TaskOutcome.NOT_STARTED
-            case _:
-                return TaskOutcome.FAILED
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseListing:
-    """All leases that the upstream remembers."""
-
-    # The upstream's incarnation.
-    incarnation: str
-    # The incarnation of the agent that it takes starts from.
-    bound_agent: str
-    # For each agent incarnation that it was bound to, whether that one
-    # has served no upstream process but this.
-    sole_by_agent: dict[str, bool]
-    # Running leases, and ended ones that were not acknowledged.
-    leases: tuple[LeaseReport, ...]
-    # False if some that were not acknowledged have been forgotten.
-    complete: bool
-
-
-@dataclass(frozen=True, slots=True)
-class RenewalReport:
-    """What became of the leases that were to be renewed."""
-
-    # The upstream's incarnation.
-    incarnation: str
-    # Those that run on.
-    running: tuple[str, ...]
-    # Those that have ended.
-    ended: tuple[LeaseReport, ...]
-    # Those that the upstream has never heard of.
-    unknown: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class StartRefused:
-    """The upstream did not start the task, and never will."""
-
-    # Why, for a person.
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamUnreachable:
-    """The request was never sent, so the task has not started."""
-
-    # Why, for a person.
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class StartUnknown:
-    """The request got no usable answer: nobody knows if it started."""
-
-    # Why, for a person.
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseRequest:
-    """One task to start at the upstream."""
-
-    # The job's and the task's identifiers, with a slash between.
-    lease: str
-    # Whose task it is, kept by the upstream for an agent that restarts.
-    owner: str
-    # The sort of work.
-    kind: str
-    # The task's own input.
-    payload: Any
-    # Seconds until the lease lapses unless it is renewed.
-    lease_s: float
-
-
 class UpstreamClient:
     """Talks to one incarnation of the upstream.
 
@@ -254,14 +160,6 @@
             ) from error
 
 
-@dataclass(frozen=True, slots=True)
-class StoppedLeases:
-    """The answer to a request to stop leases."""
-
-    # What became of each.
-    leases: tuple[LeaseReport, ...]
-
-
 def _error_of(response: WebResponse) -> str:
     return response.body[:200].decode('utf-8', 'replace')
 
--- a/baobabgap/agent/_upstream_state.py
+++ b/baobabgap/agent/_upstream_state.py
@@ -9,7 +9,7 @@
 from baobabgap.agent._announcement import Announcement
 from baobabgap.agent._directory import EntryDirectory
 from baobabgap.agent._health import UpstreamHealth
-from baobabgap.agent._runner import UpstreamRunner
+from baobabgap.agent._monitor import UpstreamMonitor
 from baobabgap.jobs import TaskSize
 from baobabgap.messages import UpstreamOffer
 
@@ -23,11 +23,11 @@
     def __init__(
         self,
         health: UpstreamHealth,
-        runner: UpstreamRunner,
+        monitor: UpstreamMonitor,
         directory: EntryDirectory,
     ) -> None:
         self._health = health
-        self._runner = runner
+        self._monitor = monitor
         self._directory = directory
         self._lock = threading.Lock()
         self._announcement: Announcement | None = None
@@ -44,9 +44,9 @@
         with self._lock:
             self._check_identity(announcement)
             self._announcement = announcement
-            self._runner.meet(announcement)
+            self._monitor.meet(announcement)
             return {
-                'agent_incarnation': self._runner.incarnation,
+                'agent_incarnation': self._monitor.incarnation,
                 'earlier_upstreams': self._earlier_upstreams,
             }
 
@@ -79,7 +79,7 @@
             return 'the agent is about to stop'
         if announcement.leaving:
             return 'the upstream is leaving'
-        if not self._runner.is_adopted:
+        if not self._monitor.is_adopted:
             return 'the upstream is not bound to the agent yet'
         if slots == 0:
             return 'a ticket has taken the upstream out of use'
--- a/baobabgap/agent/tests/deployment.py
+++ b/baobabgap/agent/tests/deployment.py
@@ -4,6 +4,7 @@
 
 from baobabgap.agent import Agent
 from baobabgap.agent.tests.fake_entry import FakeEntry
+from baobabgap.agent.tests.relay import Relay
 from baobabgap.messages import Changes
 from baobabgap.messages import ConfigurationEntry
 from baobabgap.settings import Settings
@@ -16,14 +17,19 @@
 class Deployment:
     """Starts the parts, and stops whatever is left of them."""
 
-    def __init__(self, slots: int = 4, entries: int = 1) -> None:
+    def __init__(
+        self,
+        slots: int = 4,
+        entries: int = 1,
+        relay: Relay | None = None,
+    ) -> None:
         self.slots = slots
         self.entries = [
             FakeEntry(f'entry-{letter}') for letter in 'abcdef'[:entries]
         ]
         self._version = 0
         self.agent = self.start_agent()
-        self.upstream = self.start_upstream()
+        self.upstream = self.start_upstream(relay)
 
     @property
     def entry(self) -> FakeEntry:
@@ -37,8 +43,11 @@
         self.apply()
         return self.agent
 
-    def start_upstream(self) -> StandInUpstream:
-        """Start a stand-in upstream that announces itself to the agent."""
+    def start_upstream(self, relay: Relay | None = None) -> StandInUpstream:
+        """Start a stand-in upstream that announces itself to the agent.
+
+        With a relay, the agent reaches it through that.
+        """
         settings = settings_from_document(
             {
                 'role': 'stand-in',
@@ -51,6 +60,9 @@
             source='test',
         )
         self.upstream = StandInUpstream.from_settings(settings)
+        if relay is not None:
+            relay.connect_to(self.upstream.http_port)
+            self.upstream.advertise(relay.address)
         self.upstream.start()
         return self.upstream
 
--- a/baobabgap/agent/tests/test_agent.py
+++ b/baobabgap/agent/tests/test_agent.py
@@ -4,6 +4,7 @@
 import unittest
 
 from baobabgap.agent.tests.deployment import Deployment
+from baobabgap.agent.tests.relay import Relay
 from baobabgap.messages import AcknowledgeResults
 from baobabgap.messages import CancelJobs
 from baobabgap.messages import ResumeTasks
@@ -181,6 +182,37 @@
         self.assertEqual({'t1': TaskOutcome.DONE}, self.outcomes(1))
 
 
+class SilentConnectionTest(unittest.TestCase):
+    """Connections go silent for good while new ones work."""
+
+    def test_what_ended_and_what_never_arrived_is_found_out(self) -> None:
+        relay = Relay()
+        self.addCleanup(relay.close)
+        deployment = Deployment(relay=relay)
+        self.addCleanup(deployment.stop)
+        entry = deployment.entry
+        entry.wait_until_accepting()
+        entry.place('a.1.x', {'warm': {}, 'warm2': {}})
+        entry.wait_for_results(2)
+        relay.mute_replies()
+        entry.place('a.2.x', {'ended': {'sleep_ms': 50}})
+        entry.wait_for_results(3)
+        relay.mute_requests()
+        entry.place('a.3.x', {'stray': {}})
+        results = entry.wait_for_results(4)
+        self.assertEqual(
+            {
+                'warm': TaskOutcome.DONE,
+                'warm2': TaskOutcome.DONE,
+                'ended': TaskOutcome.DONE,
+                'stray': TaskOutcome.NOT_STARTED,
+            },
+            {result.task: result.outcome for result in results},
+        )
+        self.assertEqual(3, deployment.upstream.counts()['starts'])
+        self.assertTrue(entry.offers[-1].accepting)
+
+
 class AnnouncementTest(unittest.TestCase):
     def test_bad_announcements_get_a_clear_answer(self) -> None:
         deployment = Deployment()
--- a/baobabgap/agent/tests/test_scheduler.py
+++ b/baobabgap/agent/tests/test_scheduler.py
@@ -6,8 +6,8 @@
 from baobabgap.agent._batch_log import BatchLog
 from baobabgap.agent._memory import TaskRecord
 from baobabgap.agent._scheduler import TaskScheduler
-from baobabgap.agent._upstream import LeaseListing
-from baobabgap.agent._upstream import LeaseReport
+from baobabgap.agent._upstream_reports import LeaseListing
+from baobabgap.agent._upstream_reports import LeaseReport
 from baobabgap.jobs import TaskSize
 from baobabgap.messages import AcknowledgeResults
 from baobabgap.messages import CancelJobs
--- a/baobabgap/standin/_standin.py
+++ b/baobabgap/standin/_standin.py
@@ -48,6 +48,7 @@
             settings.stand_in.slots + _THREADS_BESIDE_SLOTS,
             _LARGEST_BODY_BYTES,
         )
+        self._address = f'{settings.listen.host}:{self.http_port}'
         self._agent_address = settings.stand_in.agent_address
         self._stopping = threading.Event()
         self._announced_running = 0
@@ -63,6 +64,14 @@
         """The port that it serves its agent on."""
         return self._server.port
 
+    def bind(self, agent_incarnation: str, is_sole: bool) -> None:
+        """Take starts from this agent process only, as if it announced."""
+        self._application.bind(agent_incarnation, is_sole)
+
+    def advertise(self, address: str) -> None:
+        """Announce another address than its own, such as a relay's."""
+        self._address = address
+
     def announce_to(self, agent_address: str) -> None:
         """Announce to the agent at `host:port` from now on."""
         self._agent_address = agent_address
@@ -131,7 +140,7 @@
         return {
             'name': self._settings.name,
             'incarnation': self.incarnation,
-            'address': f'{self._settings.listen.host}:{self.http_port}',
+            'address': self._address,
             'slots': own.slots,
             'capacity': {
                 'processors': own.processors,
--- /dev/null
+++ b/baobabgap/web/tests/test_client.py
@@ -0,0 +1,60 @@
+"""What the HTTP client can prove about a request without an answer."""
+
+from concurrent.futures import ThreadPoolExecutor
+import socket
+import unittest
+
+from baobabgap import ConnectionLost
+from baobabgap.web import RequestNeverSent
+from baobabgap.web import WebClient
+
+_OK = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+
+
+class WebClientTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(self.listener.close)
+        port = self.listener.getsockname()[1]
+        self.client = WebClient(f'127.0.0.1:{port}')
+        self.addCleanup(self.client.close)
+        self.pool = ThreadPoolExecutor(1)
+        self.addCleanup(self.pool.shutdown)
+
+    def serve(self, answers: int, reads_on: bool = True) -> None:
+        """Answer some requests, perhaps read one more, and be gone."""
+        link, _ = self.listener.accept()
+        for _ in range(answers):
+            link.recv(65536)
+            link.sendall(_OK)
+        if reads_on:
+            link.recv(65536)
+        self.listener.close()
+        link.close()
+
+    def post(self) -> None:
+        self.client.request('POST', '/', {}, timeout_s=10)
+
+    def test_a_closed_port_proves_that_nothing_was_sent(self) -> None:
+        self.listener.close()
+        with self.assertRaises(RequestNeverSent):
+            self.post()
+
+    def test_a_request_that_was_read_is_never_called_unsent(self) -> None:
+        """Also where the library has tried again and was refused."""
+        for answers in (0, 1):
+            with self.subTest(answers=answers):
+                self.setUp()
+                served = self.pool.submit(self.serve, answers)
+                for _ in range(answers):
+                    self.post()
+                with self.assertRaises(ConnectionLost) as caught:
+                    self.post()
+                self.assertNotIsInstance(caught.exception, RequestNeverSent)
+                served.result(10)
+
+    def test_a_closed_idle_connection_is_noticed(self) -> None:
+        served = self.pool.submit(self.serve, 1, False)
+        self.post()
+        served.result(10)
+        self.assertTrue(self.client.has_hung_up())
