--- a/baobabgap/agent/_upstream.py
+++ b/baobabgap/agent/_upstream.py
@@ -1,115 +1,33 @@
 """The agent's HTTP requests to its upstream."""
 
 from collections import deque
+from collections.abc import Callable
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Any
 from typing import Final
 
-import pycurl
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 
 from baobabgap._exceptions import ConnectionLost
 from baobabgap._exceptions import ProtocolMismatch
-from baobabgap.messages import TaskOutcome
+from baobabgap.agent._upstream_reports import LeaseListing
+from baobabgap.agent._upstream_reports import LeaseReport
+from baobabgap.agent._upstream_reports import LeaseRequest
+from baobabgap.agent._upstream_reports import RenewalReport
+from baobabgap.agent._upstream_reports import StartRefused
+from baobabgap.agent._upstream_reports import StartUnknown
+from baobabgap.agent._upstream_reports import StoppedLeases
+from baobabgap.agent._upstream_reports import UpstreamUnreachable
+from baobabgap.web import RequestNeverSent
 from baobabgap.web import WebClient
 from baobabgap.web import WebResponse
 
 _OK: Final = 200
-_REFUSED_STATUSES: Final = (400, 409, 429)
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseReport:
-    """What the upstream says of one lease."""
-
-    # The job's and the task's identifiers, with a slash between.
-    lease: str
-    # The owner that the agent named at the start.
-    owner: str
-    # running, done, failed, stopped, lapsed or revoked.
-    state: str
-    # What the task returned, or why it has not.
-    value: Any
-    # Milliseconds from start to end.
-    run_time_ms: float
-
-    @property
-    def outcome(self) -> TaskOutcome | None:
-        """How the task ended, or None while it runs."""
-        match self.state:
-            case 'running':
-                return None
-            case 'done':
-                return TaskOutcome.DONE
-            case 'revoked':
-                return TaskOutcome.NOT_STARTED
-            case _:
-                return TaskOutcome.FAILED
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseListing:
-    """All leases that the upstream remembers."""
-
-    # The upstream's incarnation.
-    incarnation: str
-    # The incarnation of the agent that it takes starts from.
-    bound_agent: str
-    # For each agent incarnation that it was bound to, whether that one
-    # has served no upstream process but this.
-    sole_by_agent: dict[str, bool]
-    # Running leases, and ended ones that were not acknowledged.
-    leases: tuple[LeaseReport, ...]
-    # False if some that were not acknowledged have been forgotten.
-    complete: bool
-
-
-@dataclass(frozen=True, slots=True)
-class RenewalReport:
-    """What became of the leases that were to be renewed."""
-
-    # The upstream's incarnation.
-    incarnation: str
-    # Those that run on.
-    running: tuple[str, ...]
-    # Those that have ended.
-    ended: tuple[LeaseReport, ...]
-    # Those that the upstream has never heard of.
-    unknown: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class StartRefused:
-    """The upstream did not start the task, and never will."""
-
-    # Why, for a person.
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class StartUnknown:
-    """The request got no usable answer: nobody knows if it started."""
-
-    # Why, for a person.
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseRequest:
-    """One task to start at the upstream."""
-
-    # The job's and the task's identifiers, with a slash between.
-    lease: str
-    # Whose task it is, kept by the upstream for an agent that restarts.
-    owner: str
-    # The sort of work.
-    kind: str
-    # The task's own input.
-    payload: Any
-    # Seconds until the lease lapses unless it is renewed.
-    lease_s: float
+# The upstream did not start the task. 409 is not among them: a request
+# that the library has sent twice may have started the first time, with an
+# upstream process that is gone.
+_REFUSED_STATUSES: Final = (400, 429)
 
 
 class UpstreamClient:
@@ -128,9 +46,12 @@
         self._idle_clients: deque[WebClient] = deque()
 
     def start(
-        self, request: LeaseRequest, timeout_s: float
-    ) -> LeaseReport | StartRefused | StartUnknown:
-        """Start a task and wait for its end."""
+        self,
+        request: LeaseRequest,
+        timeout_s: float,
+        is_given_up: Callable[[], bool],
+    ) -> LeaseReport | StartRefused | UpstreamUnreachable | StartUnknown:
+        """Start a task and wait for its end, or until it is given up."""
         document = {
             'lease': request.lease,
             'owner': request.owner,
@@ -141,10 +62,14 @@
             'upstream_incarnation': self.incarnation,
         }
         try:
-            response = self._request('POST', '/v1/leases', document, timeout_s)
+            response = self._request(
+                'POST', '/v1/leases', document, timeout_s, is_given_up
+            )
             if response.status in _REFUSED_STATUSES:
                 return StartRefused(_error_of(response))
             report: LeaseReport = self._read(_REPORT, response)
+        except RequestNeverSent as error:
+            return UpstreamUnreachable(str(error))
         except (ConnectionLost, ProtocolMismatch) as error:
             return StartUnknown(str(error))
         return report
@@ -190,15 +115,27 @@
         return stopped.leases
 
     def _request(
-        self, method: str, path: str, document: Any, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        document: Any,
+        timeout_s: float,
+        is_given_up: Callable[[], bool] | None = None,
     ) -> WebResponse:
         try:
             client = self._idle_clients.pop()
+            if client.has_hung_up():
+                client.close()
+                client = WebClient(self.address)
         except IndexError:
             client = WebClient(self.address)
         try:
             response = client.request(
-                method, path, document, timeout_s=timeout_s
+                method,
+                path,
+                document,
+                timeout_s=timeout_s,
+                is_given_up=is_given_up,
             )
         except ConnectionLost:
             client.close()
@@ -223,23 +160,6 @@
             ) from error
 
 
-@dataclass(frozen=True, slots=True)
-class StoppedLeases:
-    """The answer to a request to stop leases."""
-
-    # What became of each.
-    leases: tuple[LeaseReport, ...]
-
-
-def is_connection_refused(error: BaseException) -> bool:
-    """Tell whether an error means that nobody listens there."""
-    cause = error.__cause__
-    return (
-        isinstance(cause, pycurl.error)
-        and cause.args[0] == pycurl.E_COULDNT_CONNECT
-    )
-
-
 def _error_of(response: WebResponse) -> str:
     return response.body[:200].decode('utf-8', 'replace')
 
--- a/baobabgap/web/_client.py
+++ b/baobabgap/web/_client.py
@@ -1,8 +1,10 @@
 """Small HTTP requests with JSON documents, by pycurl."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from io import BytesIO
 import json
+import select
 from typing import Any
 from typing import Final
 
@@ -10,6 +12,8 @@
 
 from baobabgap._exceptions import ConnectionLost
 
+# Headers that libcurl would add; each costs the server time to read.
+_LEFT_OUT_HEADERS: Final = ('Expect:', 'Accept:', 'User-Agent:')
 _METHODS_WITH_BODY: Final = ('POST', 'PUT', 'PATCH')
 
 
@@ -29,11 +33,17 @@
         return json.loads(self.body) if self.body else None
 
 
+class RequestNeverSent(ConnectionLost):
+    """Not a byte of the request has left, so the server knows nothing."""
+
+
 class WebClient:
     """One kept-alive HTTP client; use it from one thread at a time.
 
     The timeout of a request is in seconds. A request that got no whole
-    response raises `ConnectionLost`; `sent` on the error can't be known.
+    response raises `ConnectionLost`: the server may have acted on it. The
+    library sends a request twice if a kept-alive connection ends under
+    it, so only `RequestNeverSent` proves that the server has not.
     """
 
     def __init__(self, address: str) -> None:
@@ -44,6 +54,15 @@
         """Close the connection."""
         self._curl.close()
 
+    def has_hung_up(self) -> bool:
+        """Tell whether the server has closed the idle connection."""
+        socket = self._curl.getinfo(pycurl.ACTIVESOCKET)
+        if socket < 0:
+            return False
+        poller = select.poll()
+        poller.register(socket, select.POLLIN)
+        return bool(poller.poll(0))
+
     def request(
         self,
         method: str,
@@ -51,10 +70,15 @@
         document: Any = None,
         *,
         timeout_s: float,
+        is_given_up: Callable[[], bool] | None = None,
     ) -> WebResponse:
-        """Send one request and wait for its response."""
+        """Send one request and wait for its response.
+
+        `is_given_up` is asked about once a second; when it says so, the
+        request ends with `ConnectionLost`.
+        """
         body = BytesIO()
-        header_by_name: dict[str, str] = {}
+        head: list[bytes] = []
         curl = self._curl
         curl.reset()
         curl.setopt(pycurl.URL, f'http://{self._address}{path}')
@@ -64,26 +88,33 @@
         curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
         curl.setopt(pycurl.TCP_NODELAY, 1)
         curl.setopt(pycurl.WRITEDATA, body)
-        curl.setopt(
-            pycurl.HEADERFUNCTION,
-            lambda line: _add_header(header_by_name, line),
-        )
-        headers = ['Expect:']
+        curl.setopt(pycurl.HEADERFUNCTION, head.append)
+        headers = list(_LEFT_OUT_HEADERS)
         if document is not None or method in _METHODS_WITH_BODY:
             headers.append('Content-Type: application/json')
             curl.setopt(pycurl.POSTFIELDS, json.dumps(document))
         curl.setopt(pycurl.HTTPHEADER, headers)
+        if is_given_up is not None:
+            curl.setopt(pycurl.NOPROGRESS, 0)
+            curl.setopt(
+                pycurl.XFERINFOFUNCTION, lambda *progress: is_given_up()
+            )
         try:
             curl.perform()
         except pycurl.error as error:
-            raise ConnectionLost(
+            was_sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
+            error_class = ConnectionLost if was_sent else RequestNeverSent
+            raise error_class(
                 str(error.args[-1]), step='request', peer=self._address
             ) from error
         status = int(curl.getinfo(pycurl.RESPONSE_CODE))
-        return WebResponse(status, header_by_name, body.getvalue())
+        return WebResponse(status, _parse_head(head), body.getvalue())
 
 
-def _add_header(header_by_name: dict[str, str], line: bytes) -> None:
-    name, separator, value = line.decode('latin-1').partition(':')
-    if separator:
-        header_by_name[name.strip().lower()] = value.strip()
+def _parse_head(lines: list[bytes]) -> dict[str, str]:
+    header_by_name: dict[str, str] = {}
+    for line in lines:
+        name, separator, value = line.decode('latin-1').partition(':')
+        if separator:
+            header_by_name[name.strip().lower()] = value.strip()
+    return header_by_name
