--- /dev/null
+++ b/baobabgap/tool/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the tool by `python -m baobabgap.tool`."""
+
+import sys
+
+from baobabgap.tool import main
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/baobabgap/tool/_timeline_action.py
@@ -0,0 +1,144 @@
+"""What the time line command does."""
+
+from collections.abc import Sequence
+import json
+from typing import Any
+from typing import Final
+
+from baobabgap._exceptions import InvalidInput
+from baobabgap.jobs import JobIdentifier
+from baobabgap.telemetry import JobSummary
+from baobabgap.telemetry import read_records
+from baobabgap.telemetry import summarize_jobs
+from baobabgap.telemetry import Timeline
+from baobabgap.telemetry import TimelineEvent
+from baobabgap.tool._exit import ExitCode
+from baobabgap.tool._exit import ToolError
+from baobabgap.tool._tables import render_table
+
+_MOST_SUMMARIES: Final = 10
+# A pending submission was answered too: its client comes back for it.
+_ANSWERED: Final = ('whole', 'pending')
+
+
+def show_timeline(arguments: Sequence[str], as_json: bool) -> ExitCode:
+    """Print one job's time line, or the slowest and the failed jobs.
+
+    The first argument is the job if it reads like an identifier, and a
+    log file if not.
+    """
+    job, files = _split(arguments)
+    if not files:
+        raise InvalidInput('needs one log file at least', step='timeline')
+    try:
+        if job:
+            return _show_job(job, files, as_json)
+        return _show_summaries(files, as_json)
+    except OSError as error:
+        raise InvalidInput(str(error), step='timeline') from error
+
+
+def _split(arguments: Sequence[str]) -> tuple[str, Sequence[str]]:
+    # A file that is named twice would show each event twice.
+    files = list(dict.fromkeys(arguments))
+    if not files:
+        return '', files
+    try:
+        JobIdentifier.from_text(files[0])
+    except InvalidInput:
+        return '', files
+    return files[0], files[1:]
+
+
+def _show_job(job: str, files: Sequence[str], as_json: bool) -> ExitCode:
+    timeline = Timeline.from_files(job, files)
+    if not timeline.events:
+        raise ToolError(
+            f'{job} is in none of {len(files)} files',
+            ExitCode.USAGE,
+            step='timeline',
+        )
+    if as_json:
+        for event in timeline.events:
+            print(json.dumps(_event_document(event)))
+        return ExitCode.DONE
+    rows = [
+        (
+            f'{event.offset_ms:.3f}',
+            event.record.process,
+            event.record.role,
+            event.record.event,
+            _fields(event.record.field_by_name),
+        )
+        for event in timeline.events
+    ]
+    print(f'{job}: {len(rows)} events')
+    print(render_table(('ms', 'process', 'role', 'event', 'fields'), rows))
+    print(_clock_note(timeline))
+    return ExitCode.DONE
+
+
+def _clock_note(timeline: Timeline) -> str:
+    shifts = timeline.shift_ms_by_process
+    if not shifts:
+        return (
+            'No clock contradicts the order of events; between hosts, times '
+            'are as good as their clocks.'
+        )
+    parts = [f'{name} by {ms:.3f} ms' for name, ms in shifts.items()]
+    return (
+        f'Late clocks, moved on by the least that fits: {", ".join(parts)}. '
+        'Times of these processes may be further off.'
+    )
+
+
+def _event_document(event: TimelineEvent) -> dict[str, Any]:
+    record = event.record
+    return {
+        'offset_ms': event.offset_ms,
+        'process': record.process,
+        'role': record.role,
+        'event': record.event,
+        'fields': record.field_by_name,
+    }
+
+
+def _fields(field_by_name: dict[str, Any]) -> str:
+    return ' '.join(
+        f'{name}={value if isinstance(value, str) else json.dumps(value)}'
+        for name, value in field_by_name.items()
+    )
+
+
+def _show_summaries(files: Sequence[str], as_json: bool) -> ExitCode:
+    summaries = summarize_jobs(read_records(files))
+    failed = [
+        one for one in summaries if one.state not in ('whole', 'pending')
+    ]
+    if as_json:
+        for one in summaries:
+            print(json.dumps(_summary_document(one)))
+        return ExitCode.DONE
+    print(f'{len(summaries)} submissions ended, {len(failed)} without answer')
+    print(f'The slowest {min(len(summaries), _MOST_SUMMARIES)}:')
+    print(_summary_table(summaries))
+    print(f'Without answer, the slowest {min(len(failed), _MOST_SUMMARIES)}:')
+    print(_summary_table(failed))
+    return ExitCode.DONE
+
+
+def _summary_document(summary: JobSummary) -> dict[str, Any]:
+    return {
+        'job': summary.job,
+        'state': summary.state,
+        'process': summary.process,
+        'duration_ms': summary.duration_ms,
+    }
+
+
+def _summary_table(summaries: Sequence[JobSummary]) -> str:
+    rows = [
+        (f'{one.duration_ms:.1f}', one.job, one.state, one.process)
+        for one in summaries[:_MOST_SUMMARIES]
+    ]
+    return render_table(('ms', 'job', 'state', 'process'), rows)
--- /dev/null
+++ b/baobabgap/tool/tests/test_tool.py
@@ -0,0 +1,339 @@
+"""Tests of the command line against fake entries."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import redirect_stderr
+from contextlib import redirect_stdout
+from io import StringIO
+import json
+from pathlib import Path
+import socket
+import tempfile
+import threading
+from typing import Any
+import unittest
+
+from baobabgap.api import create_application
+from baobabgap.api.tests.fake_service import failed
+from baobabgap.api.tests.fake_service import FakeService
+from baobabgap.api.tests.fake_service import JOB
+from baobabgap.api.tests.fake_service import WHOLE
+from baobabgap.jobs import FailureCode
+from baobabgap.jobs import JobAnswer
+from baobabgap.jobs import JobSubmission
+from baobabgap.jobs import Ran
+from baobabgap.messages import TicketStatus
+from baobabgap.tool import main
+from baobabgap.web import WebServer
+
+_LARGEST_BODY_BYTES = 1_000_000
+_BUSY = failed(FailureCode.OVERLOADED, Ran.NO, 0.01)
+_NEVER = failed(FailureCode.NEVER_FITS, Ran.NO)
+_LOST = failed(FailureCode.TASK_LOST, Ran.UNKNOWN)
+_UNKNOWN = failed(FailureCode.UNKNOWN_JOB, Ran.NO)
+
+
+class _ScriptedService(FakeService):
+    """Answers submissions by a script, and whole once that has ended."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.script: list[JobAnswer] = []
+
+    def submit(
+        self, submission: JobSubmission, log_action: str
+    ) -> Future[JobAnswer]:
+        """Answer with the next of the script."""
+        future = super().submit(submission, log_action)
+        if not self.script:
+            return future
+        scripted: Future[JobAnswer] = Future()
+        scripted.set_result(self.script.pop(0))
+        return scripted
+
+
+class _ToolTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.pool = ThreadPoolExecutor(8)
+        self.addCleanup(self.pool.shutdown)
+        self.service = _ScriptedService()
+        self.address = self.serve(self.service)
+        self.job = {
+            'identifier': JOB,
+            'team': 'rowing',
+            'deadline_ms': 5000,
+            'tasks': [{'identifier': 't1', 'kind': 'seat'}],
+        }
+
+    def serve(self, service: FakeService) -> str:
+        application = create_application(service, _LARGEST_BODY_BYTES)
+        server = WebServer('127.0.0.1', 0, application, 4, _LARGEST_BODY_BYTES)
+        server.start(self.pool)
+        self.addCleanup(server.stop)
+        return f'127.0.0.1:{server.port}'
+
+    def write(self, name: str, document: Any) -> str:
+        path = self.folder / name
+        text = document if isinstance(document, str) else json.dumps(document)
+        path.write_text(text)
+        return str(path)
+
+    def run_tool(self, *arguments: str) -> tuple[int, str, str]:
+        """Run the tool; return exit code, output and error output."""
+        output, errors = StringIO(), StringIO()
+        with redirect_stdout(output), redirect_stderr(errors):
+            try:
+                code = main(list(arguments))
+            except SystemExit as exit_:
+                code = int(exit_.code or 0)
+        return code, output.getvalue(), errors.getvalue()
+
+    def submit(
+        self, jobs: Any, *options: str, entries: str = ''
+    ) -> tuple[int, list[Any]]:
+        path = self.write('jobs.json', jobs)
+        code, output, _ = self.run_tool(
+            'submit',
+            path,
+            '--json',
+            '--entries',
+            entries or self.address,
+            *options,
+        )
+        return code, [json.loads(line) for line in output.splitlines()]
+
+
+class TestSubmit(_ToolTest):
+    """Jobs are sent until their end is known, and never under a new name."""
+
+    def test_exit_codes(self) -> None:
+        cases: dict[str, tuple[list[JobAnswer], int, str]] = {
+            'whole': ([WHOLE], 0, 'whole'),
+            'busy, then whole': ([_BUSY, WHOLE], 0, 'whole'),
+            'refused for good': ([_NEVER], 4, 'refused'),
+            'failed': ([_LOST], 1, 'failed'),
+            'busy, then failed': ([_BUSY, _LOST], 1, 'failed'),
+        }
+        for name, (script, code, state) in cases.items():
+            with self.subTest(name):
+                self.service.script = list(script)
+                found, lines = self.submit(self.job)
+                self.assertEqual((code, state), (found, lines[0]['state']))
+                self.assertEqual(len(script), lines[0]['attempts'])
+
+    def test_resubmits_the_same_identifier(self) -> None:
+        for _ in range(2):
+            gone = self._vanish()
+            _, lines = self.submit(self.job, entries=f'{gone},{self.address}')
+            self.assertEqual(('whole', 2), _state_and_attempts(lines[0]))
+        sent = {one.identifier for one in self.service.submissions}
+        self.assertEqual({JOB}, sent)
+
+    def test_refusal_after_a_lost_request_settles_nothing(self) -> None:
+        entries = f'{self._vanish()},{self.address}'
+        self.job['deadline_ms'] = 600
+        self.service.script = [_NEVER]
+        self.service.answer = _UNKNOWN
+        code, lines = self.submit(self.job, entries=entries)
+        self.assertEqual((3, 'unknown'), (code, lines[0]['state']))
+        self.service.script = [_NEVER]
+        self.service.answer = WHOLE
+        entries = f'{self._vanish()},{self.address}'
+        code, lines = self.submit(self.job, entries=entries)
+        self.assertEqual((0, 'whole'), (code, lines[0]['state']))
+
+    def test_refusal_after_an_unsent_request_counts(self) -> None:
+        self.service.script = [_NEVER]
+        entries = f'127.0.0.1:{_free_port()},{self.address}'
+        code, lines = self.submit(self.job, entries=entries)
+        self.assertEqual((4, 'refused'), (code, lines[0]['state']))
+
+    def test_unreachable(self) -> None:
+        self.job['deadline_ms'] = 500
+        entries = f'127.0.0.1:{_free_port()}'
+        code, lines = self.submit(self.job, entries=entries)
+        self.assertEqual((3, 'unreachable'), (code, lines[0]['state']))
+        self.assertEqual('no', lines[0]['error']['ran'])
+
+    def test_many_jobs(self) -> None:
+        del self.job['identifier']
+        jobs = [{**self.job, 'client': 'kurek'} for _ in range(40)]
+        self.service.script = [_LOST, _NEVER]
+        code, lines = self.submit(jobs, '--concurrency=4')
+        self.assertEqual((1, 40), (code, len(lines)))
+        sent = {one.identifier for one in self.service.submissions}
+        self.assertEqual(40, len(sent))
+        clients = {one.client for one in self.service.submissions}
+        self.assertEqual({'kurek'}, clients)
+
+    def test_prints_for_people(self) -> None:
+        path = self.write('jobs.jsonl', json.dumps(self.job) + '\n\n')
+        code, output, _ = self.run_tool(
+            'submit', path, '--entries', self.address
+        )
+        self.assertEqual(0, code)
+        self.assertIn('t1  {"seat": 3}', output)
+
+    def test_bad_files(self) -> None:
+        cases: dict[str, tuple[str, str, str]] = {
+            'no task': ('a.yaml', '- {team: a, deadline_ms: 5}', 'job 1'),
+            'broken YAML': ('a.yaml', '{', 'a.yaml'),
+            'broken JSON': ('a.json', '{', 'a.json'),
+            'broken line': ('a.jsonl', '{"a": 1}\n{', 'line 2'),
+            'empty': ('a.json', '[]', 'no jobs'),
+        }
+        for name, (file, text, expected) in cases.items():
+            with self.subTest(name):
+                path = self.write(file, text)
+                code, _, errors = self.run_tool('submit', path)
+                self.assertEqual(2, code)
+                self.assertIn(expected, errors)
+
+    def _vanish(self) -> str:
+        """Serve one connection that is closed once a request is in."""
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+
+        def close_first() -> None:
+            connection, _ = listener.accept()
+            connection.recv(65536)
+            connection.close()
+            listener.close()
+
+        threading.Thread(target=close_first, daemon=True).start()
+        return f'127.0.0.1:{listener.getsockname()[1]}'
+
+
+class TestCommands(_ToolTest):
+    """Each command does what it says, and nothing when mistyped."""
+
+    def test_status_and_cancel(self) -> None:
+        cancelled = failed(FailureCode.CANCELLED, Ran.UNKNOWN)
+        cases: dict[str, tuple[str, JobAnswer | None, int]] = {
+            'whole': ('status', WHOLE, 0),
+            'failed': ('status', _LOST, 1),
+            'unknown': ('status', _UNKNOWN, 4),
+            'pending': ('status', None, 5),
+            'cancelled': ('cancel', cancelled, 0),
+            'too late': ('cancel', WHOLE, 0),
+            'cancelled before': ('status', cancelled, 1),
+        }
+        for name, (command, answer, code) in cases.items():
+            with self.subTest(name):
+                self.service.answer = answer
+                options = ['--wait_ms=1'] if command == 'status' else []
+                found, output, _ = self.run_tool(
+                    command, JOB, '--entries', self.address, *options
+                )
+                self.assertEqual(code, found)
+                self.assertIn(JOB, output)
+
+    def test_ticket(self) -> None:
+        state = {'quota/rowing': {'tasks_per_second': 5}}
+        path = self.write('ticket.json', state)
+        for status, code in (('accepted', 0), ('lost', 4), ('invalid', 4)):
+            with self.subTest(status):
+                self.service.ticket_status = TicketStatus(status)
+                found, output, _ = self._run(
+                    'ticket', 'put', path, '--number=3'
+                )
+                self.assertEqual(code, found)
+                self.assertIn(status, output)
+        self.assertEqual((3, state), self.service.tickets[0])
+        path = self.write('bad.yaml', 'quota/rowing: {tasks: 5}')
+        code, _, errors = self._run('ticket', 'put', path, '--number=4')
+        self.assertEqual(2, code)
+        self.assertIn('quota/rowing.tasks_per_second', errors)
+
+    def test_pages(self) -> None:
+        cases: Sequence[tuple[list[str], str]] = [
+            (['members'], 'topic: members'),
+            (['members', '--json'], '{"topic": "members"}'),
+            (['ticket', 'show'], 'topic: configuration'),
+            (['ticket', 'history'], 'topic: tickets'),
+            (['control'], 'topic: status'),
+        ]
+        for arguments, expected in cases:
+            with self.subTest(arguments):
+                code, output, _ = self._run(*arguments)
+                self.assertEqual((0, expected), (code, output.strip()))
+
+    def test_metrics_and_drain(self) -> None:
+        self.service.metrics.count('baobabgap_jobs_total')
+        code, output, _ = self.run_tool('metrics', self.address)
+        self.assertIn('baobabgap_jobs_total 1', output)
+        code, output, _ = self.run_tool('drain', self.address)
+        self.assertEqual(0, code)
+        self.assertFalse(self.service.accepting)
+
+    def test_check_config(self) -> None:
+        good = self.write('good.yaml', 'role: stand-in\nname: upstream-1\n')
+        bad = self.write('bad.yaml', 'role: stand-in\nname: a\nnmae: b\n')
+        code, output, _ = self.run_tool('check-config', good)
+        self.assertEqual(0, code)
+        self.assertIn('stand-in upstream-1', output)
+        code, _, errors = self.run_tool('check-config', good, bad)
+        self.assertEqual(2, code)
+        self.assertIn('nmae', errors)
+
+    def test_wrong_usage_does_nothing(self) -> None:
+        cases: dict[str, list[str]] = {
+            'no command': [],
+            'unknown command': ['frobnicate'],
+            'unknown option': ['drain', self.address, '--entri', 'x'],
+            'left over': ['drain', self.address, 'x'],
+            'two to drain': ['drain', f'{self.address},{self.address}'],
+            'no port': ['drain', 'localhost'],
+            'no number': ['ticket', 'put', 'file'],
+            'no whole number': ['ticket', 'put', 'file', '--number=1.5'],
+            'bad job': ['status', '17.5', '--entries', self.address],
+            'flag with value': ['members', '--json', 'maybe'],
+        }
+        for name, arguments in cases.items():
+            with self.subTest(name):
+                self.assertEqual(2, self.run_tool(*arguments)[0])
+                self.assertTrue(self.service.accepting)
+
+    def test_timeline(self) -> None:
+        common = {'process': 'entry-1', 'role': 'entry', 'task_uuid': 'u'}
+        lines = [
+            {
+                **common,
+                'timestamp': 10.0 + number / 100,
+                'task_level': [number],
+                'action_type': 'job',
+                'action_status': status,
+                **fields,
+            }
+            for number, status, fields in (
+                (1, 'started', {'job': JOB}),
+                (2, 'succeeded', {'state': 'deadline'}),
+            )
+        ]
+        path = self.write('log', '\n'.join(map(json.dumps, lines)))
+        checks: dict[str, Callable[[str], None]] = {
+            JOB: lambda text: self.assertIn('10.000', text),
+            path: lambda text: self.assertIn('1 without answer', text),
+        }
+        for first, check in checks.items():
+            code, output, _ = self.run_tool('timeline', first, path)
+            self.assertEqual(0, code)
+            check(output)
+        self.assertEqual(2, self.run_tool('timeline', 'kurek.1.b', path)[0])
+
+    def _run(self, *arguments: str) -> tuple[int, str, str]:
+        return self.run_tool(*arguments, '--entries', self.address)
+
+
+def _state_and_attempts(line: dict[str, Any]) -> tuple[str, int]:
+    return line['state'], line['attempts']
+
+
+def _free_port() -> int:
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        return int(listener.getsockname()[1])
--- a/baobabgap/web/_client.py
+++ b/baobabgap/web/_client.py
@@ -33,12 +33,15 @@
     """One kept-alive HTTP client; use it from one thread at a time.
 
     The timeout of a request is in seconds. A request that got no whole
-    response raises `ConnectionLost`; `sent` on the error can't be known.
+    response raises `ConnectionLost`. Its step is `connect` if nothing was
+    sent for sure, else `request`.
     """
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._curl = pycurl.Curl()
+        # Whether the next request may begin on a kept connection.
+        self._is_kept = False
 
     def close(self) -> None:
         """Close the connection."""
@@ -76,12 +79,21 @@
         try:
             curl.perform()
         except pycurl.error as error:
-            raise ConnectionLost(
-                str(error.args[-1]), step='request', peer=self._address
-            ) from error
+            raise self._connection_lost(error) from error
+        self._is_kept = True
         status = int(curl.getinfo(pycurl.RESPONSE_CODE))
         return WebResponse(status, header_by_name, body.getvalue())
 
+    def _connection_lost(self, error: pycurl.error) -> ConnectionLost:
+        # A kept connection that dies is replaced by curl without a word,
+        # so that a failure to connect may come after a first sending.
+        unsent = error.args[0] == pycurl.E_COULDNT_CONNECT
+        step = 'connect' if unsent and not self._is_kept else 'request'
+        self._is_kept = False
+        return ConnectionLost(
+            str(error.args[-1]), step=step, peer=self._address
+        )
+
 
 def _add_header(header_by_name: dict[str, str], line: bytes) -> None:
     name, separator, value = line.decode('latin-1').partition(':')
