--- a/baobabgap/tool/_submitting.py
+++ b/baobabgap/tool/_submitting.py
@@ -90,7 +90,9 @@
         self._job = document
         self._identifier = str(document['identifier'])
         self._started_s = time.monotonic()
-        self._deadline_s = self._started_s + document['deadline_ms'] / 1000
+        self._deadline_s = (
+            self._started_s + int(document['deadline_ms']) / 1000
+        )
         self._attempts = 0
         # Set once a request was lost that an entry may have taken.
         self._may_run = False
