Keep threads of an entry free for the balancer's check

A request that waits for a job holds a thread; with as many of them as threads, /health waited too, and the balancer would have taken a busy entry for a dead one. An eighth of http_threads is now kept free.

--- a/baobabgap/api/_application.py
+++ b/baobabgap/api/_application.py
@@ -42,6 +42,9 @@
 _LONGEST_FETCH_WAIT_MS: Final = 600_000
 _CONTROL_WAIT_S: Final = 10.0
 _BUSY_RETRY_S: Final = 1.0
+# How long a request may hold a thread once too many are waiting.
+_BUSY_WAIT_S: Final = 0.25
+_UNKNOWN_JOB: Final = FailureCode.UNKNOWN_JOB
 _CONTROL_TOPICS: Final = ('members', 'tickets', 'configuration', 'status')
 
 _ROUTES: Final = Map(
@@ -173,13 +176,14 @@
         return answer_response(answer)
 
     def _fetch(self, request: Request, identifier: str) -> Response:
-        wait_ms = _read_wait_ms(request)
-        if not self._enter():
-            return self._refuse_busy(identifier)
+        wait_s = _read_wait_ms(request) / 1000
+        is_free = self._enter()
         try:
-            answer = _wait(self._service.fetch(identifier), wait_ms / 1000)
+            wait_s = wait_s if is_free else min(wait_s, _BUSY_WAIT_S)
+            answer = _wait(self._service.fetch(identifier), wait_s)
         finally:
-            self._leave()
+            if is_free:
+                self._leave()
         if answer is None:
             return pending_response(identifier)
         return answer_response(answer)
@@ -234,13 +238,18 @@
             self._waiting -= 1
 
     def _refuse_busy(self, identifier: str) -> Response:
+        """Refuse a job unless it is known from an earlier request."""
         self._service.metrics.count('baobabgap_http_busy_total')
+        known = _wait(self._service.fetch(identifier), _BUSY_WAIT_S)
+        is_new = known is not None and _code_of(known) is _UNKNOWN_JOB
+        if known is not None and not is_new:
+            return answer_response(known)
         failure = JobFailure(
             FailureCode.OVERLOADED,
             f'{self._most_waiting} requests are waiting here already',
             'request',
             '',
-            Ran.NO,
+            Ran.NO if is_new else Ran.UNKNOWN,
             _BUSY_RETRY_S,
         )
         return failure_response(identifier, failure, 503)
@@ -258,7 +267,12 @@
     """Name the end of a job for the log."""
     if answer is None:
         return 'pending'
-    return answer.failure.code.value if answer.failure else 'whole'
+    code = _code_of(answer)
+    return 'whole' if code is None else code.value
+
+
+def _code_of(answer: JobAnswer) -> FailureCode | None:
+    return None if answer.failure is None else answer.failure.code
 
 
 def _read_wait_ms(request: Request) -> int:
--- a/baobabgap/entry/_entry.py
+++ b/baobabgap/entry/_entry.py
@@ -105,7 +105,9 @@
         self._web = WebServer(
             settings.listen.host,
             settings.listen.http_port,
-            create_application(self, own.largest_body_bytes),
+            create_application(
+                self, own.largest_body_bytes, own.waiting_requests
+            ),
             own.http_threads,
             own.largest_body_bytes,
         )
--- a/baobabgap/settings/_entry.py
+++ b/baobabgap/settings/_entry.py
@@ -13,7 +13,8 @@
 
     __pydantic_config__ = ConfigDict(extra='forbid')
 
-    # Requests that may wait for their answer at once.
+    # Threads that serve HTTP. An eighth of them is kept for the balancer,
+    # cancels and operators; on each other one a request may wait.
     http_threads: Annotated[int, Field(ge=4, le=4096)] = 256
     # The largest accepted request body, in bytes.
     largest_body_bytes: Annotated[int, Field(ge=1024)] = 8 * 1024 * 1024
@@ -35,3 +36,8 @@
     # Seconds for which a slow upstream is avoided before one task tries
     # it again; doubles with each failed try.
     suspension_s: Annotated[float, Field(gt=0, le=600)] = 5.0
+
+    @property
+    def waiting_requests(self) -> int:
+        """How many requests may wait for the answer of a job at once."""
+        return self.http_threads - max(1, self.http_threads // 8)
--- a/baobabgap/tool/_commands.py
+++ b/baobabgap/tool/_commands.py
@@ -31,9 +31,7 @@
 Action = Callable[[], ExitCode]
 
 _ENTRIES_VARIABLE: Final = 'BAOBABGAP_ENTRIES'
-DEFAULT_ENTRIES: Final = os.environ.get(
-    _ENTRIES_VARIABLE, '127.0.0.1:17081,127.0.0.1:17082'
-)
+DEFAULT_ENTRIES: Final = os.environ.get(_ENTRIES_VARIABLE, '127.0.0.1:8080')
 
 Command = TypeVar('Command', bound=Callable[..., None])
 
