--- a/baobabgap/tool/_job_actions.py
+++ b/baobabgap/tool/_job_actions.py
@@ -49,7 +49,7 @@
     client = EntryClient.from_text(entries)
     response = client.request(method, path, timeout_s=timeout_s)
     client.close()
-    report = JobReport.from_document(document_of(response), 1, 0.0)
+    report = JobReport.from_document(document_of(response), 0, 0.0)
     _print(report, as_json)
     if method == 'DELETE' and _is_cancelled(report):
         return ExitCode.DONE
@@ -65,11 +65,10 @@
 
 def _print(report: JobReport, as_json: bool) -> None:
     if as_json:
-        line = {
-            **report.document,
-            'attempts': report.attempts,
-            'took_ms': round(report.took_ms, 1),
-        }
+        line = dict(report.document)
+        if report.attempts > 0:
+            line['attempts'] = report.attempts
+            line['took_ms'] = round(report.took_ms, 1)
         print(json.dumps(line), flush=True)
     else:
         print(render_job(report), flush=True)
--- a/baobabgap/tool/_operator_actions.py
+++ b/baobabgap/tool/_operator_actions.py
@@ -115,10 +115,14 @@
         print(json.dumps(outcome))
     else:
         print(f'ticket {number}')
-        print(render_page(outcome))
+        print(render_page(_without_nothing(outcome)))
     return ExitCode.DONE if accepted else ExitCode.REFUSED
 
 
+def _without_nothing(document: dict[str, Any]) -> dict[str, Any]:
+    return {key: value for key, value in document.items() if value is not None}
+
+
 def _is_accepting(client: EntryClient) -> bool:
     try:
         response = client.send('GET', '/health', None, timeout_s=5.0)
--- a/baobabgap/tool/_tables.py
+++ b/baobabgap/tool/_tables.py
@@ -11,9 +11,16 @@
 _MOST_TASKS_SHOWN: Final = 8
 
 
-def render_table(headers: Sequence[str], rows: Sequence[Sequence[Any]]) -> str:
-    """Align columns under their headers."""
-    lines = [list(headers), *([_cell(value) for value in row] for row in rows)]
+def render_table(
+    headers: Sequence[str],
+    rows: Sequence[Sequence[Any]],
+    longest_cell: int = _LONGEST_CELL,
+) -> str:
+    """Align columns under their headers; longer cells are cut."""
+    lines = [
+        list(headers),
+        *([_cell(value, longest_cell) for value in row] for row in rows),
+    ]
     widths = [
         max(len(line[column]) for line in lines)
         for column in range(len(headers))
@@ -28,12 +35,15 @@
 
 def render_job(report: JobReport) -> str:
     """Show one job: its end, and each value or the failure."""
-    took = f'{report.took_ms:.0f} ms'
-    again = f', sent {report.attempts} times' if report.attempts > 1 else ''
-    lines = [f'{report.identifier}  {report.state}  {took}{again}']
+    head = f'{report.identifier}  {report.state}'
+    if report.attempts > 0:
+        head += f'  {report.took_ms:.0f} ms'
+    if report.attempts > 1:
+        head += f', sent {report.attempts} times'
+    lines = [head]
     results = report.document.get('results', [])
     lines.extend(
-        f'  {result["task"]}  {_cell(result["value"])}'
+        f'  {result["task"]}  {json.dumps(result["value"])}'
         for result in results[:_MOST_TASKS_SHOWN]
     )
     if len(results) > _MOST_TASKS_SHOWN:
@@ -66,6 +76,9 @@
         if isinstance(value, list) and value and isinstance(value[0], dict):
             lines.append(f'{key}:')
             lines.append(_render_list(value))
+        elif isinstance(value, dict) and value:
+            inner = render_page(value).splitlines()
+            lines.extend([f'{key}:', *(f'  {line}' for line in inner)])
         else:
             lines.append(f'{key}: {_cell(value)}')
     return '\n'.join(lines)
@@ -81,8 +94,10 @@
     return render_table(headers, rows)
 
 
-def _cell(value: Any) -> str:
+def _cell(value: Any, longest: int = _LONGEST_CELL) -> str:
+    if value is None:
+        return '-'
     text = value if isinstance(value, str) else json.dumps(value)
-    if len(text) > _LONGEST_CELL:
-        return text[: _LONGEST_CELL - 3] + '...'
+    if len(text) > longest:
+        return text[: longest - 3] + '...'
     return text
--- a/baobabgap/tool/_timeline_action.py
+++ b/baobabgap/tool/_timeline_action.py
@@ -17,6 +17,7 @@
 from baobabgap.tool._tables import render_table
 
 _MOST_SUMMARIES: Final = 10
+_LONGEST_FIELDS: Final = 400
 # A pending submission was answered too: its client comes back for it.
 _ANSWERED: Final = ('whole', 'pending')
 
@@ -73,7 +74,8 @@
         for event in timeline.events
     ]
     print(f'{job}: {len(rows)} events')
-    print(render_table(('ms', 'process', 'role', 'event', 'fields'), rows))
+    headers = ('ms', 'process', 'role', 'event', 'fields')
+    print(render_table(headers, rows, _LONGEST_FIELDS))
     print(_clock_note(timeline))
     return ExitCode.DONE
 
