Add make demo, examples and settings of separate processes

tools/demo.py starts a standalone daemon on a free port, puts the example ticket, submits the example jobs, prints every answer and one job's time line, and stops the daemon by SIGTERM.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,9 @@
 		--editable '.[development]'
 	touch $(VENV)/ready
 
+demo: $(VENV)/ready
+	$(PYTHON) -m tools.demo
+
 lint: $(VENV)/ready
 	$(PYTHON) -m ruff format --check baobabgap tools
 	$(PYTHON) -m ruff check baobabgap tools
--- a/baobabgap/telemetry/_logs.py
+++ b/baobabgap/telemetry/_logs.py
@@ -1,5 +1,6 @@
 """Structured logs: one JSON line per event, written by eliot."""
 
+from pathlib import Path
 import sys
 from typing import Any
 
@@ -17,6 +18,7 @@
     """
     add_global_fields(process=process, role=role)
     if log_file:
+        Path(log_file).parent.mkdir(parents=True, exist_ok=True)
         stream: Any = open(log_file, 'ab', buffering=0)
     else:
         stream = sys.stderr
