Say what is allowed when settings are wrong

Unknown keys list the allowed ones and the nearest, wrong values name their unit; a key that stands twice, a host given by name, a control host that listens elsewhere than listed, a stand-in without an agent and too short silences stop the start. PyYAML kept the last of two equal keys without a word; tickets and jobs are read as strictly now.

--- a/baobabgap/settings/__init__.py
+++ b/baobabgap/settings/__init__.py
@@ -12,6 +12,7 @@
 from baobabgap.settings._model import Role
 from baobabgap.settings._model import Settings
 from baobabgap.settings._standin import StandInSettings
+from baobabgap.settings._yaml import read_yaml
 
 __all__ = [
     'AgentSettings',
@@ -25,5 +26,6 @@
     'Settings',
     'StandInSettings',
     'load_settings',
+    'read_yaml',
     'settings_from_document',
 ]
--- a/baobabgap/settings/_load.py
+++ b/baobabgap/settings/_load.py
@@ -6,11 +6,14 @@
 
 from pydantic import TypeAdapter
 from pydantic import ValidationError
-import yaml
 
 from baobabgap._exceptions import SettingsError
+from baobabgap.settings._explain import explain
 from baobabgap.settings._model import Role
 from baobabgap.settings._model import Settings
+from baobabgap.settings._yaml import read_yaml
+
+_MOST_CONTROL_HOSTS: Final = 7
 
 _SETTINGS: Final = TypeAdapter(Settings)
 
@@ -23,8 +26,8 @@
     """
     try:
         text = Path(path).read_text(encoding='utf-8')
-        document = yaml.safe_load(text)
-    except (OSError, UnicodeError, yaml.YAMLError) as error:
+        document = read_yaml(text)
+    except (OSError, ValueError) as error:
         raise SettingsError(f'{path}: {error}', step='settings') from error
     return settings_from_document(document, source=str(path))
 
@@ -35,7 +38,7 @@
         settings = _SETTINGS.validate_python(document)
     except ValidationError as error:
         raise SettingsError(
-            f'{source}: {_explain(error)}', step='settings'
+            f'{source}: {explain(error, Settings)}', step='settings'
         ) from error
     problem = _find_contradiction(settings)
     if problem:
@@ -43,33 +46,95 @@
     return settings
 
 
-def _explain(error: ValidationError) -> str:
-    reasons = []
-    for detail in error.errors(include_url=False):
-        key = '.'.join(str(part) for part in detail['loc']) or 'file'
-        reasons.append(f'{key}: {detail["msg"]} (got {detail["input"]!r})')
-    return '; '.join(reasons)
-
-
 def _find_contradiction(settings: Settings) -> str:
     """Return what can't hold together, or an empty text."""
-    links = settings.links
-    if links.silence_s < 2 * links.heartbeat_s:
+    checks = (
+        _check_timing,
+        _check_ports,
+        _check_control_hosts,
+        _check_upstream,
+    )
+    for check in checks:
+        problem = check(settings)
+        if problem:
+            return problem
+    return ''
+
+
+def _check_timing(settings: Settings) -> str:
+    """A silence must span two signs of life, or one late one ends it."""
+    links, agent, control = settings.links, settings.agent, settings.control
+    pairs = (
+        ('links.silence_s', links.silence_s, links.heartbeat_s),
+        (
+            'agent.upstream_silence_s',
+            agent.upstream_silence_s,
+            agent.upstream_check_s,
+        ),
+        (
+            'control.member_silence_s',
+            control.member_silence_s,
+            control.member_heartbeat_s,
+        ),
+    )
+    for key, silence_s, sign_s in pairs:
+        if silence_s < 2 * sign_s:
+            return (
+                f'{key}: must be at least twice the time between signs of '
+                f'life, so {2 * sign_s} or more (got {silence_s})'
+            )
+    return ''
+
+
+def _check_ports(settings: Settings) -> str:
+    listen = settings.listen
+    if listen.internal_port and listen.internal_port == listen.http_port:
         return (
-            'links.silence_s: must be at least twice links.heartbeat_s, '
-            f'so {2 * links.heartbeat_s} or more (got {links.silence_s})'
+            'listen.http_port: must differ from listen.internal_port '
+            f'(both are {listen.http_port})'
         )
-    names = [host.name for host in settings.control_hosts]
+    return ''
+
+
+def _check_control_hosts(settings: Settings) -> str:
+    hosts = settings.control_hosts
+    names = [host.name for host in hosts]
+    addresses = [host.address for host in hosts]
     if len(set(names)) != len(names):
         return 'control_hosts: each host needs a name of its own'
+    if len(set(addresses)) != len(addresses):
+        return 'control_hosts: each host needs an address of its own'
+    if len(names) > _MOST_CONTROL_HOSTS:
+        return f'control_hosts: at most {_MOST_CONTROL_HOSTS}'
     needs_control = settings.role in (Role.ENTRY, Role.AGENT, Role.CONTROL)
     if needs_control and not names:
         return f'control_hosts: the role {settings.role} needs at least one'
-    if settings.role is Role.CONTROL and settings.name not in names:
+    if settings.role is Role.CONTROL:
+        return _check_own_control_host(settings)
+    return ''
+
+
+def _check_own_control_host(settings: Settings) -> str:
+    """A control host must listen where the others look for it."""
+    names = [host.name for host in settings.control_hosts]
+    if settings.name not in names:
         return (
             f'control_hosts: must list this host, {settings.name!r} '
             f'(got {", ".join(names)})'
         )
-    if len(names) > 7:
-        return f'control_hosts: at most 7 (got {len(names)})'
+    own = settings.control_hosts[names.index(settings.name)]
+    if own.port != settings.listen.internal_port:
+        return (
+            f'listen.internal_port: must be {own.port} as in control_hosts '
+            f'(got {settings.listen.internal_port})'
+        )
+    return ''
+
+
+def _check_upstream(settings: Settings) -> str:
+    if settings.role is Role.STAND_IN and not settings.stand_in.agent_address:
+        return (
+            'stand_in.agent_address: is missing; it is the host:port at '
+            "which the upstream's agent listens for HTTP"
+        )
     return ''
--- a/baobabgap/settings/_model.py
+++ b/baobabgap/settings/_model.py
@@ -2,9 +2,11 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from ipaddress import IPv4Address
 from typing import Annotated
 from typing import Final
 
+from pydantic import AfterValidator
 from pydantic import ConfigDict
 from pydantic import Field
 
@@ -16,6 +18,18 @@
 STRICT: Final = ConfigDict(extra='forbid')
 
 Port = Annotated[int, Field(ge=0, le=65535)]
+
+
+def _require_ip_number(text: str) -> str:
+    """Refuse names: processes find each other without a name service."""
+    try:
+        IPv4Address(text)
+    except ValueError as error:
+        raise ValueError('must be an IPv4 number') from error
+    return text
+
+
+IpNumber = Annotated[str, AfterValidator(_require_ip_number)]
 Name = Annotated[str, Field(pattern=r'^[a-z][a-z0-9-]{0,39}$')]
 
 
@@ -48,8 +62,7 @@
 
     __pydantic_config__ = STRICT
 
-    # An IP number.
-    host: str = '127.0.0.1'
+    host: IpNumber = '127.0.0.1'
     # For links between the system's processes.
     internal_port: Port = 0
     # For callers, upstreams, the balancer and operators.
@@ -63,7 +76,7 @@
     __pydantic_config__ = STRICT
 
     name: Name
-    host: str
+    host: IpNumber
     port: Port
 
     @property
--- a/baobabgap/tool/_jobs_file.py
+++ b/baobabgap/tool/_jobs_file.py
@@ -7,10 +7,9 @@
 from typing import Any
 from typing import Final
 
-import yaml
-
 from baobabgap._exceptions import InvalidInput
 from baobabgap.jobs import JobSubmission
+from baobabgap.settings import read_yaml
 
 _JSON_LINES_SUFFIXES: Final = ('.jsonl', '.ndjson')
 _NONCE_BYTES: Final = 6
@@ -23,8 +22,8 @@
     try:
         if path.endswith('.json'):
             return json.loads(text)
-        return yaml.safe_load(text)
-    except (ValueError, RecursionError, yaml.YAMLError) as error:
+        return read_yaml(text)
+    except (ValueError, RecursionError) as error:
         raise InvalidInput(f'{path}: {error}', step='read') from error
 
 
--- a/baobabgap/tool/_submitting.py
+++ b/baobabgap/tool/_submitting.py
@@ -94,6 +94,7 @@
             self._started_s + int(document['deadline_ms']) / 1000
         )
         self._attempts = 0
+        self._draining = 0
         # Set once a request was lost that an entry may have taken.
         self._may_run = False
         self._last: dict[str, Any] = {}
@@ -133,7 +134,7 @@
             return self._look_up()
         if report.state is JobState.REFUSED and self._can_wait(response):
             self._client.use_next_entry()
-            self._pause(_retry_after_s(response))
+            self._pause(self._pause_after(response, document))
             return None
         return report
 
@@ -192,6 +193,21 @@
         pause_s = _retry_after_s(response)
         return 0 < pause_s < self._left_s()
 
+    def _pause_after(
+        self, response: WebResponse, document: dict[str, Any]
+    ) -> float:
+        """Return how long to wait before the next entry is asked.
+
+        Draining concerns that entry alone, so the others may be asked at
+        once; after a round of draining entries the pause is due.
+        """
+        if document.get('error', {}).get('code') != 'draining':
+            return _retry_after_s(response)
+        self._draining += 1
+        if self._draining % self._client.entry_count:
+            return 0.0
+        return _retry_after_s(response)
+
     def _left_s(self) -> float:
         return self._deadline_s - time.monotonic()
 
--- a/baobabgap/tool/tests/test_tool.py
+++ b/baobabgap/tool/tests/test_tool.py
@@ -29,6 +29,12 @@
 from baobabgap.web import WebServer
 
 _LARGEST_BODY_BYTES = 1_000_000
+_GOOD = """
+role: stand-in
+name: upstream-1
+stand_in: {agent_address: '127.0.0.1:17031'}
+"""
+_DRAINING = failed(FailureCode.DRAINING, Ran.NO, 60.0)
 _BUSY = failed(FailureCode.OVERLOADED, Ran.NO, 0.01)
 _NEVER = failed(FailureCode.NEVER_FITS, Ran.NO)
 _LOST = failed(FailureCode.TASK_LOST, Ran.UNKNOWN)
@@ -153,6 +159,15 @@
         code, lines = self.submit(self.job, entries=entries)
         self.assertEqual((4, 'refused'), (code, lines[0]['state']))
 
+    def test_draining_entry_is_left_at_once(self) -> None:
+        other = _ScriptedService()
+        other.script = [_DRAINING]
+        self.job['deadline_ms'] = 90_000
+        entries = f'{self.serve(other)},{self.address}'
+        code, lines = self.submit(self.job, entries=entries)
+        self.assertEqual((0, 2), (code, lines[0]['attempts']))
+        self.assertLess(lines[0]['took_ms'], 30_000)
+
     def test_unreachable(self) -> None:
         self.job['deadline_ms'] = 500
         entries = f'127.0.0.1:{_free_port()}'
@@ -272,8 +287,8 @@
         self.assertFalse(self.service.accepting)
 
     def test_check_config(self) -> None:
-        good = self.write('good.yaml', 'role: stand-in\nname: upstream-1\n')
-        bad = self.write('bad.yaml', 'role: stand-in\nname: a\nnmae: b\n')
+        good = self.write('good.yaml', _GOOD)
+        bad = self.write('bad.yaml', _GOOD + 'nmae: b\n')
         code, output, _ = self.run_tool('check-config', good)
         self.assertEqual(0, code)
         self.assertIn('stand-in upstream-1', output)
