Resubmit after a failure that may pass, under the same identifier

A job whose claim could not be made answers control_unavailable with an unknown outcome; the tool gave up on it, though a resubmission joins the job if it runs. test_exit_codes covers it ('unclaimed, then whole').

--- a/baobabgap/tool/_submitting.py
+++ b/baobabgap/tool/_submitting.py
@@ -132,7 +132,9 @@
         report = self._report(document)
         if report.state is JobState.PENDING:
             return self._look_up()
-        if report.state is JobState.REFUSED and self._can_wait(response):
+        if report.state is not JobState.WHOLE and self._can_wait(response):
+            # Only a refusal is sure that nothing runs.
+            self._may_run |= report.state is not JobState.REFUSED
             self._client.use_next_entry()
             self._pause(self._pause_after(response, document))
             return None
--- a/baobabgap/tool/tests/test_tool.py
+++ b/baobabgap/tool/tests/test_tool.py
@@ -37,6 +37,7 @@
 _DRAINING = failed(FailureCode.DRAINING, Ran.NO, 60.0)
 _BUSY = failed(FailureCode.OVERLOADED, Ran.NO, 0.01)
 _NEVER = failed(FailureCode.NEVER_FITS, Ran.NO)
+_NO_CONTROL = failed(FailureCode.CONTROL_UNAVAILABLE, Ran.UNKNOWN, 0.01)
 _LOST = failed(FailureCode.TASK_LOST, Ran.UNKNOWN)
 _UNKNOWN = failed(FailureCode.UNKNOWN_JOB, Ran.NO)
 
@@ -121,6 +122,7 @@
         cases: dict[str, tuple[list[JobAnswer], int, str]] = {
             'whole': ([WHOLE], 0, 'whole'),
             'busy, then whole': ([_BUSY, WHOLE], 0, 'whole'),
+            'unclaimed, then whole': ([_NO_CONTROL, WHOLE], 0, 'whole'),
             'refused for good': ([_NEVER], 4, 'refused'),
             'failed': ([_LOST], 1, 'failed'),
             'busy, then failed': ([_BUSY, _LOST], 1, 'failed'),
