--- a/baobabgap/tool/_operator_actions.py
+++ b/baobabgap/tool/_operator_actions.py
@@ -41,15 +41,22 @@
     ticket = {'number': number, 'state': state}
     client = EntryClient.from_text(entries)
     for _ in range(_TICKET_ATTEMPTS):
-        response = client.request('POST', '/v1/tickets', ticket)
-        document = document_of(response)
-        if 'status' in document:
-            return _print_outcome(document, number, as_json)
-        if response.status < 500:
-            break
+        try:
+            response = client.request('POST', '/v1/tickets', ticket)
+            document = document_of(response)
+        except (ConnectionLost, ToolError) as error:
+            problem = ToolError(
+                str(error), ExitCode.UNREACHABLE, step='ticket'
+            )
+        else:
+            if 'status' in document:
+                return _print_outcome(document, number, as_json)
+            problem = _unanswered(response)
+            if response.status < 500:
+                break
         client.use_next_entry()
         time.sleep(_TICKET_PAUSE_S)
-    raise _unanswered(response)
+    raise problem
 
 
 def show_page(topic: str, entries: str, as_json: bool) -> ExitCode:
