--- a/baobabgap/agent/tests/relay.py
+++ b/baobabgap/agent/tests/relay.py
@@ -1,6 +1,7 @@
 """A TCP relay that can lose track of the connections that it carries."""
 
 from concurrent.futures import ThreadPoolExecutor
+import contextlib
 import socket
 
 
@@ -45,11 +46,11 @@
 
     def close(self) -> None:
         """Close the port and all connections."""
-        self._listener.close()
+        _end(self._listener)
         for pair in self._pairs:
-            pair.near.close()
-            pair.far.close()
-        self._pool.shutdown(wait=False)
+            _end(pair.near)
+            _end(pair.far)
+        self._pool.shutdown(wait=True)
 
     def _accept(self) -> None:
         while True:
@@ -70,3 +71,10 @@
         while data := pair.far.recv(65536):
             if not pair.mutes_replies:
                 pair.near.sendall(data)
+
+
+def _end(closing: socket.socket) -> None:
+    """Close a socket, and wake the thread that waits for it."""
+    with contextlib.suppress(OSError):
+        closing.shutdown(socket.SHUT_RDWR)
+    closing.close()
