--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -8,6 +8,7 @@
 import uuid
 
 from baobabgap._exceptions import BaobabgapError
+from baobabgap._exceptions import ProtocolMismatch
 from baobabgap.agent._announcement import Announcement
 from baobabgap.agent._application import AgentApplication
 from baobabgap.agent._batch_log import BatchLog
@@ -215,6 +216,12 @@
 
     def _serve_entry(self, connection: Connection) -> None:
         """Handle one link to an entry until it is lost."""
+        if connection.peer.role != 'entry':
+            raise ProtocolMismatch(
+                f'{connection.peer.role} in place of an entry',
+                step='hello',
+                peer=connection.peer.name,
+            )
         scheduler = self._scheduler
         scheduler.open_link(connection)
         try:
@@ -235,10 +242,20 @@
 
     def _tick_loop(self) -> None:
         while not self._is_stopped.wait(_TICK_S):
-            self._refresh_offer()
-            self._scheduler.tick()
-            if self.directory.wants_load_reports:
-                self._scheduler.report_load()
+            try:
+                self._tick()
+            except Exception as error:
+                # Without this task nothing would ever be due again.
+                log_event('agent:tick_failed', why=repr(error))
+
+    def _tick(self) -> None:
+        if self._control.is_superseded:
+            # Another process has this agent's name: it serves now.
+            self._stop_dialers()
+        self._refresh_offer()
+        self._scheduler.tick()
+        if self.directory.wants_load_reports:
+            self._scheduler.report_load()
 
     def _note_link_error(self, address: str, error: BaobabgapError) -> None:
         if not self._is_stopping.is_set():
--- a/baobabgap/agent/_monitor.py
+++ b/baobabgap/agent/_monitor.py
@@ -78,14 +78,25 @@
         """Adopt, renew and check until `stop`."""
         while not self._stopping.is_set():
             pause_s = self._settings.upstream_check_s
-            client = self._runner.client
-            if client is not None and self._is_adopted:
-                self._renew(client)
-            elif client is not None and not self._adopt(client):
-                pause_s = _ADOPTION_PAUSE_S
+            try:
+                if not self._check():
+                    pause_s = _ADOPTION_PAUSE_S
+            except Exception as error:
+                # Without this task no lease would ever be renewed again.
+                log_event('agent:check_failed', why=repr(error))
             self._wake.wait(pause_s)
             self._wake.clear()
 
+    def _check(self) -> bool:
+        """Renew or adopt; False if an adoption must be tried again soon."""
+        client = self._runner.client
+        if client is None:
+            return True
+        if not self._is_adopted:
+            return self._adopt(client)
+        self._renew(client)
+        return True
+
     def stop(self) -> None:
         """End `watch`."""
         self._stopping.set()
@@ -137,10 +148,10 @@
         if report.incarnation != client.incarnation:
             self._health.note_failed_check()
             return
-        self._health.note_good_check(now)
         if self._given_up:
-            self._runner.stop_leases(self._given_up)
+            self._runner.stop_leases_now(self._given_up)
             self._given_up = []
+        self._health.note_good_check(now)
         self._follow(client, records, report)
 
     def _note_failed_check(self, error: BaobabgapError) -> None:
@@ -162,7 +173,9 @@
         """Bring tasks to their end whose own request was lost."""
         record_by_lease = {record.lease: record for record in records}
         for ended in report.ended:
-            record = record_by_lease[ended.lease]
+            record = record_by_lease.get(ended.lease)
+            if record is None:
+                continue
             if record.adrift or record.seen_ended:
                 self._runner.end(record, ended)
             record.seen_ended = True
@@ -170,8 +183,11 @@
         strayed = [
             lease
             for lease in report.unknown
-            if record_by_lease[lease].adrift
-            or record_by_lease[lease].started_at < long_ago
+            if lease in record_by_lease
+            and (
+                record_by_lease[lease].adrift
+                or record_by_lease[lease].started_at < long_ago
+            )
         ]
         if strayed:
             self._revoke(client, strayed, record_by_lease)
@@ -188,4 +204,5 @@
         except BaobabgapError:
             return
         for report in reports:
-            self._runner.end(record_by_lease[report.lease], report)
+            if report.lease in record_by_lease:
+                self._runner.end(record_by_lease[report.lease], report)
--- a/baobabgap/agent/_runner.py
+++ b/baobabgap/agent/_runner.py
@@ -62,7 +62,7 @@
 
     def stop_leases(self, leases: list[str]) -> None:
         """Stop tasks in a thread of the pool."""
-        self._pool.submit(self._stop_leases, leases)
+        self._pool.submit(self.stop_leases_now, leases)
 
     def stop(self) -> None:
         """Give up all requests within about a second."""
@@ -92,11 +92,18 @@
             self._settings.lease_s,
         )
         left_s = max(0.0, record.deadline - time.monotonic())
-        answer = client.start(
-            request,
-            left_s + _REQUEST_AFTER_DEADLINE_S,
-            lambda: record.state is TaskState.ENDED or self._stopping.is_set(),
-        )
+        try:
+            answer = client.start(
+                request,
+                left_s + _REQUEST_AFTER_DEADLINE_S,
+                lambda: (
+                    record.state is TaskState.ENDED or self._stopping.is_set()
+                ),
+            )
+        except (TypeError, ValueError) as error:
+            reason = f'the payload is no JSON: {error}'
+            self._scheduler.end(record, TaskOutcome.FAILED, reason)
+            return
         match answer:
             case LeaseReport() as report:
                 self.end(record, report)
@@ -116,7 +123,8 @@
         self._refresh_offer()
         self._scheduler.end(record, TaskOutcome.NOT_STARTED, reason)
 
-    def _stop_leases(self, leases: list[str]) -> None:
+    def stop_leases_now(self, leases: list[str]) -> None:
+        """Stop tasks; their ends arrive as of any other task."""
         client = self.client
         if client is None:
             return
--- a/baobabgap/agent/_upstream.py
+++ b/baobabgap/agent/_upstream.py
@@ -68,6 +68,8 @@
             if response.status in _REFUSED_STATUSES:
                 return StartRefused(_error_of(response))
             report: LeaseReport = self._read(_REPORT, response)
+            if report.lease != request.lease or report.outcome is None:
+                return StartUnknown(f'an answer about {report.lease}')
         except RequestNeverSent as error:
             return UpstreamUnreachable(str(error))
         except (ConnectionLost, ProtocolMismatch) as error:
--- a/baobabgap/agent/tests/test_agent.py
+++ b/baobabgap/agent/tests/test_agent.py
@@ -1,6 +1,9 @@
 """An agent serves entries with a stand-in upstream over loopback."""
 
+from http.server import BaseHTTPRequestHandler
+from http.server import ThreadingHTTPServer
 import socket
+import threading
 import unittest
 
 from baobabgap.agent.tests.deployment import Deployment
@@ -213,6 +216,20 @@
         self.assertTrue(entry.offers[-1].accepting)
 
 
+class _GarbageHandler(BaseHTTPRequestHandler):
+    """Answers every request with a document that means nothing."""
+
+    def do_GET(self) -> None:
+        body = b'{"leases": 3}'
+        self.send_response(200)
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format: str, *values: object) -> None:
+        """Keep quiet."""
+
+
 class AnnouncementTest(unittest.TestCase):
     def test_bad_announcements_get_a_clear_answer(self) -> None:
         deployment = Deployment()
@@ -243,3 +260,28 @@
                 self.assertEqual(status, response.status)
                 self.assertIn(word, response.document()['error'])
         self.assertTrue(deployment.entry.offers[-1].accepting)
+
+    def test_an_upstream_that_answers_garbage_gets_no_tasks(self) -> None:
+        deployment = Deployment()
+        self.addCleanup(deployment.stop)
+        entry = deployment.entry
+        entry.wait_until_accepting()
+        deployment.upstream.behave(Behaviour(vanished=True))
+        server = ThreadingHTTPServer(('127.0.0.1', 0), _GarbageHandler)
+        self.addCleanup(server.server_close)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        self.addCleanup(server.shutdown)
+        client = WebClient(f'127.0.0.1:{deployment.agent.http_port}')
+        self.addCleanup(client.close)
+        document = {
+            'name': 'upstream-1',
+            'incarnation': 'garbage',
+            'address': f'127.0.0.1:{server.server_port}',
+            'slots': 4,
+            'capacity': {},
+        }
+        path = '/v1/upstream/announce'
+        client.request('POST', path, document, timeout_s=10)
+        entry.wait_until_accepting(False)
+        deployment.start_upstream()
+        entry.wait_until_accepting()
