Wake few members at once, and don't beat in step

With 1,700 members at one host a ticket woke all their tasks at once: the measuring run hung, and the host with it (5,100 threads, 425 % of a core, no page in 10 s).

--- a/baobabgap/control/_client.py
+++ b/baobabgap/control/_client.py
@@ -79,6 +79,13 @@
         self._last_contact = time.monotonic()
         self._is_superseded = False
         self._messages_taken = 0
+        # Agents are many: they don't all come back at once.
+        self._first_pause_s = _FIRST_PAUSE_S
+        self._longest_pause_s = _LONGEST_PAUSE_S
+        if own.role == 'agent':
+            control = settings.control
+            self._first_pause_s = control.return_grace_s / 2
+            self._longest_pause_s = control.member_heartbeat_s
 
     @classmethod
     def from_settings(
@@ -142,19 +149,23 @@
         self._pool.submit(self._run)
         self._pool.submit(self._tick_loop)
 
-    def stop(self, *, leaving: bool = True) -> None:
-        """Leave, close the link and fail what was not answered.
-
-        A process that does not leave is taken for dead a little later.
-        """
+    def stop(self) -> None:
+        """Leave, close the link and fail what was not answered."""
         self._stopping.set()
         connection = self._connection
         if connection is not None:
-            if leaving:
-                connection.send(Leave())
+            connection.send(Leave())
             connection.flush_and_close()
         self._pending.fail_all('this process stops')
 
+    def kill(self) -> None:
+        """Close the link without leaving, as if the process had died."""
+        self._stopping.set()
+        connection = self._connection
+        if connection is not None:
+            connection.close()
+        self._pending.fail_all('this process stops')
+
     def claim(self, claim: Claim) -> Future[ClaimOutcome]:
         """Claim a job; fails with `ControlUnavailableError` in time."""
         future = self._pending.add_claim(
@@ -217,7 +228,7 @@
             self._send_waiting()
 
     def _run(self) -> None:
-        pause_s = _FIRST_PAUSE_S
+        pause_s = self._first_pause_s
         while not self._stopping.is_set() and not self._is_superseded:
             before = self._messages_taken
             try:
@@ -227,11 +238,9 @@
             except Exception as error:
                 log_event('control_client:failed', error=repr(error))
             if self._messages_taken != before:
-                pause_s = _FIRST_PAUSE_S
-            self._stopping.wait(pause_s * random.uniform(0.5, 1.0))
-            # Agents are many and in no hurry.
-            longest_s = max(_LONGEST_PAUSE_S, self._timing.heartbeat_s)
-            pause_s = min(2 * pause_s, longest_s)
+                pause_s = self._first_pause_s
+            self._stopping.wait(pause_s * random.uniform(0.2, 1.0))
+            pause_s = min(2 * pause_s, self._longest_pause_s)
 
     def _choose_address(self) -> str:
         """Return the leader for an entry that knows it, else the next."""
--- a/baobabgap/control/_sessions.py
+++ b/baobabgap/control/_sessions.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 import threading
+import time
 from typing import Any
 from typing import Final
 
@@ -17,6 +18,8 @@
 
 ENTRY_ROLE: Final = 'entry'
 MEMBER_ROLES: Final = (ENTRY_ROLE, 'agent')
+_WOKEN_AT_ONCE: Final = 32
+_PAUSE_BETWEEN_WAKES_S: Final = 0.02
 
 # Changes by the version after which they came and the roles wanted.
 ChangesCache = dict[tuple[int, tuple[str, ...]], Changes | None]
@@ -57,21 +60,23 @@
             self._scanned_version = message.version
         self.push(state, {})
 
-    def push(self, state: ControlState, cache: ChangesCache) -> None:
-        """Send what concerns the member and is new to it."""
+    def push(self, state: ControlState, cache: ChangesCache) -> bool:
+        """Send what concerns the member and is new; tell whether any is."""
         with self._lock:
             if self._roles is None:
-                return
+                return False
             key = (self._scanned_version, self._roles)
             if key not in cache:
                 cache[key] = state.changes_after(*key)
             changes = cache[key]
             if changes is None:
-                return
+                return False
             self._scanned_version = changes.to_version
             is_whole = changes.from_version == 0
-            if changes.members or changes.configuration or is_whole:
-                self._send(changes, is_whole)
+            if not (changes.members or changes.configuration or is_whole):
+                return False
+            self._send(changes, is_whole)
+            return True
 
     def _send(self, changes: Changes, is_whole: bool) -> None:
         from_version = 0 if is_whole else self._sent_version
@@ -139,10 +144,20 @@
                 session.has_left = True
 
     def push_changes(self) -> None:
-        """Send each subscriber what is new to it."""
+        """Send each subscriber what is new to it, entries first.
+
+        A pause after each few keeps the number of tasks that are woken at
+        once small: thousands of them would starve each other.
+        """
         cache: ChangesCache = {}
-        for session in self.all():
-            session.push(self._state, cache)
+        sessions = self.all()
+        sessions.sort(key=lambda each: each.connection.peer.role != ENTRY_ROLE)
+        woken = 0
+        for session in sessions:
+            if session.push(self._state, cache):
+                woken += 1
+                if woken % _WOKEN_AT_ONCE == 0:
+                    time.sleep(_PAUSE_BETWEEN_WAKES_S)
 
     def show_leader(self, hint: LeaderHint) -> None:
         """Tell entries where the leader is, if it has changed."""
--- a/baobabgap/transport/_connection.py
+++ b/baobabgap/transport/_connection.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from queue import Empty
 from queue import SimpleQueue
+import random
 import threading
 from typing import Any
 from typing import Final
@@ -162,7 +163,7 @@
         batch: list[object] = []
         flushed: list[threading.Event] = []
         try:
-            item = self._outgoing.get(timeout=self._timing.heartbeat_s)
+            item = self._outgoing.get(timeout=self._heartbeat_pause_s())
         except Empty:
             return [Heartbeat()], flushed
         while True:
@@ -177,6 +178,10 @@
             except Empty:
                 return batch, flushed
 
+    def _heartbeat_pause_s(self) -> float:
+        """Vary the pause, so that many links don't beat in step."""
+        return self._timing.heartbeat_s * random.uniform(0.8, 1.0)
+
     def _send_frame(self, batch: list[object]) -> None:
         frame = encode(batch)
         self._socket.send(frame)
--- a/tools/_measured_group.py
+++ b/tools/_measured_group.py
@@ -11,7 +11,7 @@
 from baobabgap.control import ControlHostProcess
 from baobabgap.settings import settings_from_document
 
-_STOP_LIMIT_S: Final = 60.0
+_STOP_LIMIT_S: Final = 20.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +83,11 @@
     def stop(self) -> None:
         """Stop all hosts as planned."""
         for child in self._children:
-            child.communicate('stop\n', timeout=_STOP_LIMIT_S)
+            try:
+                child.communicate('stop\n', timeout=_STOP_LIMIT_S)
+            except subprocess.TimeoutExpired:
+                child.kill()
+                child.communicate()
 
 
 def process_usage(pid: int) -> ProcessUsage:
--- a/tools/slopes_members.py
+++ b/tools/slopes_members.py
@@ -13,6 +13,8 @@
 from typing import Any
 from typing import Final
 
+import fire
+
 from baobabgap.messages import Hello
 from baobabgap.messages import PutTicket
 from baobabgap.settings import ControlSettings
@@ -30,24 +32,24 @@
 _TICKET_WAIT_S: Final = 30.0
 
 
-def main() -> None:
-    """Measure at each size."""
+def main(sizes: tuple[int, ...] = _SIZES) -> None:
+    """Measure at each size, in growing order."""
     with tempfile.TemporaryDirectory() as folder:
         group = MeasuredGroup.start(folder, hosts=1, added_sync_delay_ms=0.0)
         try:
-            measure(group.hosts[0])
+            measure(group.hosts[0], sizes)
         finally:
             group.stop()
 
 
-def measure(host: MeasuredHost) -> None:
+def measure(host: MeasuredHost, sizes: tuple[int, ...]) -> None:
     """Print one line for each size."""
     web = WebClient(f'127.0.0.1:{host.http_port}')
     members = LightMembers(
         host.internal_port, ControlSettings().member_heartbeat_s
     )
     connected = 0
-    for number, size in enumerate(_SIZES, start=1):
+    for number, size in enumerate(sizes, start=1):
         members.add(size - connected)
         connected = size
         time.sleep(_SETTLE_S)
@@ -135,4 +137,4 @@
 
 
 if __name__ == '__main__':
-    main()
+    fire.Fire(main)
