Refuse bad tickets with the reason, and beat every 10 s

A bad ticket with a stale number was answered as stale, which hides the reason; a release of a job that has no valid identifier reached the log.

--- a/baobabgap/control/_request_desk.py
+++ b/baobabgap/control/_request_desk.py
@@ -67,13 +67,7 @@
             case ClaimJobs():
                 self._begin(message.request, send, self._claim, message)
             case ReleaseClaims():
-                self._submit(
-                    ReleaseCommand(
-                        message.owner_incarnation,
-                        message.request,
-                        list(message.jobs),
-                    )
-                )
+                self._release(message)
             case PutTicket():
                 self._begin(message.request, send, self._put, message)
             case QueryControl():
@@ -149,6 +143,15 @@
         )
         return _map(future, lambda rows: self._outcomes(message, rows))
 
+    def _release(self, message: ReleaseClaims) -> None:
+        for job in message.jobs:
+            _check_job(job, message.owner)
+        self._submit(
+            ReleaseCommand(
+                message.owner_incarnation, message.request, list(message.jobs)
+            )
+        )
+
     def _look_up(self, message: ClaimJobs) -> Future[Any]:
         query = LookupQuery(message.owner_incarnation, _claim_rows(message))
         return _map(
@@ -200,12 +203,7 @@
 
 def _claim_rows(message: ClaimJobs) -> list[tuple[str, bytes, int]]:
     for claim in message.claims:
-        try:
-            JobIdentifier.from_text(claim.job)
-        except InvalidInput as error:
-            raise ProtocolMismatch(
-                error.message, step='claim', peer=message.owner
-            ) from error
+        _check_job(claim.job, message.owner)
         if not 0 <= claim.token <= _LARGEST_TOKEN:
             raise ProtocolMismatch(
                 f'token {claim.token} of {claim.job} is out of range',
@@ -215,6 +213,15 @@
     return [(claim.job, claim.digest, claim.token) for claim in message.claims]
 
 
+def _check_job(job: str, owner: str) -> None:
+    try:
+        JobIdentifier.from_text(job)
+    except InvalidInput as error:
+        raise ProtocolMismatch(
+            error.message, step='claim', peer=owner
+        ) from error
+
+
 def _map(source: Future[Any], convert: Callable[[Any], object]) -> Future[Any]:
     """Return a future of the converted result, or of the same error."""
     target: Future[Any] = Future()
--- a/baobabgap/control/_ticket_desk.py
+++ b/baobabgap/control/_ticket_desk.py
@@ -78,9 +78,11 @@
         )
         wait_s = max(0.0, deadline - time.monotonic())
         result = self._submit(command).result(wait_s)
-        if result[0] != MOVED_ON:
-            return outcome_from_result(ticket.request, result)
-        return self._invalid(ticket, fault) if fault else None
+        if fault and result[0] in (MOVED_ON, TicketStatus.STALE):
+            return self._invalid(ticket, fault)
+        if result[0] == MOVED_ON:
+            return None
+        return outcome_from_result(ticket.request, result)
 
     def _invalid(self, ticket: PutTicket, fault: str) -> TicketOutcome:
         return TicketOutcome(
--- a/baobabgap/settings/_control.py
+++ b/baobabgap/settings/_control.py
@@ -35,9 +35,9 @@
     # Members that left or died that are kept for those who missed it.
     kept_gone_members: Annotated[int, Field(ge=0)] = 4_000
     # Seconds between heartbeats on a link with an agent.
-    member_heartbeat_s: Annotated[float, Field(gt=0, le=60)] = 5.0
+    member_heartbeat_s: Annotated[float, Field(gt=0, le=60)] = 10.0
     # Seconds of silence after which a link with an agent is given up.
-    member_silence_s: Annotated[float, Field(gt=0, le=300)] = 12.0
+    member_silence_s: Annotated[float, Field(gt=0, le=300)] = 25.0
     # Seconds in which a member whose link was lost may come back to any
     # control host before it is taken for dead.
     return_grace_s: Annotated[float, Field(gt=0, le=60)] = 1.5
--- a/baobabgap/transport/_connection.py
+++ b/baobabgap/transport/_connection.py
@@ -29,6 +29,9 @@
 from baobabgap.transport._traffic import PROCESS_TRAFFIC
 
 _MAXIMUM_MESSAGES_IN_FRAME: Final = 256
+# Most frames of a quiet link are this one; it is packed only once.
+_HEARTBEAT: Final = Heartbeat()
+_HEARTBEAT_FRAME: Final = encode([_HEARTBEAT])
 
 
 class WebSocket(Protocol):
@@ -128,7 +131,7 @@
         """Yield messages, without heartbeats, until the link is lost."""
         while True:
             frame = self._receive_frame()
-            messages = decode(frame, peer=self.peer.name)
+            messages = self._decode(frame)
             PROCESS_TRAFFIC.count_received(messages, len(frame))
             for message in messages:
                 if not isinstance(message, Heartbeat):
@@ -165,7 +168,7 @@
         try:
             item = self._outgoing.get(timeout=self._heartbeat_pause_s())
         except Empty:
-            return [Heartbeat()], flushed
+            return [_HEARTBEAT], flushed
         while True:
             if isinstance(item, threading.Event):
                 flushed.append(item)
@@ -178,12 +181,18 @@
             except Empty:
                 return batch, flushed
 
+    def _decode(self, frame: bytes) -> list[Any]:
+        if frame == _HEARTBEAT_FRAME:
+            return [_HEARTBEAT]
+        return decode(frame, peer=self.peer.name)
+
     def _heartbeat_pause_s(self) -> float:
         """Vary the pause, so that many links don't beat in step."""
         return self._timing.heartbeat_s * random.uniform(0.8, 1.0)
 
     def _send_frame(self, batch: list[object]) -> None:
-        frame = encode(batch)
+        is_heartbeat = len(batch) == 1 and batch[0] is _HEARTBEAT
+        frame = _HEARTBEAT_FRAME if is_heartbeat else encode(batch)
         self._socket.send(frame)
         PROCESS_TRAFFIC.count_sent(len(frame))
 
--- a/tools/slopes_members.py
+++ b/tools/slopes_members.py
@@ -26,9 +26,9 @@
 from tools._measured_group import MeasuredHost
 from tools._measured_group import process_usage
 
-_SIZES: Final = (100, 400, 800, 1700)
+_SIZES: Final = (100, 250, 570, 1700)
 _SETTLE_S: Final = 6.0
-_SAMPLE_S: Final = 15.0
+_SAMPLE_S: Final = 20.0
 _TICKET_WAIT_S: Final = 30.0
 
 
