--- a/baobabgap/control/_host.py
+++ b/baobabgap/control/_host.py
@@ -1,9 +1,7 @@
 """The process of one control host."""
 
-from collections.abc import Callable
-from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
-import threading
+from dataclasses import replace
 import time
 from typing import Any
 from typing import Final
@@ -13,7 +11,6 @@
 from baobabgap._exceptions import ConnectionLost
 from baobabgap._exceptions import SettingsError
 from baobabgap.control._commands import Attachment
-from baobabgap.control._commands import JoinCommand
 from baobabgap.control._commands import LeaveCommand
 from baobabgap.control._gateway import Gateway
 from baobabgap.control._host_web import create_application
@@ -28,8 +25,8 @@
 from baobabgap.control._sessions import Sessions
 from baobabgap.control._state import ControlState
 from baobabgap.control._ticket_desk import TicketDesk
+from baobabgap.control._upkeep import Upkeep
 from baobabgap.messages import Hello
-from baobabgap.messages import LeaderHint
 from baobabgap.messages import Leave
 from baobabgap.replication import ReplicatedLog
 from baobabgap.settings import ControlHost
@@ -46,10 +43,7 @@
 _THREADS: Final = 16384
 _HTTP_THREADS: Final = 4
 _LARGEST_BODY_BYTES: Final = 64 * 1024
-_TICK_S: Final = 0.25
-_LEAVE_WAIT_S: Final = 1.0
 _STOP_WAIT_S: Final = 5.0
-_ELECTIONS_BEFORE_CUT_OFF: Final = 4
 
 
 class ControlHostProcess:
@@ -69,9 +63,7 @@
         self._own = _own_host(settings)
         self._incarnation = uuid.uuid4().hex[:16]
         self._pool = ThreadPoolExecutor(_THREADS, 'control')
-        self._stopping = threading.Event()
         self._is_draining = False
-        self._has_new_version = threading.Event()
         self.metrics: Final = Metrics()
         self._timing = LinkTiming(
             settings.links.heartbeat_s, settings.links.silence_s
@@ -81,7 +73,6 @@
             settings.control.member_silence_s,
         )
         self._state = ControlState(settings.control)
-        self._state.on_version = self._has_new_version.set
         self._sessions = Sessions(self._state)
         self._log = ReplicatedLog.from_settings(
             settings, self._incarnation, self._state, self._pool
@@ -103,11 +94,6 @@
             _HTTP_THREADS,
             _LARGEST_BODY_BYTES,
         )
-        self._leader_reached_at = time.monotonic()
-        # An election takes less than this as a rule.
-        self._cut_off_after_s = (
-            _ELECTIONS_BEFORE_CUT_OFF * settings.control.election_timeout_s
-        )
         self._add_metrics()
 
     @classmethod
@@ -128,7 +114,7 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether requests can be carried out here."""
-        return not self._is_draining and self._reaches_leader()
+        return not self._is_draining and self._upkeep.reaches_leader
 
     def status(self) -> dict[str, Any]:
         """Describe this host for operators."""
@@ -140,8 +126,7 @@
         self._listener.start()
         self._relay.start()
         self._web.start(self._pool)
-        self._pool.submit(self._push_loop)
-        self._pool.submit(self._tick_loop)
+        self._upkeep.start()
         log_event(
             'control:started',
             internal_port=self.internal_port,
@@ -151,14 +136,13 @@
     def stop(self) -> None:
         """Stop as planned; requests in progress are answered first."""
         self._is_draining = True
-        self._leave_group_record()
+        self._upkeep.leave()
         if self._log.is_leader:
             self._log.transfer_leadership()
         self._desk.close(_STOP_WAIT_S)
-        self._stopping.set()
-        self._has_new_version.set()
+        self._upkeep.stop()
         self._listener.stop()
-        self._sessions.close_all()
+        self._sessions.close_all(self._pool)
         self._relay_server.close_all()
         self._relay.stop()
         self._log.stop()
@@ -198,16 +182,26 @@
             self.metrics,
             self._pool,
         )
-        self._attachment = Attachment(settings.name, self._incarnation, 0)
         self._reaper = Reaper(
             self._state,
             self._sessions,
             self._gateway.submit,
-            self._attachment,
+            Attachment(settings.name, self._incarnation, 0),
             self._live_hosts,
             settings.control.return_grace_s,
             settings.links.silence_s + settings.control.return_grace_s,
         )
+        self._upkeep = Upkeep(
+            settings.control,
+            self._pool,
+            self._hello,
+            self._state,
+            self._sessions,
+            self._log,
+            self._relay,
+            self._gateway,
+            self._reaper,
+        )
 
     def _add_metrics(self) -> None:
         metrics = self.metrics
@@ -224,27 +218,17 @@
             'baobabgap_control_is_leader', lambda: int(self._log.is_leader)
         )
 
-    @property
-    def _address(self) -> str:
-        return f'{self._own.host}:{self.internal_port}'
-
     def _hello(self) -> Hello:
         return Hello(
             self._settings.name,
             CONTROL_ROLE,
             self._incarnation,
-            self._address,
+            f'{self._own.host}:{self.internal_port}',
             self._settings.place.availability_zone,
         )
 
     def _hello_of_relay(self) -> Hello:
-        return Hello(
-            self._settings.name,
-            RELAY_ROLE,
-            self._incarnation,
-            self._address,
-            self._settings.place.availability_zone,
-        )
+        return replace(self._hello(), role=RELAY_ROLE)
 
     def _other_leader(self) -> ControlHost | None:
         leader = self._log.leader
@@ -252,9 +236,6 @@
             return None
         return leader
 
-    def _reaches_leader(self) -> bool:
-        return self._log.is_leader or self._relay.is_open
-
     def _live_hosts(self) -> set[str] | None:
         if not self._log.is_leader:
             return None
@@ -289,72 +270,6 @@
             peer = session.connection.peer
             self._gateway.submit(LeaveCommand(peer.name, peer.incarnation))
 
-    def _push_loop(self) -> None:
-        pause_s = self._settings.control.change_pause_ms / 1000
-        while not self._stopping.is_set():
-            self._has_new_version.wait()
-            self._stopping.wait(pause_s)
-            self._has_new_version.clear()
-            self._run_logged(self._sessions.push_changes)
-
-    def _tick_loop(self) -> None:
-        while not self._stopping.wait(_TICK_S):
-            self._run_logged(self._tick)
-
-    def _run_logged(self, step: Callable[[], None]) -> None:
-        """Run one step of a loop that must go on if the step fails."""
-        try:
-            step()
-        except Exception as error:
-            log_event('control:step_failed', error=repr(error))
-
-    def _tick(self) -> None:
-        self._relay.check_leader()
-        now = time.monotonic()
-        if self._reaches_leader():
-            self._leader_reached_at = now
-            self._tick_with_leader()
-        elif now - self._leader_reached_at > self._cut_off_after_s:
-            # Members do better to try the other hosts.
-            self._sessions.close_all()
-
-    def _tick_with_leader(self) -> None:
-        leader = self._log.leader
-        if leader is None or self._is_draining:
-            return
-        is_own = leader.name == self._settings.name
-        address = self._address if is_own else leader.address
-        self._sessions.show_leader(LeaderHint(leader.name, address))
-        if not is_own:
-            self._sessions.pass_reports_on(self._relay.report)
-        self._keep_own_record()
-        self._reaper.run_once()
-
-    def _keep_own_record(self) -> None:
-        known = self._state.member(self._settings.name)
-        if known is not None and known.record.alive:
-            if known.attachment == self._attachment:
-                return
-        self._gateway.submit(
-            JoinCommand(
-                self._settings.name,
-                CONTROL_ROLE,
-                self._incarnation,
-                self._address,
-                self._settings.place.availability_zone,
-                (self._settings.name, self._incarnation, 0),
-            )
-        )
-
-    def _leave_group_record(self) -> None:
-        leaving: Future[Any] = self._gateway.submit(
-            LeaveCommand(self._settings.name, self._incarnation)
-        )
-        try:
-            leaving.result(_LEAVE_WAIT_S)
-        except (BaobabgapError, TimeoutError) as error:
-            log_event('control:left_unrecorded', error=str(error))
-
 
 def _own_host(settings: Settings) -> ControlHost:
     for host in settings.control_hosts:
--- a/baobabgap/control/_sessions.py
+++ b/baobabgap/control/_sessions.py
@@ -1,7 +1,9 @@
 """The sessions of members and tools with one control host."""
 
 from collections.abc import Callable
+from concurrent.futures import Executor
 from concurrent.futures import Future
+from concurrent.futures import wait
 import threading
 import time
 from typing import Any
@@ -18,6 +20,7 @@
 
 ENTRY_ROLE: Final = 'entry'
 MEMBER_ROLES: Final = (ENTRY_ROLE, 'agent')
+_FLUSH_LIMIT_S: Final = 0.5
 _WOKEN_AT_ONCE: Final = 32
 _PAUSE_BETWEEN_WAKES_S: Final = 0.02
 
@@ -174,10 +177,16 @@
         session.has_left = True
         session.connection.send(Superseded(incarnation))
 
-    def close_all(self) -> None:
-        """Send what is queued on each link, then close it."""
-        for session in self.all():
-            session.connection.flush_and_close(0.5)
+    def close_all(self, pool: Executor) -> None:
+        """Send what is queued on each link, then close it.
+
+        Links are closed at the same time: some may be silent.
+        """
+        closing = [
+            pool.submit(session.connection.flush_and_close, _FLUSH_LIMIT_S)
+            for session in self.all()
+        ]
+        wait(closing, 2 * _FLUSH_LIMIT_S)
 
     def note_reports(self, version_by_member: dict[str, int]) -> None:
         """Take reports that another host passes on."""
