--- a/baobabgap/messages/__init__.py
+++ b/baobabgap/messages/__init__.py
@@ -12,6 +12,7 @@
 from baobabgap.messages._agent import TaskPlacement
 from baobabgap.messages._agent import TaskResult
 from baobabgap.messages._agent import TaskResults
+from baobabgap.messages._agent import UpstreamLoad
 from baobabgap.messages._agent import UpstreamOffer
 from baobabgap.messages._codec import decode
 from baobabgap.messages._codec import encode
@@ -37,6 +38,7 @@
 from baobabgap.messages._control import QueryControl
 from baobabgap.messages._control import ReleaseClaims
 from baobabgap.messages._control import Subscribe
+from baobabgap.messages._control import Superseded
 from baobabgap.messages._control import TicketOutcome
 from baobabgap.messages._control import TicketStatus
 from baobabgap.messages._entry import CancelOwnedJob
@@ -46,6 +48,9 @@
 from baobabgap.messages._entry import QuotaDemand
 from baobabgap.messages._entry import TeamDemand
 from baobabgap.messages._entry import TokenTransfer
+from baobabgap.messages._relay import RelayCommand
+from baobabgap.messages._relay import RelayReports
+from baobabgap.messages._relay import RelayResult
 
 register(
     AcknowledgeResults,
@@ -72,16 +77,21 @@
     PutTicket,
     QueryControl,
     QuotaDemand,
+    RelayCommand,
+    RelayReports,
+    RelayResult,
     ReleaseClaims,
     ResumeTasks,
     SlotGrant,
     Subscribe,
+    Superseded,
     TaskPlacement,
     TaskResult,
     TaskResults,
     TeamDemand,
     TicketOutcome,
     TokenTransfer,
+    UpstreamLoad,
     UpstreamOffer,
 )
 
@@ -116,10 +126,14 @@
     'QueryControl',
     'QuotaDemand',
     'register',
+    'RelayCommand',
+    'RelayReports',
+    'RelayResult',
     'ReleaseClaims',
     'ResumeTasks',
     'SlotGrant',
     'Subscribe',
+    'Superseded',
     'TaskOutcome',
     'TaskPlacement',
     'TaskResult',
@@ -128,5 +142,6 @@
     'TicketOutcome',
     'TicketStatus',
     'TokenTransfer',
+    'UpstreamLoad',
     'UpstreamOffer',
 ]
