Treat a link that ends before its Hello as lost

A dialler task died for good when its peer went between the handshake and the Hello: websockets' ConnectionClosed is no BaobabgapError, so it left Dialer._run.

--- a/baobabgap/transport/_connection.py
+++ b/baobabgap/transport/_connection.py
@@ -85,8 +85,14 @@
         timing: LinkTiming,
         pool: Executor,
     ) -> 'Connection':
-        """Exchange `Hello`s and start the task that sends."""
-        socket.send(encode([own]))
+        """Exchange `Hello`s and start the task that sends.
+
+        Raises `ConnectionLost` if the link ends meanwhile.
+        """
+        try:
+            socket.send(encode([own]))
+        except (ConnectionClosed, OSError) as error:
+            raise ConnectionLost(f'no hello: {error}', step='hello') from error
         peer = _receive_hello(socket, timing)
         connection = cls(socket, peer, timing)
         pool.submit(connection._send_loop)
