--- a/baobabgap/replication/_peer.py
+++ b/baobabgap/replication/_peer.py
@@ -225,6 +225,8 @@
                 self._wake.clear()
         except BaobabgapError as error:
             self._log_error(error)
+        finally:
+            # Whatever ended this task, a new link starts a new one.
             connection.close()
 
     def _send_due(self, connection: Connection) -> float:
--- a/baobabgap/replication/_session.py
+++ b/baobabgap/replication/_session.py
@@ -9,6 +9,7 @@
 from baobabgap.replication._election import Election
 from baobabgap.replication._entry import decode_entries
 from baobabgap.replication._entry import Entry
+from baobabgap.replication._errors import StorageUnavailable
 from baobabgap.replication._messages import AppendAnswer
 from baobabgap.replication._messages import AppendEntries
 from baobabgap.replication._messages import Introduce
@@ -178,6 +179,7 @@
     def _take_snapshot_part(self, part: SnapshotPart) -> None:
         with self._state.lock:
             if not self._accepts_leader(part):
+                self._refuse_while_storage_fails()
                 return
         if part.offset == 0 or part.index != self._receiving_index:
             self._received = bytearray()
@@ -193,6 +195,15 @@
         self._received = bytearray()
         self._install(snapshot)
 
+    def _refuse_while_storage_fails(self) -> None:
+        """End the link: the leader waits for an answer to each part."""
+        if not self._state.storage_ok:
+            raise StorageUnavailable(
+                'the disk refuses writes',
+                step='install snapshot',
+                peer=self._connection.peer.name,
+            )
+
     def _install(self, snapshot: Snapshot) -> None:
         """Make the snapshot durable, then put it in force."""
         state = self._state
