--- a/baobabgap/replication/_founding.py
+++ b/baobabgap/replication/_founding.py
@@ -36,6 +36,7 @@
         self._state: Final = state
         self._configured: Final = configured
         self._peers: Final = peers
+        self._last_obstacle = ''
 
     def introduce(self) -> Introduce:
         """Say which store this host keeps and which group it knows."""
@@ -53,24 +54,32 @@
             return
         if self._configured[0].name != state.own.name:
             return
-        if not state.storage_ok or not self._all_are_empty():
-            return
-        self._found()
+        obstacle = self._find_obstacle()
+        if obstacle != self._last_obstacle:
+            self._last_obstacle = obstacle
+            log_event('founding_waits', reason=obstacle)
+        if not obstacle:
+            self._found()
 
     def _configured_texts(self) -> tuple[str, ...]:
         return tuple(
             f'{host.name}={host.address}' for host in self._configured
         )
 
-    def _all_are_empty(self) -> bool:
+    def _find_obstacle(self) -> str:
+        """Return why the group can't be founded now, or an empty text."""
+        if not self._state.storage_ok:
+            return 'the own disk refuses writes'
         for host in self._configured[1:]:
             peer = self._peers.get(host.name)
             introduced = peer.introduced if peer is not None else None
-            if introduced is None or introduced.group:
-                return False
+            if introduced is None:
+                return f'{host.name} does not answer'
+            if introduced.group:
+                return f'{host.name} belongs to a group already'
             if introduced.configured != self._configured_texts():
-                return False
-        return True
+                return f'{host.name} names other control hosts'
+        return ''
 
     def _found(self) -> None:
         state = self._state
