Split the replication modules that had grown large

What to send moves to _outgoing, reading a folder to _recovery, the handover and the status to modules of their own.

--- a/baobabgap/replication/_log.py
+++ b/baobabgap/replication/_log.py
@@ -5,7 +5,6 @@
 from concurrent.futures import Future
 from concurrent.futures import wait
 import threading
-import time
 from typing import Any
 from typing import Final
 
@@ -19,9 +18,9 @@
 from baobabgap.replication._folder import DataFolder
 from baobabgap.replication._folder import DiskFolder
 from baobabgap.replication._founding import Founding
+from baobabgap.replication._handover import Handover
 from baobabgap.replication._limits import LogLimits
 from baobabgap.replication._machine import StateMachine
-from baobabgap.replication._messages import SeekElection
 from baobabgap.replication._messages import VoteAnswer
 from baobabgap.replication._peer import Peer
 from baobabgap.replication._peers import Peers
@@ -30,7 +29,7 @@
 from baobabgap.replication._state import fail_futures
 from baobabgap.replication._state import GroupState
 from baobabgap.replication._status import LogStatus
-from baobabgap.replication._status import MemberStatus
+from baobabgap.replication._status_view import read_status
 from baobabgap.replication._storage import Storage
 from baobabgap.replication._writer import LogWriter
 from baobabgap.settings import ControlHost
@@ -40,7 +39,6 @@
 from baobabgap.transport import LinkTiming
 
 _TICKS_IN_ELECTION_TIMEOUT: Final = 10
-_HANDOVER_CHECK_S: Final = 0.005
 _STOP_LIMIT_S: Final = 5.0
 
 
@@ -109,6 +107,7 @@
             self._state, settings.control_hosts, self._peers
         )
         self._changes: Final = MembershipChanges(self._state, self._peers)
+        self._handover: Final = Handover(self._state, self._peers)
         self._tasks: list[Future[None]] = []
         self._sessions: set[Connection] = set()
         self._ended = threading.Event()
@@ -220,51 +219,14 @@
 
     def status(self) -> LogStatus:
         """Describe this moment."""
-        disk_bytes = self._storage.used_bytes()
-        state = self._state
-        with state.lock:
-            window = state.window
-            return LogStatus(
-                name=state.own.name,
-                role=state.role,
-                leader=state.leader,
-                term=state.term,
-                commit=state.commit,
-                applied=state.applied,
-                first_index=window.compacted_index + 1,
-                last_index=window.last_index,
-                durable=state.durable,
-                members=self._member_statuses(),
-                disk_bytes=disk_bytes,
-                storage_ok=state.storage_ok,
-            )
+        return read_status(self._state, self._peers, self._storage)
 
     def transfer_leadership(self) -> bool:
         """Hand leadership to the peer that is furthest.
 
         Tells whether another host has taken it.
         """
-        state = self._state
-        with state.lock:
-            target = self._furthest_peer()
-            if not state.is_leader or target is None:
-                return False
-            state.transferring = True
-            term = state.term
-        asked = False
-        give_up_at = time.monotonic() + 2 * state.election_timeout_s
-        while time.monotonic() < give_up_at:
-            with state.lock:
-                if not state.is_leader and state.leader:
-                    return True
-                caught_up = target.progress.durable == state.window.last_index
-                if state.is_leader and caught_up and not asked:
-                    target.send(SeekElection(term))
-                    asked = True
-            time.sleep(_HANDOVER_CHECK_S)
-        with state.lock:
-            state.transferring = False
-        return False
+        return self._handover.run()
 
     def add_member(self, host: ControlHost) -> Future[None]:
         """Add one host; completes once it counts toward the quorum.
@@ -330,30 +292,6 @@
                 self._election.tick()
                 self._changes.tick()
 
-    def _furthest_peer(self) -> Peer | None:
-        peers = [peer for peer in self._peers if peer.counts]
-        return max(peers, key=lambda peer: peer.progress.durable, default=None)
-
-    def _member_statuses(self) -> tuple[MemberStatus, ...]:
-        return tuple(
-            MemberStatus(
-                name=member.name,
-                address=member.control_host.address,
-                store=member.store,
-                voter=member.voter,
-                durable=self._durable_of(member.name),
-            )
-            for member in self._state.membership.members
-        )
-
-    def _durable_of(self, name: str) -> int:
-        if name == self._state.own.name:
-            return self._state.durable
-        peer = self._peers.get(name)
-        if peer is None or not self._state.is_leader:
-            return 0
-        return peer.progress.durable
-
     def _fail_leftovers(self) -> None:
         with self._state.lock:
             futures = list(self._state.future_by_index.values())
--- a/baobabgap/replication/_peer.py
+++ b/baobabgap/replication/_peer.py
@@ -10,16 +10,14 @@
 from baobabgap._exceptions import BaobabgapError
 from baobabgap._exceptions import ProtocolMismatch
 from baobabgap.messages import Hello
-from baobabgap.replication._entry import encode_entries
-from baobabgap.replication._entry import Entry
 from baobabgap.replication._errors import StorageUnavailable
 from baobabgap.replication._limits import LogLimits
 from baobabgap.replication._messages import AppendAnswer
-from baobabgap.replication._messages import AppendEntries
 from baobabgap.replication._messages import Introduce
 from baobabgap.replication._messages import SnapshotAnswer
-from baobabgap.replication._messages import SnapshotPart
 from baobabgap.replication._messages import VoteAnswer
+from baobabgap.replication._outgoing import EntryBatch
+from baobabgap.replication._outgoing import Outgoing
 from baobabgap.replication._progress import Progress
 from baobabgap.replication._state import GroupState
 from baobabgap.replication._storage import Storage
@@ -29,9 +27,7 @@
 from baobabgap.transport import Dialer
 from baobabgap.transport import LinkTiming
 
-_HEARTBEATS_IN_ELECTION_TIMEOUT: Final = 4
 _IDLE_CHECK_S: Final = 1.0
-_COMMIT_DELAY_S: Final = 0.1
 
 
 class Peer:
@@ -54,10 +50,9 @@
         self.host: Final = host
         # What the peer said of itself on the present link, or None.
         self.introduced: Introduce | None = None
-        self.progress = Progress(1, 0.0)
         self._state = state
         self._storage = storage
-        self._limits = limits
+        self._outgoing = Outgoing(state, limits)
         self._introduce = introduce
         self._on_vote = on_vote
         self._on_round = on_round
@@ -65,11 +60,7 @@
         self._wake = threading.Event()
         self._dialer: Dialer | None = None
         self._pool: Executor | None = None
-        self._read_round = 0
         self._last_error = ''
-        self._heartbeat_s = (
-            state.election_timeout_s / _HEARTBEATS_IN_ELECTION_TIMEOUT
-        )
 
     def start(self, own: Hello, timing: LinkTiming, pool: Executor) -> None:
         """Begin to dial the peer."""
@@ -90,6 +81,11 @@
             self._dialer.stop()
         self._wake.set()
 
+    @property
+    def progress(self) -> Progress:
+        """How far the peer has come, as the leader knows it."""
+        return self._outgoing.progress
+
     @property
     def store(self) -> str:
         """The store that answers on the present link, or empty."""
@@ -106,7 +102,7 @@
 
     def confirm_round(self, read_round: int) -> None:
         """Have the peer confirm that this host still leads."""
-        self._read_round = read_round
+        self._outgoing.read_round = read_round
         self._wake.set()
 
     def send(self, message: object) -> None:
@@ -117,7 +113,7 @@
     def begin_to_lead(self) -> None:
         """Start anew with this peer, in a new term."""
         next_index = self._state.window.last_index + 1
-        self.progress = Progress(next_index, time.monotonic())
+        self._outgoing.progress = Progress(next_index, time.monotonic())
         self._wake.set()
 
     def _hold_link(self, connection: Connection) -> None:
@@ -193,18 +189,9 @@
         if answer.read_round > progress.confirmed_round:
             progress.confirmed_round = answer.read_round
             self._on_round()
-        if self._has_something_to_send():
+        if self._outgoing.has_something():
             self._wake.set()
 
-    def _has_something_to_send(self) -> bool:
-        progress = self.progress
-        return (
-            progress.probing
-            or progress.next_index <= self._state.window.last_index
-            or progress.sent_commit < self._state.commit
-            or self._round_is_due()
-        )
-
     def _take_snapshot_answer(self, answer: SnapshotAnswer) -> None:
         if not self._answer_is_current(answer.term):
             return
@@ -231,36 +218,21 @@
 
     def _send_due(self, connection: Connection) -> float:
         """Send what is due; return the seconds to wait for more."""
-        if self._needs_snapshot():
+        with self._state.lock:
+            needs_snapshot = self._outgoing.needs_snapshot()
+        if needs_snapshot:
             self._load_snapshot()
         while True:
             with self._state.lock:
                 if not self._state.is_leader or self._link is not connection:
                     return _IDLE_CHECK_S
-                message = self._next_message()
+                message = self._outgoing.next_message()
                 if message is None:
-                    return self._pause_s()
-            if isinstance(message, _Batch):
+                    return self._outgoing.pause_s()
+            if isinstance(message, EntryBatch):
                 message = message.as_message()
             connection.send(message)
 
-    def _pause_s(self) -> float:
-        progress = self.progress
-        if progress.snapshot is not None and progress.awaiting:
-            return _IDLE_CHECK_S
-        if progress.sent_commit < self._state.commit:
-            due_at = progress.sent_at + _COMMIT_DELAY_S
-        else:
-            due_at = progress.sent_at + self._heartbeat_s
-        return max(0.001, due_at - time.monotonic())
-
-    def _needs_snapshot(self) -> bool:
-        with self._state.lock:
-            if not self._state.is_leader or self.progress.snapshot:
-                return False
-            previous = self.progress.next_index - 1
-            return previous < self._state.window.compacted_index
-
     def _load_snapshot(self) -> None:
         try:
             snapshot = self._storage.load_snapshot()
@@ -274,104 +246,6 @@
             self.progress.awaiting = False
         log_event('snapshot_sent', peer=self.host.name, index=snapshot.index)
 
-    def _next_message(self) -> 'object | _Batch | None':
-        """Choose, with the lock held, what to send next."""
-        progress = self.progress
-        window = self._state.window
-        if progress.snapshot is not None:
-            return self._next_snapshot_part()
-        if progress.next_index - 1 < window.compacted_index:
-            return None
-        progress.next_index = min(progress.next_index, window.last_index + 1)
-        if progress.probing:
-            return self._probe()
-        if progress.next_index <= window.last_index and self._has_room():
-            return self._next_batch()
-        if self._round_is_due() or self._heartbeat_is_due():
-            return self._empty_message(self._read_round)
-        return None
-
-    def _has_room(self) -> bool:
-        """Tell whether the peer may get more before it answers.
-
-        Entries that come while its disk is busy travel together in the
-        next message.
-        """
-        progress = self.progress
-        limits = self._limits
-        return (
-            progress.unacknowledged_messages < limits.unacknowledged_messages
-            and progress.unacknowledged_bytes < limits.unacknowledged_bytes
-        )
-
-    def _probe(self) -> AppendEntries | None:
-        if self.progress.awaiting and not self._heartbeat_is_due():
-            return None
-        self.progress.awaiting = True
-        return self._empty_message(0)
-
-    def _round_is_due(self) -> bool:
-        progress = self.progress
-        if progress.sent_round >= self._read_round:
-            return False
-        return progress.sent_round == progress.confirmed_round or (
-            progress.sent_round == 0
-        )
-
-    def _heartbeat_is_due(self) -> bool:
-        return self._pause_s() <= 0.001
-
-    def _next_batch(self) -> '_Batch':
-        progress = self.progress
-        entries = self._state.window.entries_from(
-            progress.next_index, self._limits.message_bytes
-        )
-        batch = _Batch(self._empty_message(0), entries)
-        size = sum(entry.encoded_bytes for entry in entries)
-        progress.note_sent(entries[-1].index, size)
-        return batch
-
-    def _empty_message(self, read_round: int) -> AppendEntries:
-        progress = self.progress
-        state = self._state
-        previous = progress.next_index - 1
-        progress.sent_at = time.monotonic()
-        progress.sent_commit = state.commit
-        if read_round:
-            progress.sent_round = read_round
-        return AppendEntries(
-            group=state.membership.group,
-            term=state.term,
-            leader=state.own.name,
-            previous_index=previous,
-            previous_term=state.window.term_at(previous),
-            commit=state.commit,
-            read_round=read_round,
-            entries=b'',
-        )
-
-    def _next_snapshot_part(self) -> SnapshotPart | None:
-        progress = self.progress
-        snapshot = progress.snapshot
-        assert snapshot is not None
-        if progress.awaiting:
-            return None
-        progress.awaiting = True
-        progress.sent_at = time.monotonic()
-        start = progress.snapshot_bytes
-        end = start + self._limits.snapshot_part_bytes
-        return SnapshotPart(
-            group=self._state.membership.group,
-            term=self._state.term,
-            leader=self._state.own.name,
-            index=snapshot.index,
-            index_term=snapshot.term,
-            membership=snapshot.membership,
-            offset=start,
-            state_bytes=len(snapshot.state),
-            data=snapshot.state[start:end],
-        )
-
     def _log_error(self, error: BaobabgapError) -> None:
         """Log an error unless it only repeats the last one."""
         text = str(error)
@@ -381,25 +255,3 @@
         log_event(
             'peer_error', step=error.step, peer=self.host.name, error=text
         )
-
-
-class _Batch:
-    """Entries chosen with the lock held, and encoded without it."""
-
-    def __init__(self, head: AppendEntries, entries: list[Entry]) -> None:
-        self._head = head
-        self._entries = entries
-
-    def as_message(self) -> AppendEntries:
-        """Encode the entries into the message."""
-        head = self._head
-        return AppendEntries(
-            group=head.group,
-            term=head.term,
-            leader=head.leader,
-            previous_index=head.previous_index,
-            previous_term=head.previous_term,
-            commit=head.commit,
-            read_round=head.read_round,
-            entries=encode_entries(self._entries),
-        )
--- /dev/null
+++ b/baobabgap/replication/_status_view.py
@@ -0,0 +1,54 @@
+"""Reading a host's status from its parts."""
+
+from baobabgap.replication._peers import Peers
+from baobabgap.replication._state import GroupState
+from baobabgap.replication._status import LogStatus
+from baobabgap.replication._status import MemberStatus
+from baobabgap.replication._storage import Storage
+
+
+def read_status(
+    state: GroupState, peers: Peers, storage: Storage
+) -> LogStatus:
+    """Describe this moment."""
+    disk_bytes = storage.used_bytes()
+    with state.lock:
+        window = state.window
+        return LogStatus(
+            name=state.own.name,
+            role=state.role,
+            leader=state.leader,
+            term=state.term,
+            commit=state.commit,
+            applied=state.applied,
+            first_index=window.compacted_index + 1,
+            last_index=window.last_index,
+            durable=state.durable,
+            members=_member_statuses(state, peers),
+            disk_bytes=disk_bytes,
+            storage_ok=state.storage_ok,
+        )
+
+
+def _member_statuses(
+    state: GroupState, peers: Peers
+) -> tuple[MemberStatus, ...]:
+    return tuple(
+        MemberStatus(
+            name=member.name,
+            address=member.control_host.address,
+            store=member.store,
+            voter=member.voter,
+            durable=_durable_of(member.name, state, peers),
+        )
+        for member in state.membership.members
+    )
+
+
+def _durable_of(name: str, state: GroupState, peers: Peers) -> int:
+    if name == state.own.name:
+        return state.durable
+    peer = peers.get(name)
+    if peer is None or not state.is_leader:
+        return 0
+    return peer.progress.durable
--- a/baobabgap/replication/_storage.py
+++ b/baobabgap/replication/_storage.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from dataclasses import dataclass
-import json
 import os
 import threading
 from typing import Final
@@ -17,15 +16,18 @@
 from baobabgap.replication._records import new_file_header
 from baobabgap.replication._records import Record
 from baobabgap.replication._records import scan_log
+from baobabgap.replication._recovery import FORMAT_NAME
+from baobabgap.replication._recovery import join_entries
+from baobabgap.replication._recovery import LOG_NAME
+from baobabgap.replication._recovery import read_format
+from baobabgap.replication._recovery import SNAPSHOT_NAME
+from baobabgap.replication._recovery import TEMPORARY_SUFFIX
+from baobabgap.replication._recovery import write_file
+from baobabgap.replication._recovery import write_format
 from baobabgap.replication._snapshot import decode_snapshot
 from baobabgap.replication._snapshot import encode_snapshot
 from baobabgap.replication._snapshot import Snapshot
 
-FOLDER_FORMAT_VERSION: Final = 1
-_FORMAT_NAME: Final = 'format'
-_LOG_NAME: Final = 'log'
-_SNAPSHOT_NAME: Final = 'snapshot'
-_TEMPORARY_SUFFIX: Final = '.new'
 _IDENTITY_BYTES: Final = 8
 _LARGEST_RECORD_BYTES: Final = 1024 * 1024
 
@@ -91,19 +93,19 @@
     @classmethod
     def _open_locked(cls, folder: DataFolder) -> 'Storage':
         names = set(folder.names())
-        if _FORMAT_NAME not in names:
+        if FORMAT_NAME not in names:
             return cls._set_up(folder, names)
-        identity = _read_format(folder)
-        if _LOG_NAME not in names:
+        identity = read_format(folder)
+        if LOG_NAME not in names:
             raise DamagedLog(
-                folder.path_of(_LOG_NAME), 0, 'the file is missing'
+                folder.path_of(LOG_NAME), 0, 'the file is missing'
             )
-        scanned = scan_log(folder.path_of(_LOG_NAME), folder.read(_LOG_NAME))
+        scanned = scan_log(folder.path_of(LOG_NAME), folder.read(LOG_NAME))
         snapshot = None
-        if _SNAPSHOT_NAME in names:
-            path = folder.path_of(_SNAPSHOT_NAME)
-            snapshot = decode_snapshot(path, folder.read(_SNAPSHOT_NAME))
-        entries = _join_entries(folder, scanned.records, snapshot)
+        if SNAPSHOT_NAME in names:
+            path = folder.path_of(SNAPSHOT_NAME)
+            snapshot = decode_snapshot(path, folder.read(SNAPSHOT_NAME))
+        entries = join_entries(folder, scanned.records, snapshot)
         last = scanned.records[-1] if scanned.records else Record(0, '', ())
         recovered = RecoveredState(last.term, last.vote, snapshot, entries)
         storage = cls(folder, identity, recovered)
@@ -114,22 +116,20 @@
     @classmethod
     def _set_up(cls, folder: DataFolder, names: set[str]) -> 'Storage':
         """Make a new store; the format file, written last, seals it."""
-        if _SNAPSHOT_NAME in names:
+        if SNAPSHOT_NAME in names:
             raise DamagedLog(
-                folder.path_of(_FORMAT_NAME), 0, 'the file is missing'
-            )
-        if _LOG_NAME in names:
-            scanned = scan_log(
-                folder.path_of(_LOG_NAME), folder.read(_LOG_NAME)
+                folder.path_of(FORMAT_NAME), 0, 'the file is missing'
             )
+        if LOG_NAME in names:
+            scanned = scan_log(folder.path_of(LOG_NAME), folder.read(LOG_NAME))
             if any(record.term for record in scanned.records):
                 raise DamagedLog(
-                    folder.path_of(_FORMAT_NAME), 0, 'the file is missing'
+                    folder.path_of(FORMAT_NAME), 0, 'the file is missing'
                 )
         identity = os.urandom(_IDENTITY_BYTES).hex()
         storage = cls(folder, identity, RecoveredState(0, '', None, ()))
         storage.rewrite(0, '', ())
-        _write_format(folder, identity)
+        write_format(folder, identity)
         return storage
 
     @property
@@ -161,7 +161,7 @@
 
     def rewrite(self, term: int, vote: str, entries: Iterable[Entry]) -> None:
         """Put a whole new log in place of the old one, durably."""
-        temporary = _LOG_NAME + _TEMPORARY_SUFFIX
+        temporary = LOG_NAME + TEMPORARY_SUFFIX
         file: AppendFile | None = None
         try:
             self._folder.remove(temporary)
@@ -177,7 +177,7 @@
                 file.append(data)
                 log_bytes += len(data)
             file.sync()
-            self._folder.replace(temporary, _LOG_NAME)
+            self._folder.replace(temporary, LOG_NAME)
         except OSError as error:
             if file is not None:
                 file.close()
@@ -193,13 +193,13 @@
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
         """Put a newer snapshot in place of the old one, durably."""
-        temporary = _SNAPSHOT_NAME + _TEMPORARY_SUFFIX
+        temporary = SNAPSHOT_NAME + TEMPORARY_SUFFIX
         with self._snapshot_lock:
             if snapshot.index <= self._snapshot_index:
                 return
             try:
-                _write_file(
-                    self._folder, _SNAPSHOT_NAME, encode_snapshot(snapshot)
+                write_file(
+                    self._folder, SNAPSHOT_NAME, encode_snapshot(snapshot)
                 )
             except OSError as error:
                 self._remove_quietly(temporary)
@@ -212,12 +212,12 @@
         """Read the newest snapshot; raise `StorageUnavailable`."""
         with self._snapshot_lock:
             try:
-                content = self._folder.read(_SNAPSHOT_NAME)
+                content = self._folder.read(SNAPSHOT_NAME)
             except OSError as error:
                 raise StorageUnavailable(
                     str(error), step='load snapshot'
                 ) from error
-        path = self._folder.path_of(_SNAPSHOT_NAME)
+        path = self._folder.path_of(SNAPSHOT_NAME)
         return decode_snapshot(path, content)
 
     def close(self) -> None:
@@ -259,80 +259,3 @@
     if part:
         yield tuple(part)
     yield ()
-
-
-def _join_entries(
-    folder: DataFolder,
-    records: Iterable[Record],
-    snapshot: Snapshot | None,
-) -> tuple[Entry, ...]:
-    """Return the entries that count; later ones replace earlier ones."""
-    path = folder.path_of(_LOG_NAME)
-    entries: list[Entry] = []
-    for record in records:
-        for entry in record.entries:
-            if entries:
-                keep = entry.index - entries[0].index
-                if keep < 0 or keep > len(entries):
-                    raise DamagedLog(path, 0, f'entry {entry.index} has a gap')
-                del entries[keep:]
-            entries.append(entry)
-    if snapshot is None:
-        if entries and entries[0].index != 1:
-            raise DamagedLog(
-                folder.path_of(_SNAPSHOT_NAME), 0, 'the file is missing'
-            )
-        return tuple(entries)
-    if entries and entries[0].index > snapshot.index + 1:
-        raise DamagedLog(path, 0, 'entries after the snapshot are missing')
-    return _after_snapshot(entries, snapshot)
-
-
-def _after_snapshot(
-    entries: list[Entry], snapshot: Snapshot
-) -> tuple[Entry, ...]:
-    """Drop what the snapshot covers, or a log that it has replaced."""
-    if not entries or entries[0].index == snapshot.index + 1:
-        return tuple(entries)
-    position = snapshot.index - entries[0].index
-    if position >= len(entries):
-        return ()
-    if entries[position].term != snapshot.term:
-        return ()
-    return tuple(entries[position + 1 :])
-
-
-def _write_file(folder: DataFolder, name: str, content: bytes) -> None:
-    temporary = name + _TEMPORARY_SUFFIX
-    folder.remove(temporary)
-    file = folder.open_append(temporary)
-    try:
-        file.append(content)
-        file.sync()
-    finally:
-        file.close()
-    folder.replace(temporary, name)
-
-
-def _write_format(folder: DataFolder, identity: str) -> None:
-    document = {'format_version': FOLDER_FORMAT_VERSION, 'store': identity}
-    _write_file(folder, _FORMAT_NAME, json.dumps(document).encode())
-
-
-def _read_format(folder: DataFolder) -> str:
-    path = folder.path_of(_FORMAT_NAME)
-    try:
-        document = json.loads(folder.read(_FORMAT_NAME))
-        version = document['format_version']
-        identity = str(document['store'])
-        bytes.fromhex(identity)
-    except (ValueError, KeyError, TypeError) as error:
-        raise DamagedLog(path, 0, f'unreadable: {error}') from error
-    if version != FOLDER_FORMAT_VERSION:
-        raise DamagedLog(
-            path,
-            0,
-            f'format version {version}; this program reads '
-            f'{FOLDER_FORMAT_VERSION}',
-        )
-    return identity
