Let every host know the group before a test begins

The pre-vote test passed now and then with the pre-vote taken out: the isolated host had not yet heard of the group, so it sought no election. Also: a leader's own entries don't count before its own sync, and a crash leaves a torn write.

--- a/baobabgap/replication/tests/_faults.py
+++ b/baobabgap/replication/tests/_faults.py
@@ -7,7 +7,7 @@
 
 
 class FaultyFolder:
-    """Files in memory; what was not synced is lost by `crash`."""
+    """Files in memory; what was not synced is torn by `crash`."""
 
     def __init__(self) -> None:
         self.content_by_name: dict[str, bytearray] = {}
@@ -56,12 +56,16 @@
         self.locked = False
 
     def crash(self) -> 'FaultyFolder':
-        """Return the folder as a loss of power leaves it."""
+        """Return the folder as a loss of power leaves it.
+
+        Half of what was not synced is there: a torn write.
+        """
         left = FaultyFolder()
-        for name, content in self.content_by_name.items():
-            synced = self.synced_by_name[name]
-            left.content_by_name[name] = content[:synced]
-            left.synced_by_name[name] = synced
+        for name, content in list(self.content_by_name.items()):
+            synced = self.synced_by_name.get(name, 0)
+            torn = synced + (len(content) - synced) // 2
+            left.content_by_name[name] = content[:torn]
+            left.synced_by_name[name] = torn
         return left
 
 
--- a/baobabgap/replication/tests/test_election.py
+++ b/baobabgap/replication/tests/test_election.py
@@ -22,6 +22,7 @@
         self.addCleanup(group.close)
         group.start()
         group.propose(b'first')
+        group.wait_for_commands()
         return group
 
     def ask_for_vote(
--- a/baobabgap/replication/tests/test_replication.py
+++ b/baobabgap/replication/tests/test_replication.py
@@ -16,6 +16,7 @@
         self.addCleanup(group.close)
         group.start()
         group.propose(b'first')
+        group.wait_for_commands()
         return group
 
     def test_all_hosts_apply_the_same(self) -> None:
@@ -30,17 +31,21 @@
                 )
 
     def test_nothing_is_acknowledged_before_a_majority_synced(self) -> None:
-        group = self.make_group()
-        leader = group.leader()
-        followers = group.followers()
-        for host in followers:
-            host.folder.sync_gate.clear()
-        future = leader.running.propose(b'second')
-        time.sleep(3 * ELECTION_TIMEOUT_S)
-        self.assertFalse(future.done())
-        self.assertTrue(leader.running.is_leader)
-        followers[0].folder.sync_gate.set()
-        self.assertEqual(2, future.result(WAIT_LIMIT_S))
+        for hanging in ('both followers', 'leader and one follower'):
+            with self.subTest(hanging=hanging):
+                group = self.make_group()
+                leader = group.leader()
+                one, other = group.followers()
+                second = other if hanging == 'both followers' else leader
+                one.folder.sync_gate.clear()
+                second.folder.sync_gate.clear()
+                future = leader.running.propose(b'second')
+                time.sleep(3 * ELECTION_TIMEOUT_S)
+                self.assertFalse(future.done())
+                self.assertTrue(leader.running.is_leader)
+                second.folder.sync_gate.set()
+                self.assertEqual(2, future.result(WAIT_LIMIT_S))
+                one.folder.sync_gate.set()
 
     def test_acknowledged_survives_the_loss_of_power_everywhere(self) -> None:
         group = self.make_group()
