--- a/baobabgap/replication/_records.py
+++ b/baobabgap/replication/_records.py
@@ -22,8 +22,8 @@
 LOG_FORMAT_VERSION: Final = 1
 _FILE_MAGIC: Final = b'baobalog'
 _RECORD_MAGIC: Final = b'\xb5rec'
-# Magic, format version, salt, checksum.
-_FILE_HEADER: Final = struct.Struct('<8sIII')
+# Magic, format version, salt, base index, checksum.
+_FILE_HEADER: Final = struct.Struct('<8sIIQI')
 # Magic, sequence, payload bytes, payload checksum, header checksum.
 _RECORD_HEADER: Final = struct.Struct('<4sQIII')
 _HEADER_CHECKSUM: Final = struct.Struct('<I')
@@ -47,18 +47,19 @@
 class ScannedLog:
     """What a log file holds."""
 
-    # The salt of its checksums.
-    salt: int
+    # The first entry of the file comes after this index; what is before
+    # must be in the snapshot.
+    base_index: int
     # The valid records, oldest first.
     records: tuple[Record, ...]
-    # How many bytes from the start are valid; the rest is a torn write.
-    valid_bytes: int
 
 
-def new_file_header() -> tuple[int, bytes]:
+def new_file_header(base_index: int) -> tuple[int, bytes]:
     """Return a fresh salt and the file header that carries it."""
     salt = int.from_bytes(os.urandom(4), 'little')
-    start = _FILE_HEADER.pack(_FILE_MAGIC, LOG_FORMAT_VERSION, salt, 0)[:-4]
+    start = _FILE_HEADER.pack(
+        _FILE_MAGIC, LOG_FORMAT_VERSION, salt, base_index, 0
+    )[:-4]
     return salt, start + _HEADER_CHECKSUM.pack(zlib.crc32(start))
 
 
@@ -81,7 +82,7 @@
 
 def scan_log(path: str, content: bytes) -> ScannedLog:
     """Read a log file; raise `DamagedLog` with the offset of the damage."""
-    salt = _read_file_header(path, content)
+    salt, base_index = _read_file_header(path, content)
     records: list[Record] = []
     offset = _FILE_HEADER.size
     while offset < len(content):
@@ -98,14 +99,16 @@
             )
         records.append(_decode_payload(path, offset, payload))
         offset += _RECORD_HEADER.size + len(payload)
-    return ScannedLog(salt, tuple(records), min(offset, len(content)))
+    return ScannedLog(base_index, tuple(records))
 
 
-def _read_file_header(path: str, content: bytes) -> int:
+def _read_file_header(path: str, content: bytes) -> tuple[int, int]:
     # The header is synced before the file gets its name: never torn.
     if len(content) < _FILE_HEADER.size:
         raise DamagedLog(path, len(content), 'the file header is cut short')
-    magic, version, salt, checksum = _FILE_HEADER.unpack_from(content)
+    magic, version, salt, base_index, checksum = _FILE_HEADER.unpack_from(
+        content
+    )
     if magic != _FILE_MAGIC:
         raise DamagedLog(path, 0, 'this is no log file')
     if checksum != zlib.crc32(content[: _FILE_HEADER.size - 4]):
@@ -117,7 +120,7 @@
             f'format version {version}; this program reads '
             f'{LOG_FORMAT_VERSION}',
         )
-    return int(salt)
+    return int(salt), int(base_index)
 
 
 def _payload_at(content: bytes, offset: int, salt: int) -> bytes | None:
--- a/baobabgap/replication/_recovery.py
+++ b/baobabgap/replication/_recovery.py
@@ -1,13 +1,12 @@
 """Reading a data folder at a start: its format, and what counts in it."""
 
-from collections.abc import Iterable
 import json
 from typing import Final
 
 from baobabgap.replication._entry import Entry
 from baobabgap.replication._errors import DamagedLog
 from baobabgap.replication._folder import DataFolder
-from baobabgap.replication._records import Record
+from baobabgap.replication._records import ScannedLog
 from baobabgap.replication._snapshot import Snapshot
 
 FOLDER_FORMAT_VERSION: Final = 1
@@ -18,29 +17,32 @@
 
 
 def join_entries(
-    folder: DataFolder,
-    records: Iterable[Record],
-    snapshot: Snapshot | None,
+    folder: DataFolder, scanned: ScannedLog, snapshot: Snapshot | None
 ) -> tuple[Entry, ...]:
-    """Return the entries that count; later ones replace earlier ones."""
-    path = folder.path_of(LOG_NAME)
+    """Return the entries after the snapshot; later ones replace earlier.
+
+    Raises `DamagedLog` if the snapshot that the log builds on is gone.
+    """
+    covered = snapshot.index if snapshot is not None else 0
+    if covered < scanned.base_index:
+        raise DamagedLog(
+            folder.path_of(SNAPSHOT_NAME),
+            0,
+            f'the log builds on a snapshot up to {scanned.base_index}; '
+            f'this one is up to {covered}',
+        )
     entries: list[Entry] = []
-    for record in records:
+    for record in scanned.records:
         for entry in record.entries:
-            if entries:
-                keep = entry.index - entries[0].index
-                if keep < 0 or keep > len(entries):
-                    raise DamagedLog(path, 0, f'entry {entry.index} has a gap')
-                del entries[keep:]
+            keep = entry.index - scanned.base_index - 1
+            if keep < 0 or keep > len(entries):
+                raise DamagedLog(
+                    folder.path_of(LOG_NAME), 0, f'entry {entry.index} jumps'
+                )
+            del entries[keep:]
             entries.append(entry)
     if snapshot is None:
-        if entries and entries[0].index != 1:
-            raise DamagedLog(
-                folder.path_of(SNAPSHOT_NAME), 0, 'the file is missing'
-            )
         return tuple(entries)
-    if entries and entries[0].index > snapshot.index + 1:
-        raise DamagedLog(path, 0, 'entries after the snapshot are missing')
     return _after_snapshot(entries, snapshot)
 
 
--- a/baobabgap/replication/_storage.py
+++ b/baobabgap/replication/_storage.py
@@ -9,6 +9,7 @@
 
 from baobabgap.replication._entry import Entry
 from baobabgap.replication._errors import DamagedLog
+from baobabgap.replication._errors import DataFolderInUse
 from baobabgap.replication._errors import StorageUnavailable
 from baobabgap.replication._folder import AppendFile
 from baobabgap.replication._folder import DataFolder
@@ -78,9 +79,11 @@
         A torn end of the log is cut. Raises `DataFolderInUse`,
         `DamagedLog` or `StorageUnavailable`.
         """
-        folder.lock()
         try:
+            folder.lock()
             return cls._open_locked(folder)
+        except DataFolderInUse:
+            raise
         except OSError as error:
             folder.close()
             raise StorageUnavailable(
@@ -105,12 +108,13 @@
         if SNAPSHOT_NAME in names:
             path = folder.path_of(SNAPSHOT_NAME)
             snapshot = decode_snapshot(path, folder.read(SNAPSHOT_NAME))
-        entries = join_entries(folder, scanned.records, snapshot)
+        entries = join_entries(folder, scanned, snapshot)
         last = scanned.records[-1] if scanned.records else Record(0, '', ())
         recovered = RecoveredState(last.term, last.vote, snapshot, entries)
         storage = cls(folder, identity, recovered)
         # Writing the log anew also cuts a torn end.
-        storage.rewrite(last.term, last.vote, entries)
+        base_index = snapshot.index if snapshot is not None else 0
+        storage.rewrite(last.term, last.vote, base_index, entries)
         return storage
 
     @classmethod
@@ -128,7 +132,7 @@
                 )
         identity = os.urandom(_IDENTITY_BYTES).hex()
         storage = cls(folder, identity, RecoveredState(0, '', None, ()))
-        storage.rewrite(0, '', ())
+        storage.rewrite(0, '', 0, ())
         write_format(folder, identity)
         return storage
 
@@ -159,14 +163,23 @@
         self._sequence += 1
         self._log_bytes += len(data)
 
-    def rewrite(self, term: int, vote: str, entries: Iterable[Entry]) -> None:
-        """Put a whole new log in place of the old one, durably."""
+    def rewrite(
+        self,
+        term: int,
+        vote: str,
+        base_index: int,
+        entries: Iterable[Entry],
+    ) -> None:
+        """Put a whole new log in place of the old one, durably.
+
+        What is up to `base_index` must be in the saved snapshot.
+        """
         temporary = LOG_NAME + TEMPORARY_SUFFIX
         file: AppendFile | None = None
         try:
             self._folder.remove(temporary)
             file = self._folder.open_append(temporary)
-            salt, header = new_file_header()
+            salt, header = new_file_header(base_index)
             file.append(header)
             log_bytes = len(header)
             sequence = 0
--- a/baobabgap/replication/_writer.py
+++ b/baobabgap/replication/_writer.py
@@ -112,7 +112,12 @@
     def _write(self, batch: _Batch) -> None:
         try:
             if batch.rewrite:
-                self._storage.rewrite(batch.term, batch.vote, batch.entries)
+                self._storage.rewrite(
+                    batch.term,
+                    batch.vote,
+                    batch.compacted_index,
+                    batch.entries,
+                )
             elif batch.needed:
                 self._storage.append(batch.term, batch.vote, batch.entries)
         except StorageUnavailable as error:
--- a/baobabgap/replication/tests/test_storage.py
+++ b/baobabgap/replication/tests/test_storage.py
@@ -126,6 +126,27 @@
                     reopened(folder)
                 self.assertEqual(f'/memory/{name}', caught.exception.file)
 
+    def test_missing_or_older_snapshot_is_refused(self) -> None:
+        folder, _ = folder_with_records()
+        storage = reopened(folder)
+        disk = storage._folder
+        assert isinstance(disk, FaultyFolder)
+        storage.save_snapshot(Snapshot(2, 1, b'', b'older'))
+        older = bytearray(disk.read('snapshot'))
+        storage.save_snapshot(Snapshot(9, 2, b'', b'state'))
+        storage.rewrite(2, '', 9, ())
+        self.assertEqual((), reopened(disk).recovered.entries)
+        disk.content_by_name['snapshot'] = older
+        with self.assertRaisesRegex(DamagedLog, 'up to 2'):
+            reopened(disk)
+        disk.remove('snapshot')
+        with self.assertRaisesRegex(DamagedLog, 'up to 0'):
+            reopened(disk)
+
+    def test_unusable_folder_is_storage_unavailable(self) -> None:
+        with self.assertRaises(StorageUnavailable):
+            Storage.open(DiskFolder('/proc/version/control'))
+
     def test_other_format_versions_are_refused(self) -> None:
         folder, _ = folder_with_records()
         document = json.loads(folder.read('format'))
@@ -136,10 +157,10 @@
         with self.assertRaisesRegex(DamagedLog, 'format version 2'):
             reopened(folder)
         folder, _ = folder_with_records()
-        header = bytearray(folder.read('log')[:16])
+        header = bytearray(folder.read('log')[:24])
         header[8] = 9
         header += zlib.crc32(header).to_bytes(4, 'little')
-        folder.content_by_name['log'][:20] = header
+        folder.content_by_name['log'][:28] = header
         with self.assertRaisesRegex(DamagedLog, 'format version 9'):
             reopened(folder)
 
@@ -167,13 +188,13 @@
                 with self.assertRaises(StorageUnavailable):
                     storage.append(1, '', [entry(5)])
                 with self.assertRaises(StorageUnavailable):
-                    storage.rewrite(1, '', [entry(1)])
+                    storage.rewrite(1, '', 0, [entry(1)])
                 disk.room = None
                 disk.sync_fails = False
                 with self.assertRaises(StorageUnavailable):
                     storage.append(1, '', [entry(5)])
                 entries = [entry(index) for index in range(1, 7)]
-                storage.rewrite(2, '', entries)
+                storage.rewrite(2, '', 0, entries)
                 recovered = Storage.open(disk.crash()).recovered
                 self.assertEqual(tuple(entries), recovered.entries)
 
