--- a/baobabgap/web/_server.py
+++ b/baobabgap/web/_server.py
@@ -11,8 +11,9 @@
 class WebServer:
     """Serves a WSGI application on one port with a fixed pool of threads.
 
-    Idle kept-alive connections hold no thread. Requests that never reach
-    the application get their errors as JSON too.
+    Idle kept-alive connections hold no thread; one that stops in the
+    middle of a request holds a thread for `read_timeout_s` seconds.
+    Requests that never reach the application get JSON errors too.
     """
 
     def __init__(
@@ -22,13 +23,14 @@
         application: Any,
         threads: int,
         largest_body_bytes: int,
+        read_timeout_s: int = 30,
     ) -> None:
         self._server = Server(
             (host, port),
             application,
             numthreads=threads,
             request_queue_size=1024,
-            timeout=30,
+            timeout=read_timeout_s,
             shutdown_timeout=5,
         )
         self._server.ConnectionClass = JsonErrorConnection
