Keep suspended upstreams from making an entry refuse every job

Tasks queued at an agent under the baseline policies, and run times near zero, made every upstream look slow. Now a task is odd only after 500 ms, the watch rests under the queueing policies, and suspended upstreams count as slots when there are no others.

--- a/baobabgap/entry/_dispatcher.py
+++ b/baobabgap/entry/_dispatcher.py
@@ -492,6 +492,8 @@
     def watch_upstreams(self, now: float) -> None:
         """Avoid upstreams on which most tasks are overdue."""
         with self.lock:
+            if self._queues_at_agents():
+                return
             for tokens in list(self.pool):
                 agent = tokens.agent
                 overdue, outstanding = self._outstanding.count_overdue(
@@ -503,6 +505,11 @@
             for agent in self._watch.due_for_try(now):
                 self._try_suspended(agent, now)
 
+    def _queues_at_agents(self) -> bool:
+        """Tell whether a late task may just have waited at its agent."""
+        placement = self._configuration.policy.placement
+        return placement is not PlacementPolicy.TOKENS
+
     def _try_suspended(self, agent: str, now: float) -> None:
         job = self._queue.pop()
         if job is None:
--- a/baobabgap/entry/_run_times.py
+++ b/baobabgap/entry/_run_times.py
@@ -9,6 +9,8 @@
 _NEW_WEIGHT: Final = 0.1
 _FEW_SAMPLES: Final = 10
 _MAXIMUM_KINDS: Final = 10_000
+# Below this a late task says more about the hosts than its upstream.
+_LEAST_OVERDUE_MS: Final = 500.0
 
 
 @dataclass(slots=True)
@@ -80,4 +82,5 @@
         learned = self._learned_by_kind.get((client, task.kind))
         if learned is None or learned.samples < _FEW_SAMPLES:
             return None
-        return 2 * learned.mean_ms + 4 * learned.deviation_ms
+        odd_ms = 2 * learned.mean_ms + 4 * learned.deviation_ms
+        return max(odd_ms, _LEAST_OVERDUE_MS)
--- a/baobabgap/entry/_token_pool.py
+++ b/baobabgap/entry/_token_pool.py
@@ -168,12 +168,21 @@
         )
 
     def accepting_slots(self) -> int:
-        """Count the slots of all upstreams that take new tasks."""
-        return sum(
-            tokens.offer.slots
-            for tokens in self._tokens_by_agent.values()
-            if tokens.offer.accepting and not tokens.is_suspended
-        )
+        """Count the slots of all upstreams that take new tasks.
+
+        Suspended ones count only when there are no others, so that jobs
+        are still admitted, and one of them can try a suspended upstream.
+        """
+        slots_of_suspended = 0
+        slots = 0
+        for tokens in self._tokens_by_agent.values():
+            if not tokens.offer.accepting:
+                continue
+            if tokens.is_suspended:
+                slots_of_suspended += tokens.offer.slots
+            else:
+                slots += tokens.offer.slots
+        return slots or slots_of_suspended
 
     def agents_where(
         self, predicate: Callable[[AgentTokens], bool]
--- a/baobabgap/entry/tests/test_dispatcher.py
+++ b/baobabgap/entry/tests/test_dispatcher.py
@@ -242,6 +242,45 @@
         entry.submit(job(4))
         self.assertEqual(1, len(slow.take(PlaceTasks)))
 
+    def test_suspending_the_last_one_refuses_nothing(self) -> None:
+        entry = FakeEntry()
+        for _ in range(12):
+            entry.dispatcher.run_times.learn('kurek', 'seat', 50.0)
+        slow = entry.add_agent('slow', 2)
+        entry.submit(job(1, tasks=2))
+        now = time.monotonic()
+        entry.dispatcher.watch_upstreams(now + 1.0)
+        entry.finish(slow, slow.take(PlaceTasks)[0])
+        future = entry.submit(job(2))
+        self.assertFalse(future.done())
+        entry.dispatcher.watch_upstreams(now + 7.0)
+        entry.finish(slow, slow.take(PlaceTasks)[0])
+        self.assertTrue(future.result(1).is_whole)
+
+    def test_short_delays_suspend_nothing(self) -> None:
+        entry = FakeEntry()
+        for _ in range(12):
+            entry.dispatcher.run_times.learn('kurek', 'seat', 0.1)
+        agent = entry.add_agent('a', 4)
+        entry.submit(job(1, tasks=2))
+        entry.dispatcher.watch_upstreams(time.monotonic() + 0.3)
+        entry.submit(job(2))
+        self.assertEqual(2, len(agent.take(PlaceTasks)))
+
+    def test_queueing_at_the_agent_suspends_nothing(self) -> None:
+        policy = {
+            'placement': 'random',
+            'default_quota': {'tasks_per_second': 1000},
+        }
+        entry = FakeEntry(Configuration.from_state(1, {'policy': policy}))
+        for _ in range(12):
+            entry.dispatcher.run_times.learn('kurek', 'seat', 50.0)
+        entry.add_agent('a', 1)
+        entry.submit(job(1, tasks=3))
+        entry.dispatcher.watch_upstreams(time.monotonic() + 1.0)
+        suspended = 'baobabgap_upstreams_suspended_total'
+        self.assertEqual(0, entry.metrics.value(suspended))
+
 
 class TestBaselines(unittest.TestCase):
     """The baselines place at once, without tokens."""
