--- a/tools/bench/_report.py
+++ b/tools/bench/_report.py
@@ -37,6 +37,8 @@
     own_duplicates: int
     # Requests to stand-ins for tasks that they knew already.
     repeated_requests: int
+    # Cores that others kept busy meanwhile, on average.
+    cores_of_others: float
     # Figures that only some cases have.
     extra: dict[str, Any]
 
@@ -53,7 +55,7 @@
         'tasks': tasks,
         **_response_figures(run),
         **_cost_figures(run),
-        'goodput': _rounded(_goodput(run)),
+        **_goodput_figures(run),
         'whole': ends[End.WHOLE],
         'refused': ends[End.REFUSED],
         'failed': ends[End.FAILED],
@@ -70,6 +72,7 @@
         'seed': run.seed,
         'commit': current_commit(),
         'load_average': round(os.getloadavg()[0], 1),
+        'cores_of_others': round(run.cores_of_others, 2),
     }
 
 
@@ -145,21 +148,30 @@
     }
 
 
-def _goodput(run: CaseRun) -> float:
+def _goodput_figures(run: CaseRun) -> dict[str, Any]:
     """Tasks of jobs whole in time, over what the slots could run.
 
     Both are counted until the last arrival. What the slots could run
-    follows from the mean true run time of the trace.
+    follows from the mean true run time of the trace. The second figure
+    counts run time in place of tasks: a slot that runs one long task in
+    place of many short ones does no less work.
     """
-    tasks = [task.true_ms for job in run.jobs for task in job.tasks]
-    mean_s = sum(tasks) / len(tasks) / 1000.0
-    good = sum(
-        len(outcome.job.tasks)
+    tasks = sum(len(job.tasks) for job in run.jobs)
+    mean_s = sum(job.work_s for job in run.jobs) / tasks
+    good = [
+        outcome.job
         for outcome in run.outcomes
         if outcome.in_deadline
         and outcome.sent_s + outcome.response_s <= run.seconds
-    )
-    return good * mean_s / (run.slots * run.seconds)
+    ]
+    slot_s = run.slots * run.seconds
+    good_tasks = sum(len(job.tasks) for job in good)
+    return {
+        'goodput': _rounded(good_tasks * mean_s / slot_s),
+        'goodput_by_run_time': _rounded(
+            sum(job.work_s for job in good) / slot_s
+        ),
+    }
 
 
 def _refusal_figures(run: CaseRun) -> dict[str, Any]:
--- a/tools/bench/_run.py
+++ b/tools/bench/_run.py
@@ -14,6 +14,7 @@
 from tools.bench._cases import PolicyChoice
 from tools.bench._cases import SLOTS
 from tools.bench._faults import FaultDriver
+from tools.bench._machine import MachineReading
 from tools.bench._reading import Reading
 from tools.bench._reading import StandInCounts
 from tools.bench._report import CaseRun
@@ -26,9 +27,9 @@
 _EXTRA_SETTINGS: Final = {'entry': {'http_threads': 600}}
 _BOUNDLESS_QUOTA: Final = {'tasks_per_second': 1e6, 'burst_tasks': 1_000_000}
 _TICKET_LIMIT_S: Final = 10.0
-# Time for a ticket to be in force, and for late messages to arrive.
+# Time for a ticket to be in force.
 _SETTLE_S: Final = 2.0
-_STAND_INS_KEEP_RUNNING_S: Final = 0.5
+_LATE_MESSAGES_S: Final = 0.5
 
 
 class BenchError(Exception):
@@ -84,11 +85,13 @@
         driver = self._fault_driver(case)
         empty_round_trip_s = callers.measure_empty_round_trip_s()
         before = Reading.take(self._launcher)
+        machine_before = MachineReading.take(self._launcher)
         if driver is not None:
             driver.start()
         outcomes = callers.run(case.jobs, f'run-{self._run_number}')
         extra = driver.finish() if driver is not None else {}
-        time.sleep(_STAND_INS_KEEP_RUNNING_S)
+        machine = MachineReading.take(self._launcher)
+        time.sleep(_LATE_MESSAGES_S)
         reading = Reading.take(self._launcher).since(before)
         callers.close()
         self._counts.refresh()
@@ -111,6 +114,7 @@
                 - duplicates_before,
                 repeated_requests=self._counts.total('repeated_requests')
                 - repeated_before,
+                cores_of_others=machine.cores_of_others_since(machine_before),
                 extra=extra,
             )
         )
