Answer a request whose body stops arriving

cheroot read the unread rest of the body before it sent the head of the response, so that a client that had stalled got nothing at all after 30 seconds (seen by hand; test_body_that_stops_arriving fails without the override of send_headers). The application now closes such a connection, and cheroot heeds it; the same closes kept connections while draining.

--- a/baobabgap/api/_application.py
+++ b/baobabgap/api/_application.py
@@ -107,7 +107,10 @@
             endpoint, arguments = routes.match()
             return self._dispatch(endpoint, request, arguments)
         except RequestRefused as error:
-            return _refusal(error.code, error.message, error.status)
+            response = _refusal(error.code, error.message, error.status)
+            if error.is_cut_off:
+                response.headers['Connection'] = 'close'
+            return response
         except InvalidInput as error:
             return _refusal(FailureCode.INVALID, str(error), 400)
         except MethodNotAllowed as error:
--- a/baobabgap/api/_body.py
+++ b/baobabgap/api/_body.py
@@ -16,14 +16,24 @@
 
 
 class RequestRefused(BaobabgapError):
-    """A request that broke the rules of HTTP or JSON; nothing was run."""
+    """A request that broke the rules of HTTP or JSON; nothing was run.
+
+    If `is_cut_off`, the end of its body can't be found, and the
+    connection is of no more use.
+    """
 
     def __init__(
-        self, message: str, *, status: int, code: FailureCode
+        self,
+        message: str,
+        *,
+        status: int,
+        code: FailureCode,
+        is_cut_off: bool = False,
     ) -> None:
         super().__init__(message, step='request')
         self.status = status
         self.code = code
+        self.is_cut_off = is_cut_off
 
 
 def read_document(request: Request, largest_body_bytes: int) -> Any:
@@ -57,15 +67,15 @@
     except MaxSizeExceeded as error:
         raise _too_large(largest_body_bytes) from error
     except TimeoutError as error:
-        raise _invalid('the body did not arrive', status=408) from error
+        raise _cut_off('the body did not arrive', status=408) from error
     except (OSError, ValueError) as error:
         if str(error) == _CHUNK_TOO_LARGE:
             raise _too_large(largest_body_bytes) from error
-        raise _invalid(f'the body is broken: {error}') from error
+        raise _cut_off(f'the body is broken: {error}') from error
     if len(body) > largest_body_bytes:
         raise _too_large(largest_body_bytes)
     if length is not None and len(body) < length:
-        raise _invalid(f'the body ended after {len(body)} of {length} bytes')
+        raise _cut_off(f'the body ended after {len(body)} of {length} bytes')
     return body
 
 
@@ -81,6 +91,12 @@
     return RequestRefused(message, status=status, code=FailureCode.INVALID)
 
 
+def _cut_off(message: str, status: int = 400) -> RequestRefused:
+    return RequestRefused(
+        message, status=status, code=FailureCode.INVALID, is_cut_off=True
+    )
+
+
 def _too_large(largest_body_bytes: int) -> RequestRefused:
     return RequestRefused(
         f'the body may have {largest_body_bytes} bytes at most',
--- a/baobabgap/api/tests/test_served.py
+++ b/baobabgap/api/tests/test_served.py
@@ -14,6 +14,7 @@
 from baobabgap.web import WebServer
 
 _LARGEST_BODY_BYTES: Final = 4096
+_SILENCE_S: Final = 1
 _TIMEOUT_S: Final = 20.0
 _BODY: Final = json.dumps(
     {
@@ -36,7 +37,7 @@
         self._pool = ThreadPoolExecutor(4)
         application = create_application(self.service, _LARGEST_BODY_BYTES)
         self._server = WebServer(
-            '127.0.0.1', 0, application, 4, _LARGEST_BODY_BYTES
+            '127.0.0.1', 0, application, 4, _LARGEST_BODY_BYTES, _SILENCE_S
         )
         self._server.start(self._pool)
         self.addCleanup(self._pool.shutdown)
@@ -83,12 +84,24 @@
         self.assertEqual(503, response.status)
         self.assertEqual('close', response.header_by_name['connection'])
 
-    def _exchange(self, sent: bytes) -> tuple[int, Any]:
+    def test_body_that_stops_arriving(self) -> None:
+        cases: dict[str, bytes] = {
+            'known length': _with_length(len(_BODY) + 9) + _BODY,
+            'chunked': _chunked_head() + b'9\r\n{}',
+        }
+        for name, sent in cases.items():
+            with self.subTest(name):
+                status, document = self._exchange(sent, ends=False)
+                self.assertEqual(408, status)
+                self.assertEqual('refused', document['state'])
+
+    def _exchange(self, sent: bytes, *, ends: bool = True) -> tuple[int, Any]:
         """Send raw bytes; return the status and the JSON document."""
         address = ('127.0.0.1', self._server.port)
         with socket.create_connection(address, _TIMEOUT_S) as connection:
             connection.sendall(sent)
-            connection.shutdown(socket.SHUT_WR)
+            if ends:
+                connection.shutdown(socket.SHUT_WR)
             reader = connection.makefile('rb')
             status = int(reader.readline().split()[1])
             length = 0
--- a/baobabgap/web/_errors.py
+++ b/baobabgap/web/_errors.py
@@ -28,6 +28,16 @@
         if self.chunked_read and not self.rfile.closed:
             self.close_connection = True
 
+    def send_headers(self) -> None:
+        """Close the connection too if the application says so.
+
+        The unread rest of a body is then not waited for.
+        """
+        for name, value in self.outheaders:
+            if (name.lower(), value.lower()) == (b'connection', b'close'):
+                self.close_connection = True
+        super().send_headers()
+
     def simple_response(self, status: object, msg: str = '') -> None:
         """Write one error and close the connection after it."""
         number = int(str(status)[:3])
--- a/baobabgap/web/_server.py
+++ b/baobabgap/web/_server.py
@@ -2,11 +2,15 @@
 
 from concurrent.futures import Executor
 from typing import Any
+from typing import Final
 
 from cheroot.wsgi import Server
 
 from baobabgap.web._errors import JsonErrorConnection
 
+# Seconds without a byte after which an idle or stuck connection is closed.
+_SILENCE_S: Final = 30
+
 
 class WebServer:
     """Serves a WSGI application on one port with a fixed pool of threads.
@@ -22,13 +26,14 @@
         application: Any,
         threads: int,
         largest_body_bytes: int,
+        silence_s: int = _SILENCE_S,
     ) -> None:
         self._server = Server(
             (host, port),
             application,
             numthreads=threads,
             request_queue_size=1024,
-            timeout=30,
+            timeout=silence_s,
             shutdown_timeout=5,
         )
         self._server.ConnectionClass = JsonErrorConnection
