--- a/baobabgap/control/_client.py
+++ b/baobabgap/control/_client.py
@@ -4,14 +4,13 @@
 from collections.abc import Sequence
 from concurrent.futures import Executor
 from concurrent.futures import Future
-import random
 import threading
 import time
 from typing import Any
 from typing import Final
-import zlib
 
 from baobabgap._exceptions import BaobabgapError
+from baobabgap.control._host_choice import HostChoice
 from baobabgap.control._pending import ClaimSender
 from baobabgap.control._pending import PendingRequests
 from baobabgap.messages import Changes
@@ -34,8 +33,6 @@
 from baobabgap.transport import LinkTiming
 
 _TICK_S: Final = 0.05
-_FIRST_PAUSE_S: Final = 0.05
-_LONGEST_PAUSE_S: Final = 1.0
 
 
 class ControlClient:
@@ -56,20 +53,25 @@
         self,
         settings: Settings,
         own: Hello,
-        timing: LinkTiming,
         pool: Executor,
         on_changes: Callable[[Changes], None],
         member_roles: tuple[str, ...],
     ) -> None:
         self._settings = settings
         self._own = own
-        self._timing = timing
+        self._dial_timing = LinkTiming(
+            settings.links.heartbeat_s, settings.links.silence_s
+        )
+        self._timing = self._dial_timing
+        if own.role == 'agent':
+            self._timing = LinkTiming(
+                settings.control.member_heartbeat_s,
+                settings.control.member_silence_s,
+            )
         self._pool = pool
         self._on_changes = on_changes
         self._member_roles = member_roles
-        self._addresses = [host.address for host in settings.control_hosts]
-        self._next_host = zlib.crc32(own.name.encode())
-        self._leader_address = ''
+        self._choice = HostChoice.from_settings(settings, own.role)
         self._pending = PendingRequests(
             ClaimSender(own.name, own.incarnation, own.address)
         )
@@ -79,13 +81,6 @@
         self._last_contact = time.monotonic()
         self._is_superseded = False
         self._messages_taken = 0
-        # Agents are many: they don't all come back at once.
-        self._first_pause_s = _FIRST_PAUSE_S
-        self._longest_pause_s = _LONGEST_PAUSE_S
-        if own.role == 'agent':
-            control = settings.control
-            self._first_pause_s = control.return_grace_s / 2
-            self._longest_pause_s = control.member_heartbeat_s
 
     @classmethod
     def from_settings(
@@ -106,15 +101,7 @@
             address,
             settings.place.availability_zone,
         )
-        timing = LinkTiming(
-            settings.links.heartbeat_s, settings.links.silence_s
-        )
-        if role == 'agent':
-            timing = LinkTiming(
-                settings.control.member_heartbeat_s,
-                settings.control.member_silence_s,
-            )
-        return cls(settings, own, timing, pool, on_changes, member_roles)
+        return cls(settings, own, pool, on_changes, member_roles)
 
     @property
     def version(self) -> int:
@@ -228,31 +215,22 @@
             self._send_waiting()
 
     def _run(self) -> None:
-        pause_s = self._first_pause_s
         while not self._stopping.is_set() and not self._is_superseded:
             before = self._messages_taken
             try:
-                self._hold_link(self._choose_address())
+                self._hold_link(self._choice.next_address())
             except BaobabgapError as error:
                 log_event('control_client:link_lost', error=str(error))
             except Exception as error:
                 log_event('control_client:failed', error=repr(error))
-            if self._messages_taken != before:
-                pause_s = self._first_pause_s
-            self._stopping.wait(pause_s * random.uniform(0.2, 1.0))
-            pause_s = min(2 * pause_s, self._longest_pause_s)
-
-    def _choose_address(self) -> str:
-        """Return the leader for an entry that knows it, else the next."""
-        if self._leader_address:
-            address = self._leader_address
-            self._leader_address = ''
-            return address
-        self._next_host += 1
-        return self._addresses[self._next_host % len(self._addresses)]
+            was_useful = self._messages_taken != before
+            self._stopping.wait(
+                self._choice.pause_after(was_useful=was_useful)
+            )
 
     def _hold_link(self, address: str) -> None:
-        connection = dial(address, self._own, self._timing, self._pool)
+        connection = dial(address, self._own, self._dial_timing, self._pool)
+        connection.use_timing(self._timing)
         try:
             self._pending.peer = connection.peer.name
             connection.send(Subscribe(self._version, self._member_roles))
@@ -300,5 +278,5 @@
         if self._own.role != 'entry' or not hint.address:
             return
         if connection.peer.name != hint.leader:
-            self._leader_address = hint.address
+            self._choice.prefer(hint.address)
             connection.close()
