--- a/tools/_measured_group.py
+++ b/tools/_measured_group.py
@@ -54,17 +54,20 @@
         cls, folder: str, hosts: int, added_sync_delay_ms: float
     ) -> 'MeasuredGroup':
         """Start hosts with their data in sub-folders."""
-        names = [f'control-{number}' for number in range(1, hosts + 1)]
+        port_by_name = {
+            f'control-{number}': _free_port() for number in range(1, hosts + 1)
+        }
         listed = [
-            {'name': name, 'host': '127.0.0.1', 'port': _free_port()}
-            for name in names
+            {'name': name, 'host': '127.0.0.1', 'port': port}
+            for name, port in port_by_name.items()
         ]
         children = []
         running = []
-        for name in names:
+        for name, port in port_by_name.items():
             document = {
                 'role': 'control',
                 'name': name,
+                'listen': {'internal_port': port},
                 'control_hosts': listed,
                 'control': {
                     'data_folder': f'{folder}/{name}',
