--- a/baobabgap/control/_client.py
+++ b/baobabgap/control/_client.py
@@ -136,21 +136,17 @@
         self._pool.submit(self._run)
         self._pool.submit(self._tick_loop)
 
-    def stop(self) -> None:
-        """Leave, close the link and fail what was not answered."""
-        self._stopping.set()
-        connection = self._connection
-        if connection is not None:
-            connection.send(Leave())
-            connection.flush_and_close()
-        self._pending.fail_all('this process stops')
+    def stop(self, *, leaving: bool = True) -> None:
+        """Leave, close the link and fail what was not answered.
 
-    def kill(self) -> None:
-        """Close the link without leaving, as if the process had died."""
+        A process that does not leave is taken for dead a little later.
+        """
         self._stopping.set()
         connection = self._connection
         if connection is not None:
-            connection.close()
+            if leaving:
+                connection.send(Leave())
+            connection.flush_and_close()
         self._pending.fail_all('this process stops')
 
     def claim(self, claim: Claim) -> Future[ClaimOutcome]:
--- a/baobabgap/control/tests/test_group.py
+++ b/baobabgap/control/tests/test_group.py
@@ -134,7 +134,7 @@
             'the join arrives',
         )
         self.stop_host(two)
-        agent.client.kill()
+        agent.client.stop(leaving=False)
         self.wait_until(
             lambda: not watcher.alive_by_name['agent-1'],
             'the leader has noted the death',
--- a/baobabgap/control/tests/test_single_host.py
+++ b/baobabgap/control/tests/test_single_host.py
@@ -84,7 +84,7 @@
             'both joins arrive',
         )
         leaving.client.stop()
-        dying.client.kill()
+        dying.client.stop(leaving=False)
         self.wait_until(
             lambda: (
                 not entry.alive_by_name['agent-1']
