Build the parts of a log in a module of their own

No change of behaviour, but one: a vote request that arrives while the disk fails is answered once the log could be written anew, by the writer's rule; the early return beside it guarded nothing more.

--- a/baobabgap/replication/_election.py
+++ b/baobabgap/replication/_election.py
@@ -60,8 +60,6 @@
         if state.leader_is_recent() and not request.transfer:
             answer(self._vote_answer(request, False))
             return
-        if not state.storage_ok:
-            return
         state.adopt_term(request.term)
         granted = (
             request.term == state.term
--- a/baobabgap/replication/_log.py
+++ b/baobabgap/replication/_log.py
@@ -8,35 +8,24 @@
 from typing import Any
 from typing import Final
 
-from baobabgap.messages import Hello
-from baobabgap.replication._applier import Applier
 from baobabgap.replication._changes import MembershipChanges
-from baobabgap.replication._election import Election
 from baobabgap.replication._entry import EntryKind
 from baobabgap.replication._errors import OutcomeUnknown
 from baobabgap.replication._errors import StorageUnavailable
 from baobabgap.replication._folder import DataFolder
 from baobabgap.replication._folder import DiskFolder
-from baobabgap.replication._founding import Founding
 from baobabgap.replication._handover import Handover
 from baobabgap.replication._limits import LogLimits
 from baobabgap.replication._machine import StateMachine
-from baobabgap.replication._messages import VoteAnswer
-from baobabgap.replication._peer import Peer
-from baobabgap.replication._peers import Peers
-from baobabgap.replication._reads import ReadBarriers
+from baobabgap.replication._parts import LogParts
 from baobabgap.replication._session import PeerSession
 from baobabgap.replication._state import fail_futures
-from baobabgap.replication._state import GroupState
 from baobabgap.replication._status import LogStatus
 from baobabgap.replication._status_view import read_status
-from baobabgap.replication._storage import Storage
-from baobabgap.replication._writer import LogWriter
 from baobabgap.settings import ControlHost
 from baobabgap.settings import Settings
 from baobabgap.telemetry import log_event
 from baobabgap.transport import Connection
-from baobabgap.transport import LinkTiming
 
 _TICKS_IN_ELECTION_TIMEOUT: Final = 10
 _STOP_LIMIT_S: Final = 5.0
@@ -53,65 +42,22 @@
         result = log.propose(b'command').result(timeout=5)
     """
 
-    def __init__(
-        self,
-        settings: Settings,
-        incarnation: str,
-        machine: StateMachine,
-        pool: Executor,
-        folder: DataFolder,
-        limits: LogLimits,
-    ) -> None:
-        """Open the folder; `from_settings` is the usual way here."""
-        own = _own_host(settings)
+    def __init__(self, parts: LogParts, pool: Executor) -> None:
         self._pool: Final = pool
-        self._limits: Final = limits
-        self._storage: Final = Storage.open(folder)
-        self._state: Final = GroupState(
-            own,
-            self._storage.identity,
-            self._storage.recovered,
-            settings.control.election_timeout_s,
-        )
-        self._state.run_later = pool.submit
-        self._writer: Final = LogWriter(self._state, self._storage)
-        self._peers: Final = Peers(
-            self._state,
-            settings.control_hosts,
-            self._make_peer,
-            _own_hello(settings, own, incarnation),
-            LinkTiming(settings.links.heartbeat_s, settings.links.silence_s),
-            pool,
-        )
-        self._reads: Final = ReadBarriers(
-            self._state,
-            self._peers.ask_round,
-            self._peers.confirmed_round_by_voter,
-        )
-        self._applier: Final = Applier(
-            self._state,
-            machine,
-            self._storage,
-            self._writer,
-            limits,
-            self._reads,
-            pool,
-        )
-        self._election: Final = Election(
-            self._state,
-            self._writer,
-            self._peers.broadcast,
-            self._peers.answering_voters,
-        )
-        self._founding: Final = Founding(
-            self._state, settings.control_hosts, self._peers
-        )
+        self._storage: Final = parts.storage
+        self._state: Final = parts.state
+        self._writer: Final = parts.writer
+        self._peers: Final = parts.peers
+        self._reads: Final = parts.reads
+        self._applier: Final = parts.applier
+        self._election: Final = parts.election
+        self._founding: Final = parts.founding
         self._changes: Final = MembershipChanges(self._state, self._peers)
         self._handover: Final = Handover(self._state, self._peers)
         self._tasks: list[Future[None]] = []
         self._sessions: set[Connection] = set()
         self._ended = threading.Event()
-        self._wire()
+        self._state.on_stand_down = self._fail_waiting
 
     @classmethod
     def from_settings(
@@ -129,7 +75,25 @@
             settings.control.data_folder,
             settings.control.added_sync_delay_ms / 1000,
         )
-        return cls(settings, incarnation, machine, pool, folder, LogLimits())
+        return cls.from_folder(
+            settings, incarnation, machine, pool, folder, LogLimits()
+        )
+
+    @classmethod
+    def from_folder(
+        cls,
+        settings: Settings,
+        incarnation: str,
+        machine: StateMachine,
+        pool: Executor,
+        folder: DataFolder,
+        limits: LogLimits,
+    ) -> 'ReplicatedLog':
+        """Open any sort of data folder; see `from_settings`."""
+        parts = LogParts.build(
+            settings, incarnation, machine, pool, folder, limits
+        )
+        return cls(parts, pool)
 
     def start(self) -> None:
         """Take part in the group."""
@@ -242,27 +206,6 @@
         """
         return self._changes.remove(name)
 
-    def _wire(self) -> None:
-        state = self._state
-        state.wake_peers = self._peers.wake
-        state.on_lead = self._peers.begin_to_lead
-        state.on_stand_down = self._fail_waiting
-        state.durable_by_voter = self._peers.durable_by_voter
-
-    def _make_peer(self, host: ControlHost) -> Peer:
-        return Peer(
-            host,
-            self._state,
-            self._storage,
-            self._limits,
-            self._founding.introduce,
-            self._take_vote,
-            self._reads.take_rounds,
-        )
-
-    def _take_vote(self, name: str, store: str, answer: VoteAnswer) -> None:
-        self._election.take_answer(name, store, answer)
-
     def _fail_waiting(self) -> None:
         self._reads.fail_all()
         self._changes.fail_all()
@@ -308,22 +251,3 @@
         except StorageUnavailable:
             pass
         self._storage.close()
-
-
-def _own_host(settings: Settings) -> ControlHost:
-    for host in settings.control_hosts:
-        if host.name == settings.name:
-            return host
-    raise ValueError(f'{settings.name} is not among control_hosts')
-
-
-def _own_hello(
-    settings: Settings, own: ControlHost, incarnation: str
-) -> Hello:
-    return Hello(
-        name=settings.name,
-        role='control',
-        incarnation=incarnation,
-        address=own.address,
-        availability_zone=settings.place.availability_zone,
-    )
--- /dev/null
+++ b/baobabgap/replication/_parts.py
@@ -0,0 +1,122 @@
+"""Building the parts of a host's log and wiring them together."""
+
+from concurrent.futures import Executor
+from dataclasses import dataclass
+
+from baobabgap.messages import Hello
+from baobabgap.replication._applier import Applier
+from baobabgap.replication._election import Election
+from baobabgap.replication._folder import DataFolder
+from baobabgap.replication._founding import Founding
+from baobabgap.replication._limits import LogLimits
+from baobabgap.replication._machine import StateMachine
+from baobabgap.replication._messages import VoteAnswer
+from baobabgap.replication._peer import Peer
+from baobabgap.replication._peers import Peers
+from baobabgap.replication._reads import ReadBarriers
+from baobabgap.replication._state import GroupState
+from baobabgap.replication._storage import Storage
+from baobabgap.replication._writer import LogWriter
+from baobabgap.settings import ControlHost
+from baobabgap.settings import Settings
+from baobabgap.transport import LinkTiming
+
+
+@dataclass(frozen=True, slots=True)
+class LogParts:
+    """The parts that one host's log consists of."""
+
+    # The open data folder.
+    storage: Storage
+    # What all tasks share.
+    state: GroupState
+    # Syncs entries, term and vote.
+    writer: LogWriter
+    # The links to the other hosts.
+    peers: Peers
+    # Callers that wait for a read point.
+    reads: ReadBarriers
+    # Feeds the state machine.
+    applier: Applier
+    # Seeks and grants votes.
+    election: Election
+    # Founds the group, once.
+    founding: Founding
+
+    @classmethod
+    def build(
+        cls,
+        settings: Settings,
+        incarnation: str,
+        machine: StateMachine,
+        pool: Executor,
+        folder: DataFolder,
+        limits: LogLimits,
+    ) -> 'LogParts':
+        """Open the folder and build everything on it."""
+        own = _own_host(settings)
+        storage = Storage.open(folder)
+        state = GroupState(
+            own,
+            storage.identity,
+            storage.recovered,
+            settings.control.election_timeout_s,
+        )
+        writer = LogWriter(state, storage)
+
+        def take_vote(name: str, store: str, answer: VoteAnswer) -> None:
+            election.take_answer(name, store, answer)
+
+        def make_peer(host: ControlHost) -> Peer:
+            return Peer(
+                host,
+                state,
+                storage,
+                limits,
+                founding.introduce,
+                take_vote,
+                reads.take_rounds,
+            )
+
+        peers = Peers(
+            state,
+            settings.control_hosts,
+            make_peer,
+            _own_hello(settings, own, incarnation),
+            LinkTiming(settings.links.heartbeat_s, settings.links.silence_s),
+            pool,
+        )
+        reads = ReadBarriers(
+            state, peers.ask_round, peers.confirmed_round_by_voter
+        )
+        founding = Founding(state, settings.control_hosts, peers)
+        election = Election(
+            state, writer, peers.broadcast, peers.answering_voters
+        )
+        applier = Applier(state, machine, storage, writer, limits, reads, pool)
+        state.run_later = pool.submit
+        state.wake_peers = peers.wake
+        state.on_lead = peers.begin_to_lead
+        state.durable_by_voter = peers.durable_by_voter
+        return cls(
+            storage, state, writer, peers, reads, applier, election, founding
+        )
+
+
+def _own_host(settings: Settings) -> ControlHost:
+    for host in settings.control_hosts:
+        if host.name == settings.name:
+            return host
+    raise ValueError(f'{settings.name} is not among control_hosts')
+
+
+def _own_hello(
+    settings: Settings, own: ControlHost, incarnation: str
+) -> Hello:
+    return Hello(
+        name=settings.name,
+        role='control',
+        incarnation=incarnation,
+        address=own.address,
+        availability_zone=settings.place.availability_zone,
+    )
--- a/baobabgap/replication/tests/_group.py
+++ b/baobabgap/replication/tests/_group.py
@@ -132,7 +132,7 @@
             control=ControlSettings(election_timeout_s=ELECTION_TIMEOUT_S),
         )
         self.machine = ListMachine()
-        self.log = ReplicatedLog(
+        self.log = ReplicatedLog.from_folder(
             settings, '1', self.machine, self._pool, self.folder, LIMITS
         )
         self.log.start()
