Fit the entry's cost to the size of jobs; no baseline where jobs are refused

Ruled out: the interpreter's switch interval (5 ms against 0.5 ms, twice each, no difference beyond the spread). Wide jobs: nearly every TaskResults and PlaceTasks carries one task (4,304 placements for 4,500 tasks), each with its own frame, validation and log event; only batches of results can bring the entry near 100 us a task.

--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -12,6 +12,8 @@
 
 from tools.bench._cases import all_cases
 from tools.bench._cases import choose_cases
+from tools.bench._cases import WIDE_PREFIX
+from tools.bench._report import slope_line
 from tools.bench._run import run_cases
 
 _DEFAULT_SECONDS: Final = 30.0
@@ -29,8 +31,13 @@
         chosen = choose_cases(cases, names)
     except ValueError as error:
         sys.exit(str(error))
+    wide_lines = []
     for line in run_cases(chosen, arguments.seed):
         print(json.dumps(line), flush=True)
+        if line['case'].startswith(WIDE_PREFIX):
+            wide_lines.append(line)
+    if len(wide_lines) > 1:
+        print(json.dumps(slope_line(wide_lines)), flush=True)
 
 
 def _parser() -> argparse.ArgumentParser:
--- a/tools/bench/_cases.py
+++ b/tools/bench/_cases.py
@@ -22,6 +22,7 @@
 _WAVE: Final = CancelWave(at_s=0.0, reach_s=0.5, share=0.5)
 _DEADLINE_STRETCH: Final = 3.0
 _FAULT_LOAD: Final = 0.5
+WIDE_PREFIX: Final = 'wide-'
 _WIDE_SIZES: Final = (100, 300, 1000)
 _WIDE_TASKS_PER_SECOND: Final = 500.0
 
@@ -82,6 +83,8 @@
     jobs: tuple[TraceJob, ...]
     policies: tuple[PolicyChoice, ...] = (CHOSEN,)
     fault: Fault | None = None
+    # Whether to compare with a baseline that refuses no job.
+    has_baseline: bool = True
     # How many entries the deployment has.
     entries: int = 2
 
@@ -164,7 +167,8 @@
     phases = (ArrivalPhase(0.0, seconds, load),)
     shape = TraceShape(SLOTS, phases, deadline_stretch=_DEADLINE_STRETCH)
     jobs = generate_trace(seed, shape)
-    return Case(f'offered-{load:g}', load, seconds, jobs)
+    name = f'offered-{load:g}'
+    return Case(name, load, seconds, jobs, has_baseline=False)
 
 
 def _with_fault(seed: int, seconds: float, name: str, fault: Fault) -> Case:
@@ -176,4 +180,11 @@
 def _wide(seconds: float, tasks: int) -> Case:
     pause_s = tasks / _WIDE_TASKS_PER_SECOND
     jobs = generate_wide_trace(int(seconds / pause_s), tasks, pause_s)
-    return Case(f'wide-{tasks}', 0.0, seconds, jobs, entries=1)
+    return Case(
+        f'{WIDE_PREFIX}{tasks}',
+        0.0,
+        seconds,
+        jobs,
+        has_baseline=False,
+        entries=1,
+    )
--- a/tools/bench/_report.py
+++ b/tools/bench/_report.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 import os
+import statistics
 import subprocess
 from typing import Any
 
@@ -27,6 +28,8 @@
     # Seconds during which jobs arrived.
     seconds: float
     jobs: tuple[TraceJob, ...]
+    # Whether the baseline serves the same jobs: it refuses none.
+    has_baseline: bool
     outcomes: Sequence[Outcome]
     empty_round_trip_s: float
     # Added by the processes during the case.
@@ -66,6 +69,12 @@
         - len(run.starts_by_task),
         'partial': ends[End.PARTIAL],
         'wrong_caller': ends[End.WRONG_CALLER],
+        'last_failed_sent_s': _rounded(
+            max(
+                (o.sent_s for o in run.outcomes if o.end is End.FAILED),
+                default=None,
+            )
+        ),
         **_refusal_figures(run),
         'codes': dict(Counter(o.code for o in run.outcomes if o.code)),
         **run.extra,
@@ -83,6 +92,27 @@
     return found.stdout.strip() or 'unknown'
 
 
+def slope_line(lines: Sequence[dict[str, Any]]) -> dict[str, Any]:
+    """Fit the entry's processor time to the size of jobs.
+
+    The lines are those of cases whose jobs all have the same size.
+    """
+    sizes = [line['tasks'] / line['jobs'] for line in lines]
+    costs_us = [
+        size * line['entry_cpu_us_per_task']
+        for size, line in zip(sizes, lines, strict=True)
+    ]
+    fit = statistics.linear_regression(sizes, costs_us)
+    return {
+        'case': 'wide-slope',
+        'entry_cpu_us_per_task_slope': round(fit.slope, 1),
+        'entry_cpu_us_per_job_intercept': round(fit.intercept, 1),
+        'tasks_per_job': sizes,
+        'entry_cpu_us_per_job': costs_us,
+        'commit': current_commit(),
+    }
+
+
 def _response_figures(run: CaseRun) -> dict[str, Any]:
     """Compare with the ideal, and the quantiles with the baseline's.
 
@@ -99,7 +129,9 @@
         for outcome in run.outcomes
         if outcome.end is End.WHOLE
     ]
-    best_by_number = omniscient_responses(run.jobs, run.slots)
+    best_by_number: dict[int, float] = {}
+    if run.has_baseline:
+        best_by_number = omniscient_responses(run.jobs, run.slots)
     best = [
         (best_by_number[job.number] + trip_s) / (job.longest_s + trip_s)
         for job in run.jobs
--- a/tools/bench/_run.py
+++ b/tools/bench/_run.py
@@ -104,6 +104,7 @@
                 slots=SLOTS,
                 seconds=case.seconds,
                 jobs=case.jobs,
+                has_baseline=case.has_baseline,
                 outcomes=outcomes,
                 empty_round_trip_s=empty_round_trip_s,
                 reading=reading,
