--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -38,7 +38,9 @@
 # Seconds that a client may take to send a request.
 _HTTP_READ_TIMEOUT_S: Final = 1
 _LARGEST_BODY_BYTES: Final = 64 * 1024
-_TICK_S: Final = 0.1
+_TICK_S: Final = 0.25
+# Seconds between load reports, for the policy that needs them.
+_LOAD_REPORT_S: Final = 0.1
 # Seconds that a planned stop waits for tasks to end and for entries to
 # acknowledge their results.
 _DRAIN_LIMIT_S: Final = 30.0
@@ -241,9 +243,14 @@
             scheduler.lose_link(connection)
 
     def _tick_loop(self) -> None:
-        while not self._is_stopped.wait(_TICK_S):
+        pause_s = _TICK_S
+        while not self._is_stopped.wait(pause_s):
+            reports_load = self.directory.wants_load_reports
+            pause_s = _LOAD_REPORT_S if reports_load else _TICK_S
             try:
                 self._tick()
+                if reports_load:
+                    self._scheduler.report_load()
             except Exception as error:
                 # Without this task nothing would ever be due again.
                 log_event('agent:tick_failed', why=repr(error))
@@ -254,8 +261,6 @@
             self._stop_dialers()
         self._refresh_offer()
         self._scheduler.tick()
-        if self.directory.wants_load_reports:
-            self._scheduler.report_load()
 
     def _note_link_error(self, address: str, error: BaobabgapError) -> None:
         if not self._is_stopping.is_set():
--- a/baobabgap/agent/_health.py
+++ b/baobabgap/agent/_health.py
@@ -7,8 +7,8 @@
 
 # Seconds without new tasks after a start was refused.
 _REFUSAL_PAUSE_S: Final = 0.5
-_FIRST_EJECTION_S: Final = 1.0
-_LONGEST_EJECTION_S: Final = 30.0
+_FIRST_EJECTION_S: Final = 3.0
+_LONGEST_EJECTION_S: Final = 60.0
 _PROBATION_SLOTS: Final = 1
 
 
--- a/baobabgap/agent/tests/test_scheduler.py
+++ b/baobabgap/agent/tests/test_scheduler.py
@@ -1,7 +1,9 @@
 """The rules of starts, without a network."""
 
 from collections.abc import Callable
+import time
 import unittest
+from unittest.mock import patch
 
 from baobabgap.agent._batch_log import BatchLog
 from baobabgap.agent._memory import TaskRecord
@@ -272,6 +274,28 @@
         self.end(0)
         self.assertEqual(['t1', 't2'], self.started_tasks())
 
+    def test_a_lost_link_frees_the_queue_but_not_what_runs(self) -> None:
+        self.place(self.link, 't1', 't2', 't3')
+        self.scheduler.lose_link(self.link)
+        self.scheduler.tick()
+        with patch('time.monotonic', return_value=time.monotonic() + 4.0):
+            self.scheduler.tick()
+        self.end(0)
+        self.assertEqual(['t1', 't2'], self.started_tasks())
+        link = self.open_link()
+        self.assertEqual(
+            {'t1': TaskOutcome.DONE, 't3': TaskOutcome.NOT_STARTED},
+            {result.task: result.outcome for result in link.results},
+        )
+
+    def test_a_restarted_entry_gets_nothing_of_its_predecessor(self) -> None:
+        self.place(self.link, 't1', 't2', 't3')
+        link = self.open_link(incarnation='a2')
+        self.end(0)
+        self.end(1)
+        self.assertEqual(['t1', 't2'], self.started_tasks())
+        self.assertEqual([], link.results)
+
     def test_a_late_result_changes_nothing(self) -> None:
         self.place(self.link, 't1')
         self.scheduler.give_up_running('silent')
