--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -154,7 +154,7 @@
         self._is_stopping.set()
         self._is_stopped.set()
         self._stop_dialers()
-        self._control.stop(leaving=False)
+        self._control.kill()
         self._monitor.stop()
         self._runner.stop()
         self._batch_log.stop()
--- a/baobabgap/agent/_runner.py
+++ b/baobabgap/agent/_runner.py
@@ -78,7 +78,7 @@
         elif report.state == 'failed':
             self._health.note_failure(record.job, time.monotonic())
             self._refresh_offer()
-        self._scheduler.end(record, outcome, report.value, report.run_time_ms)
+        self._scheduler.end(record, outcome, report.result, report.run_time_ms)
 
     def _run(self, record: TaskRecord, client: UpstreamClient | None) -> None:
         if client is None or record.placement is None:
--- a/baobabgap/agent/_scheduler.py
+++ b/baobabgap/agent/_scheduler.py
@@ -288,5 +288,5 @@
         self._desk.adopt(record)
         if report.outcome is not None:
             self._desk.finish(
-                record, report.outcome, report.value, report.run_time_ms
+                record, report.outcome, report.result, report.run_time_ms
             )
--- a/baobabgap/agent/_upstream_reports.py
+++ b/baobabgap/agent/_upstream_reports.py
@@ -34,6 +34,17 @@
             case _:
                 return TaskOutcome.FAILED
 
+    @property
+    def result(self) -> Any:
+        """The value, or why there is none, for the entry."""
+        match self.state:
+            case 'stopped':
+                return 'stopped at the upstream after its start'
+            case 'lapsed':
+                return 'stopped by the upstream: its lease was not renewed'
+            case _:
+                return self.value
+
 
 @dataclass(frozen=True, slots=True)
 class LeaseListing:
