--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -13,6 +13,7 @@
 from baobabgap.agent._batch_log import BatchLog
 from baobabgap.agent._directory import EntryDirectory
 from baobabgap.agent._health import UpstreamHealth
+from baobabgap.agent._monitor import UpstreamMonitor
 from baobabgap.agent._runner import UpstreamRunner
 from baobabgap.agent._scheduler import TaskScheduler
 from baobabgap.agent._upstream_state import UpstreamState
@@ -32,7 +33,9 @@
 from baobabgap.web import WebServer
 
 _THREADS: Final = 2048
-_HTTP_THREADS: Final = 4
+_HTTP_THREADS: Final = 8
+# Seconds that a client may take to send a request.
+_HTTP_READ_TIMEOUT_S: Final = 1
 _LARGEST_BODY_BYTES: Final = 64 * 1024
 _TICK_S: Final = 0.1
 # Seconds that a planned stop waits for tasks to end and for entries to
@@ -60,9 +63,7 @@
         self._pool = ThreadPoolExecutor(_THREADS, thread_name_prefix='agent')
         self._batch_log = BatchLog(settings.name)
         health = UpstreamHealth(settings.agent)
-        self._runner = UpstreamRunner(
-            settings.agent, self.incarnation, self._pool, health
-        )
+        self._runner = UpstreamRunner(settings.agent, self._pool, health)
         self._scheduler = TaskScheduler(
             settings.name,
             self.incarnation,
@@ -71,7 +72,15 @@
             self._runner.run,
             self._runner.stop_leases,
         )
-        self._runner.attach(self._scheduler)
+        self._runner.attach(self._scheduler, self._refresh_offer)
+        self._monitor = UpstreamMonitor(
+            settings.agent,
+            self.incarnation,
+            health,
+            self._runner,
+            self._scheduler,
+            self._refresh_offer,
+        )
         self.directory: Final = EntryDirectory(self._follow_directory)
         self._control = ControlClient.from_settings(
             settings,
@@ -82,7 +91,7 @@
             self.directory.apply,
             ('entry',),
         )
-        self._upstream = UpstreamState(health, self._runner, self.directory)
+        self._upstream = UpstreamState(health, self._monitor, self.directory)
         self._application = AgentApplication(
             self._take_announcement,
             lambda: self._scheduler.offer,
@@ -94,6 +103,7 @@
             self._application,
             _HTTP_THREADS,
             _LARGEST_BODY_BYTES,
+            _HTTP_READ_TIMEOUT_S,
         )
         self._dialer_lock = threading.Lock()
         self._dialer_by_address: dict[str, Dialer] = {}
@@ -115,7 +125,7 @@
         self._pool.submit(self._batch_log.run)
         self._server.start(self._pool)
         self._control.start()
-        self._pool.submit(self._runner.watch)
+        self._pool.submit(self._monitor.watch)
         self._pool.submit(self._tick_loop)
 
     def stop(self) -> None:
@@ -125,20 +135,36 @@
             return
         self._is_stopping.set()
         self._upstream.stop_accepting()
-        self._scheduler.set_offer(self._upstream.offer())
+        self._refresh_offer()
         self._drain()
-        with self._dialer_lock:
-            dialers = list(self._dialer_by_address.values())
-            self._dialer_by_address.clear()
-        for dialer in dialers:
-            dialer.stop()
+        self._stop_dialers()
         self._control.stop()
+        self._monitor.stop()
         self._runner.stop()
         self._batch_log.stop()
         self._server.stop()
         self._is_stopped.set()
         self._pool.shutdown(wait=True)
 
+    def kill(self) -> None:
+        """Stop without a word, as if the process had died."""
+        self._is_stopping.set()
+        self._is_stopped.set()
+        self._stop_dialers()
+        self._control.kill()
+        self._monitor.stop()
+        self._runner.stop()
+        self._batch_log.stop()
+        self._server.stop()
+        self._pool.shutdown(wait=False)
+
+    def _stop_dialers(self) -> None:
+        with self._dialer_lock:
+            dialers = list(self._dialer_by_address.values())
+            self._dialer_by_address.clear()
+        for dialer in dialers:
+            dialer.stop()
+
     def _drain(self) -> None:
         give_up_at = time.monotonic() + _DRAIN_LIMIT_S
         while self._scheduler.outstanding_tasks:
@@ -150,9 +176,13 @@
 
     def _take_announcement(self, announcement: Announcement) -> dict[str, Any]:
         answer = self._upstream.announce(announcement)
-        self._scheduler.set_offer(self._upstream.offer())
+        self._refresh_offer()
         return answer
 
+    def _refresh_offer(self) -> None:
+        """Tell the entries at once if the offer has changed."""
+        self._scheduler.set_offer(self._upstream.offer())
+
     def _follow_directory(self) -> None:
         """Dial entries that are new, and drop those that are gone."""
         wanted = self.directory.entry_addresses()
@@ -205,7 +235,7 @@
 
     def _tick_loop(self) -> None:
         while not self._is_stopped.wait(_TICK_S):
-            self._scheduler.set_offer(self._upstream.offer())
+            self._refresh_offer()
             self._scheduler.tick()
             if self.directory.wants_load_reports:
                 self._scheduler.report_load()
--- a/baobabgap/control/tests/_group.py
+++ b/baobabgap/control/tests/_group.py
@@ -76,6 +76,7 @@
     hosts = 1
     control = ControlSettings(
         election_timeout_s=0.4,
+        request_wait_s=3.0,
         return_grace_s=0.5,
         change_pause_ms=10.0,
         member_heartbeat_s=0.2,
@@ -150,6 +151,10 @@
             ),
         )
 
+    def pause(self, seconds: float) -> None:
+        """Let time pass in which something must not happen."""
+        time.sleep(seconds)
+
     def wait_until(self, condition: Callable[[], bool], what: str) -> None:
         """Wait for a condition, and fail the test if it stays false."""
         deadline = time.monotonic() + LONGEST_WAIT_S
--- a/baobabgap/settings/_load.py
+++ b/baobabgap/settings/_load.py
@@ -48,12 +48,7 @@
 
 def _find_contradiction(settings: Settings) -> str:
     """Return what can't hold together, or an empty text."""
-    checks = (
-        _check_timing,
-        _check_ports,
-        _check_control_hosts,
-        _check_upstream,
-    )
+    checks = (_check_timing, _check_ports, _check_control_hosts)
     for check in checks:
         problem = check(settings)
         if problem:
@@ -83,6 +78,11 @@
                 f'{key}: must be at least twice the time between signs of '
                 f'life, so {2 * sign_s} or more (got {silence_s})'
             )
+    if agent.lease_s <= agent.upstream_silence_s:
+        return (
+            'agent.lease_s: must exceed agent.upstream_silence_s, '
+            f'{agent.upstream_silence_s} (got {agent.lease_s})'
+        )
     return ''
 
 
@@ -129,12 +129,3 @@
             f'(got {settings.listen.internal_port})'
         )
     return ''
-
-
-def _check_upstream(settings: Settings) -> str:
-    if settings.role is Role.STAND_IN and not settings.stand_in.agent_address:
-        return (
-            'stand_in.agent_address: is missing; it is the host:port at '
-            "which the upstream's agent listens for HTTP"
-        )
-    return ''
--- a/baobabgap/tool/_submitting.py
+++ b/baobabgap/tool/_submitting.py
@@ -15,6 +15,7 @@
 from baobabgap.tool._client import document_of
 from baobabgap.tool._client import EntryClient
 from baobabgap.tool._exit import ExitCode
+from baobabgap.web import RequestNeverSent
 from baobabgap.web import WebResponse
 
 _MOST_ATTEMPTS: Final = 30
@@ -176,7 +177,7 @@
             return None
 
     def _note_loss(self, error: ConnectionLost) -> None:
-        if error.step != 'connect':
+        if not isinstance(error, RequestNeverSent):
             self._may_run = True
         state = JobState.UNKNOWN if self._may_run else JobState.UNREACHABLE
         self._last = {
