--- a/baobabgap/web/_server.py
+++ b/baobabgap/web/_server.py
@@ -9,14 +9,14 @@
 from baobabgap.web._errors import JsonErrorConnection
 
 # Seconds without a byte after which an idle or stuck connection is closed.
-_SILENCE_S: Final = 30
+_READ_TIMEOUT_S: Final = 30
 
 
 class WebServer:
     """Serves a WSGI application on one port with a fixed pool of threads.
 
     Idle kept-alive connections hold no thread; one that stops in the
-    middle of a request holds a thread for `silence_s` seconds.
+    middle of a request holds a thread for `read_timeout_s` seconds.
     Requests that never reach the application get JSON errors too.
     """
 
@@ -27,14 +27,14 @@
         application: Any,
         threads: int,
         largest_body_bytes: int,
-        silence_s: int = _SILENCE_S,
+        read_timeout_s: int = _READ_TIMEOUT_S,
     ) -> None:
         self._server = Server(
             (host, port),
             application,
             numthreads=threads,
             request_queue_size=1024,
-            timeout=silence_s,
+            timeout=read_timeout_s,
             shutdown_timeout=5,
         )
         self._server.ConnectionClass = JsonErrorConnection
