--- a/baobabgap/entry/_dispatcher.py
+++ b/baobabgap/entry/_dispatcher.py
@@ -499,7 +499,9 @@
                 overdue, outstanding = self._outstanding.count_overdue(
                     agent, self.run_times, now
                 )
-                if self._watch.judge(agent, overdue, outstanding, now):
+                if self._watch.judge(
+                    agent, overdue, outstanding, len(self.pool), now
+                ):
                     self._metrics.count('baobabgap_upstreams_suspended_total')
                     self.pool.suspend(agent, True)
             for agent in self._watch.due_for_try(now):
--- a/baobabgap/entry/_entry.py
+++ b/baobabgap/entry/_entry.py
@@ -38,6 +38,7 @@
 
 _MOST_TASKS_OF_THE_POOL: Final = 16_384
 _CHECK_PAUSE_S: Final = 0.25
+_SHORTEST_PAUSE_S: Final = 0.01
 _DRAIN_CHECK_S: Final = 0.05
 
 
@@ -270,7 +271,7 @@
                 checked_at = now
                 self._check(now)
             pause_s = min(next_deadline - time.monotonic(), _CHECK_PAUSE_S)
-            self._stopping.wait(max(pause_s, 0.001))
+            self._stopping.wait(max(pause_s, _SHORTEST_PAUSE_S))
 
     def _check(self, now: float) -> None:
         self._dispatcher.acknowledge_results()
--- a/baobabgap/entry/_upstream_watch.py
+++ b/baobabgap/entry/_upstream_watch.py
@@ -36,14 +36,24 @@
         return agent in self._suspension_by_agent
 
     def judge(
-        self, agent: str, overdue: int, outstanding: int, now: float
+        self,
+        agent: str,
+        overdue: int,
+        outstanding: int,
+        agents: int,
+        now: float,
     ) -> bool:
         """Suspend an upstream on which most tasks are overdue.
 
-        Returns True if it was suspended by this call.
+        At most a third of all `agents` are avoided at once: when more of
+        them look slow, the cause lies elsewhere, and avoiding them would
+        only take capacity away. Returns True if it was suspended by this
+        call.
         """
         if agent in self._suspension_by_agent:
             return False
+        if len(self._suspension_by_agent) >= max(1, agents // 3):
+            return False
         if overdue < _FEWEST_OVERDUE or 2 * overdue < outstanding:
             return False
         self._suspension_by_agent[agent] = _Suspension(
--- a/baobabgap/entry/tests/test_dispatcher.py
+++ b/baobabgap/entry/tests/test_dispatcher.py
@@ -257,6 +257,17 @@
         entry.finish(slow, slow.take(PlaceTasks)[0])
         self.assertTrue(future.result(1).is_whole)
 
+    def test_most_upstreams_slow_at_once_are_not_avoided(self) -> None:
+        entry = FakeEntry()
+        for _ in range(12):
+            entry.dispatcher.run_times.learn('kurek', 'seat', 50.0)
+        for number in range(6):
+            entry.add_agent(f'a{number}', 2)
+        entry.submit(job(1, tasks=12))
+        entry.dispatcher.watch_upstreams(time.monotonic() + 1.0)
+        suspended = 'baobabgap_upstreams_suspended_total'
+        self.assertEqual(2, entry.metrics.value(suspended))
+
     def test_short_delays_suspend_nothing(self) -> None:
         entry = FakeEntry()
         for _ in range(12):
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,6 +5,7 @@
 """
 
 import faulthandler
+import os
 from pathlib import Path
 import sys
 from typing import Final
@@ -56,4 +57,8 @@
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    status = main()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # A failed test may leave tasks behind that would never end.
+    os._exit(status)
