Bound kept answers by their values; refuse in a superseded entry

Kept answers were bounded by number alone: 20,000 answers of 1,000 values each would not fit a thin host. A result that brings its token back is no wasted message, also when its job has been cancelled: it changes the receiver's tokens; the test of late results voids the token first, so that it still sees a result that changes nothing. A try on a suspended upstream checks that the task fits. The unused setting claim_limit_s is gone.

--- a/baobabgap/entry/_dispatcher.py
+++ b/baobabgap/entry/_dispatcher.py
@@ -226,12 +226,14 @@
             self._dispatch()
 
     def _take_result(self, agent: str, result: TaskResult) -> None:
-        if result.token_returns:
-            self.pool.give_back(agent, result.epoch)
+        is_token_back = result.token_returns and self.pool.give_back(
+            agent, result.epoch
+        )
         task = self._outstanding.remove(agent, result.job, result.task)
         job = self._job_by_identifier.get(result.job)
         if task is None or job is None:
-            self._count_wasted('late_result')
+            if not is_token_back:
+                self._count_wasted('late_result')
             return
         match result.outcome:
             case TaskOutcome.DONE:
@@ -516,7 +518,7 @@
         job = self._queue.pop()
         if job is None:
             return
-        tokens = self.pool.spend_at(agent)
+        tokens = self.pool.spend_at(agent, job.waiting[-1].submission.size)
         if tokens is not None:
             task = self._place_next(job, tokens, now)
             self._watch.start_try(agent)
--- a/baobabgap/entry/_entry.py
+++ b/baobabgap/entry/_entry.py
@@ -54,7 +54,7 @@
         self._stopping = threading.Event()
         self._draining = threading.Event()
         self._state_by_key: dict[str, Any] = {}
-        self._kept = KeptAnswers(own.kept_answers)
+        self._kept = KeptAnswers(own.kept_answers, own.kept_values)
         self._quotas = QuotaLedger()
         self._joins = Joins(own.owner_return_s)
         timing = LinkTiming(
@@ -186,6 +186,7 @@
         """Tell whether a job would find control and an upstream."""
         return (
             self.is_accepting()
+            and not self._control.is_superseded
             and self._control.is_connected
             and self._dispatcher.pool.accepting_slots() > 0
         )
--- a/baobabgap/entry/_kept_answers.py
+++ b/baobabgap/entry/_kept_answers.py
@@ -17,18 +17,32 @@
 
 
 class KeptAnswers:
-    """The answers of the last jobs that ended here; the oldest go first."""
+    """The answers of the last jobs that ended here; the oldest go first.
 
-    def __init__(self, maximum: int) -> None:
-        self._maximum = maximum
+    Both the number of answers and the number of task values in them are
+    bounded, since one answer may hold a thousand values.
+    """
+
+    def __init__(self, most_answers: int, most_values: int) -> None:
+        self._most_answers = most_answers
+        self._most_values = most_values
+        self._values = 0
         self._kept_by_job: OrderedDict[str, KeptAnswer] = OrderedDict()
 
     def keep(self, digest: bytes, answer: JobAnswer) -> None:
-        """Keep one answer, and drop the oldest beyond the maximum."""
+        """Keep one answer, and drop the oldest beyond the bounds."""
         self._kept_by_job[answer.identifier] = KeptAnswer(digest, answer)
-        while len(self._kept_by_job) > self._maximum:
-            self._kept_by_job.popitem(last=False)
+        self._values += len(answer.results)
+        while self._is_over():
+            _, dropped = self._kept_by_job.popitem(last=False)
+            self._values -= len(dropped.answer.results)
 
     def get(self, job: str) -> KeptAnswer | None:
         """Return the end of a job if it is still kept."""
         return self._kept_by_job.get(job)
+
+    def _is_over(self) -> bool:
+        return (
+            len(self._kept_by_job) > self._most_answers
+            or self._values > self._most_values
+        )
--- a/baobabgap/entry/_submissions.py
+++ b/baobabgap/entry/_submissions.py
@@ -39,6 +39,10 @@
 class ClaimClient(Protocol):
     """What this module needs of the control group's client."""
 
+    @property
+    def is_superseded(self) -> bool:
+        """Whether another process has taken this one's name."""
+
     def claim(self, claim: Claim) -> Future[ClaimOutcome]:
         """Claim a job."""
 
@@ -166,7 +170,7 @@
     def _refusal(
         self, submission: JobSubmission, expected_ms: list[float], now: float
     ) -> JobFailure | None:
-        if self.is_draining:
+        if self.is_draining or self._control.is_superseded:
             return draining_failure()
         decision = self._admission.decide(
             submission,
--- a/baobabgap/entry/_token_pool.py
+++ b/baobabgap/entry/_token_pool.py
@@ -128,11 +128,13 @@
                 return tokens
         return None
 
-    def spend_at(self, agent: str) -> AgentTokens | None:
+    def spend_at(self, agent: str, size: TaskSize) -> AgentTokens | None:
         """Spend a token of one agent, also of a suspended one."""
         tokens = self._tokens_by_agent.get(agent)
         if tokens is None or tokens.idle < 1 or not tokens.offer.accepting:
             return None
+        if not size.fits_in(tokens.offer.capacity):
+            return None
         self._add(tokens, -1)
         return tokens
 
--- a/baobabgap/entry/tests/test_dispatcher.py
+++ b/baobabgap/entry/tests/test_dispatcher.py
@@ -127,10 +127,25 @@
         entry.submit(job())
         placed = agent.take(PlaceTasks)[0]
         entry.finish(agent, placed)
+        entry.dispatcher.pool.set_grant('a', 2, 1)
         entry.finish(agent, placed)
         wasted = 'baobabgap_wasted_messages_total{kind="late_result"}'
         self.assertEqual(1, entry.metrics.value(wasted))
 
+    def test_cancelled_result_that_brings_its_token_is_not_wasted(
+        self,
+    ) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1)
+        entry.submit(job())
+        placed = agent.take(PlaceTasks)[0]
+        entry.submissions.cancel('kurek.1.a')
+        entry.finish(agent, placed, TaskOutcome.FAILED)
+        wasted = 'baobabgap_wasted_messages_total{kind="late_result"}'
+        self.assertEqual(0, entry.metrics.value(wasted))
+        entry.submit(job(2))
+        self.assertEqual(1, len(agent.take(PlaceTasks)))
+
     def test_lost_agent_is_asked_on_its_next_link(self) -> None:
         entry = FakeEntry()
         agent = entry.add_agent('a', 1)
--- a/baobabgap/entry/tests/test_submissions.py
+++ b/baobabgap/entry/tests/test_submissions.py
@@ -153,6 +153,16 @@
         self.assertEqual(['kurek.1.a'], entry.control.released)
         self.assertEqual([], agent.take(PlaceTasks))
 
+    def test_superseded_process_refuses(self) -> None:
+        entry = FakeEntry()
+        entry.add_agent('a', 4)
+        entry.control.is_superseded = True
+        refused = entry.submissions.submit(job(), '')
+        entry.control.settle_lookup()
+        failure = refused.result(1).failure
+        assert failure is not None
+        self.assertEqual(FailureCode.DRAINING, failure.code)
+
     def test_draining_refuses_and_finishes(self) -> None:
         entry = FakeEntry()
         agent = entry.add_agent('a', 4)
--- a/baobabgap/settings/_entry.py
+++ b/baobabgap/settings/_entry.py
@@ -20,6 +20,8 @@
     largest_body_bytes: Annotated[int, Field(ge=1024)] = 8 * 1024 * 1024
     # Ended jobs whose answers are kept for resubmissions.
     kept_answers: Annotated[int, Field(ge=0)] = 20_000
+    # Task values in all kept answers together.
+    kept_values: Annotated[int, Field(ge=0)] = 200_000
     # Seconds between the balancer's check turning red and the last
     # accepted job of a planned stop.
     drain_grace_s: Annotated[float, Field(ge=0, le=600)] = 2.0
@@ -31,8 +33,6 @@
     # Seconds for which a resubmission waits for the link to the entry
     # that owns the job.
     owner_return_s: Annotated[float, Field(gt=0, le=600)] = 3.0
-    # Seconds for which a job waits for its claim to be committed.
-    claim_limit_s: Annotated[float, Field(gt=0, le=60)] = 5.0
     # Seconds for which a slow upstream is avoided before one task tries
     # it again; doubles with each failed try.
     suspension_s: Annotated[float, Field(gt=0, le=600)] = 5.0
