Beat once a second on links, and measure what links cost an entry

Cause: an idle entry spent 0.055% of a core on each link (four sizes by python -m tools.slopes_links: 5.4, 13.1 and 31.7% at 100, 250 and 570 links) and could not hold 1,700: each heartbeat wakes three tasks at each end.

--- a/baobabgap/settings/_model.py
+++ b/baobabgap/settings/_model.py
@@ -92,9 +92,9 @@
     __pydantic_config__ = STRICT
 
     # Seconds between heartbeats on an idle link.
-    heartbeat_s: Annotated[float, Field(gt=0, le=10)] = 0.5
+    heartbeat_s: Annotated[float, Field(gt=0, le=10)] = 1.0
     # Seconds of silence after which a link is given up.
-    silence_s: Annotated[float, Field(gt=0, le=60)] = 2.0
+    silence_s: Annotated[float, Field(gt=0, le=60)] = 2.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/tools/_light_members.py
+++ b/tools/_light_members.py
@@ -28,6 +28,7 @@
 from baobabgap.messages import Subscribe
 
 _READ_BYTES: Final = 65536
+_SUBSCRIPTION: Final = (Subscribe(0, ('entry',)),)
 _HEARTBEAT_FRAME: Final = encode([Heartbeat()])
 
 
@@ -46,11 +47,20 @@
 
 
 class LightMembers:
-    """Members that join, beat and note what they are sent."""
+    """Members that join, beat and note what they are sent.
 
-    def __init__(self, port: int, heartbeat_s: float) -> None:
+    After its `Hello` each sends the messages of `greeting`.
+    """
+
+    def __init__(
+        self,
+        port: int,
+        heartbeat_s: float,
+        greeting: Sequence[object] = _SUBSCRIPTION,
+    ) -> None:
         self._port = port
         self._heartbeat_s = heartbeat_s
+        self._greeting = greeting
         self._selector = selectors.DefaultSelector()
         self._members: list[_LightMember] = []
         self._lock = threading.Lock()
@@ -95,7 +105,7 @@
         member = _LightMember(name, link, protocol)
         hello = Hello(name, 'agent', f'{name}-a', '10.0.0.1:4000', 'zone-a')
         self._send(member, [hello])
-        self._send(member, [Subscribe(0, ('entry',))])
+        self._send(member, self._greeting)
         return member
 
     def _run(self) -> None:
