--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,12 @@
 PYTHON ?= $(VENV)/bin/python
 BOOTSTRAP ?= python3
 
-.PHONY: demo test lint unit format bench
+.PHONY: demo test lint unit format bench slopes history-control
 
 CASES ?=
 SECONDS ?= 30
 SEED ?= 1
+SEEDS ?= 50
 
 $(VENV)/ready: | pyproject.toml constraints.txt
 	$(BOOTSTRAP) -m venv $(VENV)
@@ -35,3 +36,10 @@
 bench: $(VENV)/ready
 	$(PYTHON) -m tools.bench --cases='$(CASES)' --seconds=$(SECONDS) \
 		--seed=$(SEED)
+
+slopes: $(VENV)/ready
+	$(PYTHON) -m tools.slopes_members
+	$(PYTHON) -m tools.slopes_claims
+
+history-control: $(VENV)/ready
+	$(PYTHON) -m tools.control_history --seeds=$(SEEDS)
--- a/baobabgap/control/_tickets.py
+++ b/baobabgap/control/_tickets.py
@@ -1,6 +1,7 @@
 """The change tickets and the configuration that they have set."""
 
 from dataclasses import dataclass
+from itertools import islice
 import json
 from typing import Any
 from typing import Final
@@ -17,6 +18,8 @@
 MOVED_ON: Final = 'moved_on'
 # All kept tickets together, in bytes of JSON.
 _KEPT_BYTES: Final = 16 * 1024 * 1024
+# Tickets on the operators' page.
+_SHOWN_TICKETS: Final = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,14 +95,16 @@
         )
 
     def history(self) -> list[dict[str, Any]]:
-        """Return the kept tickets for the operators, newest first."""
+        """Return the newest tickets for the operators, newest first."""
         return [
             {
                 'number': number,
                 'version': kept.version,
                 'state_by_key': json.loads(kept.content),
             }
-            for number, kept in reversed(self._ticket_by_number.items())
+            for number, kept in islice(
+                reversed(self._ticket_by_number.items()), _SHOWN_TICKETS
+            )
         ]
 
     def _accept(self, command: TicketCommand, index: int) -> None:
--- a/tools/_measured_group.py
+++ b/tools/_measured_group.py
@@ -3,9 +3,11 @@
 from dataclasses import dataclass
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
+from typing import Any
 from typing import Final
 
 from baobabgap.control import ControlHostProcess
@@ -43,11 +45,15 @@
 class MeasuredGroup:
     """The processes of a group, started and stopped together."""
 
-    def __init__(
-        self, children: list[subprocess.Popen[str]], hosts: list[MeasuredHost]
-    ) -> None:
-        self._children = children
-        self.hosts: Final = hosts
+    def __init__(self, document_by_name: dict[str, Any]) -> None:
+        self._document_by_name = document_by_name
+        self._child_by_name: dict[str, subprocess.Popen[str]] = {}
+        self._host_by_name: dict[str, MeasuredHost] = {}
+
+    @property
+    def hosts(self) -> list[MeasuredHost]:
+        """The hosts, in the order of their names."""
+        return list(self._host_by_name.values())
 
     @classmethod
     def start(
@@ -61,31 +67,54 @@
             {'name': name, 'host': '127.0.0.1', 'port': port}
             for name, port in port_by_name.items()
         ]
-        children = []
-        running = []
-        for name, port in port_by_name.items():
-            document = {
-                'role': 'control',
-                'name': name,
-                'listen': {'internal_port': port},
-                'control_hosts': listed,
-                'control': {
-                    'data_folder': f'{folder}/{name}',
-                    'added_sync_delay_ms': added_sync_delay_ms,
-                },
+        group = cls(
+            {
+                name: {
+                    'role': 'control',
+                    'name': name,
+                    'listen': {'internal_port': port},
+                    'control_hosts': listed,
+                    'control': {
+                        'data_folder': f'{folder}/{name}',
+                        'added_sync_delay_ms': added_sync_delay_ms,
+                    },
+                }
+                for name, port in port_by_name.items()
             }
-            child = _start_child(document)
-            assert child.stdout is not None
-            internal_port, http_port = json.loads(child.stdout.readline())
-            children.append(child)
-            running.append(
-                MeasuredHost(name, child.pid, internal_port, http_port)
-            )
-        return cls(children, running)
+        )
+        for name in port_by_name:
+            group.restart(name)
+        return group
+
+    def restart(self, name: str) -> None:
+        """Start a host that does not run, on its own data."""
+        child = _start_child(self._document_by_name[name])
+        assert child.stdout is not None
+        internal_port, http_port = json.loads(child.stdout.readline())
+        self._child_by_name[name] = child
+        self._host_by_name[name] = MeasuredHost(
+            name, child.pid, internal_port, http_port
+        )
+
+    def kill(self, name: str) -> None:
+        """End a host at once."""
+        child = self._child_by_name[name]
+        child.kill()
+        child.communicate()
+
+    def freeze(self, name: str) -> None:
+        """Hold a host up until it is thawed."""
+        self._child_by_name[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen host go on."""
+        self._child_by_name[name].send_signal(signal.SIGCONT)
 
     def stop(self) -> None:
         """Stop all hosts as planned."""
-        for child in self._children:
+        for child in self._child_by_name.values():
+            if child.poll() is not None:
+                continue
             try:
                 child.communicate('stop\n', timeout=_STOP_LIMIT_S)
             except subprocess.TimeoutExpired:
