--- a/baobabgap/standin/tests/test_standin.py
+++ b/baobabgap/standin/tests/test_standin.py
@@ -18,7 +18,12 @@
 class StandInTest(unittest.TestCase):
     def setUp(self) -> None:
         settings = settings_from_document(
-            {'role': 'stand-in', 'name': 'up', 'stand_in': {'slots': 2}},
+            {
+                'role': 'stand-in',
+                'name': 'up',
+                # Nobody listens there.
+                'stand_in': {'slots': 2, 'agent_address': '127.0.0.1:1'},
+            },
             source='test',
         )
         self.upstream = StandInUpstream.from_settings(settings)
