--- a/baobabgap/settings/_load.py
+++ b/baobabgap/settings/_load.py
@@ -48,12 +48,7 @@
 
 def _find_contradiction(settings: Settings) -> str:
     """Return what can't hold together, or an empty text."""
-    checks = (
-        _check_timing,
-        _check_ports,
-        _check_control_hosts,
-        _check_upstream,
-    )
+    checks = (_check_timing, _check_ports, _check_control_hosts)
     for check in checks:
         problem = check(settings)
         if problem:
@@ -134,12 +129,3 @@
             f'(got {settings.listen.internal_port})'
         )
     return ''
-
-
-def _check_upstream(settings: Settings) -> str:
-    if settings.role is Role.STAND_IN and not settings.stand_in.agent_address:
-        return (
-            'stand_in.agent_address: is missing; it is the host:port at '
-            "which the upstream's agent listens for HTTP"
-        )
-    return ''
--- a/baobabgap/web/_server.py
+++ b/baobabgap/web/_server.py
@@ -2,11 +2,15 @@
 
 from concurrent.futures import Executor
 from typing import Any
+from typing import Final
 
 from cheroot.wsgi import Server
 
 from baobabgap.web._errors import JsonErrorConnection
 
+# Seconds without a byte after which an idle or stuck connection is closed.
+_READ_TIMEOUT_S: Final = 30
+
 
 class WebServer:
     """Serves a WSGI application on one port with a fixed pool of threads.
@@ -23,7 +27,7 @@
         application: Any,
         threads: int,
         largest_body_bytes: int,
-        read_timeout_s: int = 30,
+        read_timeout_s: int = _READ_TIMEOUT_S,
     ) -> None:
         self._server = Server(
             (host, port),
