--- a/baobabgap/agent/_memory.py
+++ b/baobabgap/agent/_memory.py
@@ -1,5 +1,6 @@
 """What the agent knows of the tasks that were placed with it."""
 
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -83,8 +84,9 @@
 
     def __init__(self) -> None:
         self._record_by_lease: dict[str, TaskRecord] = {}
-        self._started_leases: dict[str, None] = {}
-        self._owner_by_job: dict[str, str] = {}
+        # Taking the first key out of a plain dict again and again is slow.
+        self._started_leases: OrderedDict[str, None] = OrderedDict()
+        self._owner_by_job: OrderedDict[str, str] = OrderedDict()
         self._acknowledged_leases: list[str] = []
 
     def __len__(self) -> int:
@@ -111,7 +113,7 @@
         """Take the first owner of a job; tell whether it is this one."""
         owner = self._owner_by_job.setdefault(job, owner_incarnation)
         if len(self._owner_by_job) > REMEMBERED_TASKS:
-            del self._owner_by_job[next(iter(self._owner_by_job))]
+            self._owner_by_job.popitem(last=False)
         return owner == owner_incarnation
 
     def add(self, record: TaskRecord) -> None:
@@ -135,7 +137,7 @@
             return
         self._started_leases[record.lease] = None
         if len(self._started_leases) > REMEMBERED_TASKS:
-            del self._started_leases[next(iter(self._started_leases))]
+            self._started_leases.popitem(last=False)
 
     def take_acknowledged_leases(self) -> list[str]:
         """Return, once, the leases that the upstream may forget."""
--- a/baobabgap/agent/_task_desk.py
+++ b/baobabgap/agent/_task_desk.py
@@ -83,7 +83,7 @@
     def start_waiting(self) -> None:
         """Start what waits for as long as slots and resources are free."""
         now = time.monotonic()
-        while self.ledger.free_slots > 0:
+        while len(self._queue) and self.ledger.free_slots > 0:
             free = self._resources.free(self.offer.capacity)
             record = self._queue.pop_fitting(free)
             if record is None:
--- a/baobabgap/standin/_leases.py
+++ b/baobabgap/standin/_leases.py
@@ -1,6 +1,7 @@
 """The leases under which a stand-in upstream runs its tasks."""
 
 from collections import Counter
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
@@ -74,7 +75,7 @@
         self._lock = threading.Lock()
         self._lease_by_id: dict[str, Lease] = {}
         self._running_ids: set[str] = set()
-        self._ended_ids: dict[str, None] = {}
+        self._ended_ids: OrderedDict[str, None] = OrderedDict()
         self._starts_by_id: Counter[str] = Counter()
         self._forgot_some = False
         self.repeated_requests = 0
@@ -234,7 +235,6 @@
         lease.changed.set()
         lease.ended.set()
         if len(self._ended_ids) > _KEPT_ENDED_LEASES:
-            oldest = next(iter(self._ended_ids))
-            del self._ended_ids[oldest]
+            oldest, _ = self._ended_ids.popitem(last=False)
             del self._lease_by_id[oldest]
             self._forgot_some = True
