--- a/baobabgap/agent/tests/test_agent.py
+++ b/baobabgap/agent/tests/test_agent.py
@@ -1,5 +1,6 @@
 """An agent serves entries with a stand-in upstream over loopback."""
 
+from dataclasses import replace
 from http.server import BaseHTTPRequestHandler
 from http.server import ThreadingHTTPServer
 import socket
@@ -91,6 +92,27 @@
         )
         self.assert_started_once('t1')
 
+    def test_an_older_agent_process_starts_nothing_more(self) -> None:
+        """As if it had been frozen, and was thawed once replaced."""
+        old, old_link = self.deployment.agent, self.entry.wait_for_link()
+        self.addCleanup(old.kill)
+        agent = self.deployment.start_agent()
+        self.entry.wait(lambda: self.entry.link is not old_link)
+        self.deployment.upstream.announce_to(f'127.0.0.1:{agent.http_port}')
+        client = WebClient(f'127.0.0.1:{agent.http_port}')
+        self.addCleanup(client.close)
+        self.entry.wait(
+            lambda: client.request('GET', '/ready', timeout_s=10).status == 200
+        )
+        message = self.entry.place(
+            'a.1.x', {'t1': {}}, agent_incarnation='nobody'
+        )
+        self.assertEqual({'t1': TaskOutcome.LOST}, self.outcomes(1))
+        old_link.send(replace(message, agent_incarnation=old.incarnation))
+        results = self.entry.wait_for_results(2)
+        self.assertIs(TaskOutcome.LOST, results[1].outcome)
+        self.assert_started_once()
+
     def test_a_frozen_upstream_loses_its_tasks_and_gets_no_more(self) -> None:
         self.entry.place('a.1.x', {'t1': {'sleep_ms': 300}})
         self.wait_for_starts(1)
