--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 .PHONY: demo test lint unit format bench
 
 CASES ?=
+POLICIES ?=
 SECONDS ?= 30
 SEED ?= 1
 
@@ -33,5 +34,5 @@
 	$(PYTHON) -m ruff format baobabgap tools
 
 bench: $(VENV)/ready
-	$(PYTHON) -m tools.bench --cases='$(CASES)' --seconds=$(SECONDS) \
-		--seed=$(SEED)
+	$(PYTHON) -m tools.bench --cases='$(CASES)' --policies='$(POLICIES)' \
+		--seconds=$(SECONDS) --seed=$(SEED)
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -12,6 +12,7 @@
 
 from tools.bench._cases import all_cases
 from tools.bench._cases import choose_cases
+from tools.bench._cases import choose_policies
 from tools.bench._cases import WIDE_PREFIX
 from tools.bench._report import slope_line
 from tools.bench._run import run_cases
@@ -26,9 +27,10 @@
     signal.signal(signal.SIGTERM, _exit)
     arguments = _parser().parse_args()
     names = tuple(name for name in arguments.cases.split(',') if name)
+    policies = tuple(name for name in arguments.policies.split(',') if name)
     cases = all_cases(arguments.seed, arguments.seconds)
     try:
-        chosen = choose_cases(cases, names)
+        chosen = choose_policies(choose_cases(cases, names), policies)
     except ValueError as error:
         sys.exit(str(error))
     wide_lines = []
@@ -45,6 +47,9 @@
     parser.add_argument(
         '--cases', default='', help='names or their beginnings, with commas'
     )
+    parser.add_argument(
+        '--policies', default='', help='names, with commas; all if empty'
+    )
     parser.add_argument('--seconds', type=float, default=_DEFAULT_SECONDS)
     parser.add_argument('--seed', type=int, default=_DEFAULT_SEED)
     return parser
--- a/tools/bench/_cases.py
+++ b/tools/bench/_cases.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import Any
 from typing import Final
 
@@ -126,6 +127,30 @@
     )
 
 
+def choose_policies(
+    cases: Iterable[Case], names: tuple[str, ...]
+) -> tuple[Case, ...]:
+    """Keep the policies named, or all if none is; drop cases without.
+
+    Raises `ValueError` with the known names for an unknown one.
+    """
+    known = tuple(policy.name for policy in _COMPARED)
+    for name in names:
+        if name not in known:
+            listed = ', '.join(known)
+            raise ValueError(f'no policy {name!r}; there are {listed}')
+    kept = []
+    for case in cases:
+        policies = tuple(
+            policy
+            for policy in case.policies
+            if not names or policy.name in names
+        )
+        if policies:
+            kept.append(replace(case, policies=policies))
+    return tuple(kept)
+
+
 def _steady(seed: int, seconds: float, load: float) -> Case:
     shape = TraceShape(SLOTS, (ArrivalPhase(0.0, seconds, load),))
     jobs = generate_trace(seed, shape)
