--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 .PHONY: demo test lint unit format bench slopes history-control
 
 CASES ?=
+POLICIES ?=
 SECONDS ?= 30
 SEED ?= 1
 SEEDS ?= 50
@@ -34,12 +35,13 @@
 	$(PYTHON) -m ruff format baobabgap tools
 
 bench: $(VENV)/ready
-	$(PYTHON) -m tools.bench --cases='$(CASES)' --seconds=$(SECONDS) \
-		--seed=$(SEED)
+	$(PYTHON) -m tools.bench --cases='$(CASES)' --policies='$(POLICIES)' \
+		--seconds=$(SECONDS) --seed=$(SEED)
 
 slopes: $(VENV)/ready
 	$(PYTHON) -m tools.slopes_members
 	$(PYTHON) -m tools.slopes_claims
+	$(PYTHON) -m tools.slopes_links
 
 history-control: $(VENV)/ready
 	$(PYTHON) -m tools.control_history --seeds=$(SEEDS)
