--- a/baobabgap/settings/_load.py
+++ b/baobabgap/settings/_load.py
@@ -122,10 +122,12 @@
             f'control_hosts: must list this host, {settings.name!r} '
             f'(got {", ".join(names)})'
         )
-    own = settings.control_hosts[names.index(settings.name)]
-    if own.port != settings.listen.internal_port:
+    listed = settings.control_hosts[names.index(settings.name)].port
+    listened = settings.listen.internal_port
+    # Either may be 0: the other one then decides.
+    if listed and listened and listed != listened:
         return (
-            f'listen.internal_port: must be {own.port} as in control_hosts '
-            f'(got {settings.listen.internal_port})'
+            f'listen.internal_port: must be {listed} as in control_hosts '
+            f'(got {listened})'
         )
     return ''
