--- /dev/null
+++ b/tools/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: every fault at every named step, on real processes."""
--- /dev/null
+++ b/tools/matrix/_checks.py
@@ -0,0 +1,133 @@
+"""What must hold once a fault has been mended."""
+
+from collections.abc import Iterator
+from typing import Any
+from typing import Final
+
+from tools.bench._answers import End
+from tools.bench._reading import StandInCounts
+from tools.matrix._callers import CalledJob
+from tools.matrix._deployment import Deployment
+from tools.matrix._deployment import wait_until
+from tools.matrix._deployment import WaitedInVain
+
+_WHOLE_LIMIT_S: Final = 30.0
+_IN_FORCE_LIMIT_S: Final = 5.0
+_GOOD_ENDS: Final = (End.WHOLE, End.FAILED, End.REFUSED)
+
+
+def wait_until_repaired(deployment: Deployment) -> None:
+    """Wait until every process works and every control host votes."""
+    wait_until(
+        lambda: all(map(deployment.launcher.is_ready, deployment.entries)),
+        'both entries are ready',
+        _WHOLE_LIMIT_S,
+    )
+    wait_until(
+        lambda: all(map(deployment.launcher.is_ready, deployment.agents)),
+        'all agents are ready',
+        _WHOLE_LIMIT_S,
+    )
+    wait_until(
+        lambda: _group_is_whole(deployment),
+        'three control hosts vote and have what is committed',
+        _WHOLE_LIMIT_S,
+    )
+
+
+def _group_is_whole(deployment: Deployment) -> bool:
+    pages = [deployment.health(name) for name in deployment.controls]
+    if not all(pages):
+        return False
+    logs = [page['log'] for page in pages]
+    leaders = [log for log in logs if log['role'] == 'leader']
+    if len(leaders) != 1:
+        return False
+    members = leaders[0]['members']
+    durable_now = {log['name']: log['durable'] for log in logs}
+    return (
+        len(members) == len(logs)
+        and all(member['voter'] for member in members)
+        and all(log['storage_ok'] for log in logs)
+        # What was on its way at the moment of reading may be missing.
+        and all(
+            durable_now[member['name']] >= leaders[0]['first_index']
+            for member in members
+        )
+        and all(log['term'] == leaders[0]['term'] for log in logs)
+        and len({page['newest_ticket'] for page in pages}) == 1
+    )
+
+
+def check_jobs(
+    called: list[CalledJob], counts: StandInCounts
+) -> Iterator[str]:
+    """Yield what is wrong with the ends and starts of jobs."""
+    counts.refresh()
+    starts = counts.starts_by_task({job.identifier for job in called})
+    for (job, task), number in starts.items():
+        if number > 1:
+            yield f'{job}/{task} was started {number} times'
+    started_jobs = {job for job, _ in starts}
+    for job in called:
+        if job.end not in _GOOD_ENDS:
+            yield f'{job.identifier} ended as {job.end}'
+        if any(
+            one.end in (End.PARTIAL, End.WRONG_CALLER) for one in job.attempts
+        ):
+            yield f'{job.identifier} got a wrong answer'
+        if job.never_admitted and job.identifier in started_jobs:
+            yield f'{job.identifier} was refused as not run, yet started'
+
+
+def check_tickets(deployment: Deployment) -> Iterator[str]:
+    """Yield what is wrong with the accepted tickets."""
+    accepted = deployment.accepted_state_by_number
+    wanted: dict[str, tuple[int, Any]] = {}
+    for number in sorted(accepted):
+        for key, value in accepted[number].items():
+            wanted[key] = (number, value)
+    for name in deployment.controls:
+        newest = deployment.health(name).get('newest_ticket', 0)
+        if newest < max(accepted):
+            yield f'{name} is at ticket {newest}, not {max(accepted)}'
+    for entry in deployment.entries:
+        page = deployment.page(entry, 'configuration')
+        found = {
+            one['key']: (one['ticket'], one['value'])
+            for one in page.get('entries', [])
+        }
+        for key, value in wanted.items():
+            if found.get(key) != value:
+                yield f'{key} reads {found.get(key)} at {entry}, not {value}'
+    yield from _check_in_force(deployment, max(accepted))
+
+
+def _check_in_force(deployment: Deployment, newest: int) -> Iterator[str]:
+    entry = deployment.entries[0]
+    history = deployment.page(entry, 'tickets').get('tickets', [])
+    versions = [one['version'] for one in history if one['number'] == newest]
+    if not versions:
+        yield f'ticket {newest} is not in the history'
+        return
+    try:
+        wait_until(
+            lambda: _all_have(deployment, versions[0]),
+            f'ticket {newest} is in force everywhere',
+            _IN_FORCE_LIMIT_S,
+        )
+    except WaitedInVain as error:
+        yield str(error)
+
+
+def _all_have(deployment: Deployment, version: int) -> bool:
+    page = deployment.page(deployment.entries[0], 'members')
+    version_by_name = {
+        row['name']: row['version_in_force'] or 0
+        for row in page.get('members', [])
+        if row['alive']
+    }
+    return all(
+        version_by_name.get(name, 0) >= version
+        for name in (*deployment.entries, *deployment.agents)
+    )
--- /dev/null
+++ b/tools/matrix/_deployment.py
@@ -0,0 +1,254 @@
+"""The deployment that faults are injected into."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+import shutil
+import sys
+import tempfile
+import time
+from typing import Any
+from typing import Final
+from typing import Self
+
+from baobabgap import ConnectionLost
+from baobabgap.web import WebClient
+from tools.deployment_plan import DeploymentPlan
+from tools.launcher import Launcher
+from tools.launcher import read_json
+from tools.matrix._addresses import RELAY_HOST
+from tools.matrix._addresses import source_host
+from tools.matrix._disk import DiskFault
+from tools.matrix._disk import order_file
+from tools.matrix._relay import Cut
+from tools.matrix._relay import Relays
+
+REQUEST_LIMIT_S: Final = 6.0
+_PAGE_LIMIT_S: Final = 3.0
+_POLL_PAUSE_S: Final = 0.02
+_FOUNDING_LIMIT_S: Final = 40.0
+_COMMAND: Final = (sys.executable, '-m', 'tools.matrix._daemon')
+_PLAN: Final = DeploymentPlan(
+    control_hosts=3,
+    entries=2,
+    agents=3,
+    slots=8,
+    added_sync_delay_ms=4.0,
+    extra_settings={
+        'links': {'heartbeat_s': 0.25, 'silence_s': 1.0},
+        'entry': {
+            'drain_grace_s': 0.2,
+            'agent_return_s': 3.0,
+            'owner_return_s': 2.0,
+            'claim_limit_s': 3.0,
+            'http_threads': 64,
+        },
+        'control': {
+            'election_timeout_s': 0.5,
+            'member_heartbeat_s': 0.5,
+            'member_silence_s': 1.5,
+            'kept_tickets': 50,
+        },
+    },
+)
+_POLICY: Final = {
+    'policy': {
+        'default_quota': {'tasks_per_second': 1e5, 'burst_tasks': 10_000}
+    }
+}
+
+
+class WaitedInVain(Exception):
+    """A condition that did not come true within its limit."""
+
+
+def wait_until(
+    condition: Callable[[], bool], what: str, limit_s: float
+) -> None:
+    """Wait for a condition; raise `WaitedInVain` if it stays false."""
+    give_up_at = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > give_up_at:
+            raise WaitedInVain(f'not within {limit_s:g} s: {what}')
+        time.sleep(_POLL_PAUSE_S)
+
+
+class Deployment:
+    """Real processes, with relays on all links and disks that obey.
+
+    Use it as a context manager; whatever happens, all of it is ended.
+    """
+
+    def __init__(self, launcher: Launcher, relays: Relays) -> None:
+        self.launcher: Final = launcher
+        self.controls: Final = launcher.names_with_role('control')
+        self.entries: Final = launcher.names_with_role('entry')
+        self.agents: Final = launcher.names_with_role('agent')
+        self._relays = relays
+        self._port_by_name: dict[str, int] = {}
+        self._last_ticket = 0
+        self.accepted_state_by_number: dict[int, dict[str, Any]] = {}
+
+    @classmethod
+    def start(cls) -> Self:
+        """Start all processes and wait until jobs can run."""
+        folder = Path(tempfile.mkdtemp(prefix='baobabgap-matrix-'))
+        planned = []
+        ports = {}
+        for process in _PLAN.processes(folder):
+            listen = process.settings['listen']
+            for host in process.settings.get('control_hosts', ()):
+                host['host'] = RELAY_HOST
+            if process.role in ('control', 'entry'):
+                ports[process.name] = listen['internal_port']
+            if process.role == 'entry':
+                listen['host'] = RELAY_HOST
+                address = f'{RELAY_HOST}:{listen["http_port"]}'
+                process = replace(process, http_address=address)
+            planned.append(process)
+        relays = Relays()
+        deployment = cls(Launcher(planned, folder, _COMMAND), relays)
+        deployment._port_by_name = ports
+        try:
+            for port in ports.values():
+                relays.add(port)
+            deployment.launcher.start_all()
+            deployment.launcher.wait_until_ready(limit_s=_FOUNDING_LIMIT_S)
+            deployment.put_ticket('entry-1', _POLICY)
+        except BaseException:
+            deployment.close()
+            raise
+        return deployment
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End everything."""
+        self.launcher.close()
+        self._relays.close()
+
+    # Faults
+
+    def cut(self, name: str, *, inbound: bool, outbound: bool) -> None:
+        """Lose in silence what a process receives or sends over links."""
+        port = self._port_by_name.get(name, -1)
+        self._relays.cut(Cut(source_host(name), port, inbound, outbound))
+
+    def heal_cuts(self) -> None:
+        """Let new links pass."""
+        self._relays.heal()
+
+    def order_disk(self, name: str, fault: DiskFault | None) -> None:
+        """Make a control host's disk fail, or mend it."""
+        path = order_file(self.data_folder(name))
+        if fault is None:
+            path.unlink(missing_ok=True)
+        else:
+            path.write_text(fault)
+
+    def lose_disk(self, name: str) -> None:
+        """Kill a control host and empty its data folder."""
+        self.kill(name)
+        shutil.rmtree(self.data_folder(name), ignore_errors=True)
+
+    def kill(self, name: str) -> None:
+        """Kill a process unless it is gone already."""
+        if self.launcher.is_running(name):
+            self.launcher.kill(name)
+
+    def data_folder(self, name: str) -> Path:
+        """Where a control host keeps its log."""
+        return self.launcher.folder / name
+
+    def printed(self, name: str) -> Path:
+        """The file that a process prints its log to."""
+        return self.launcher.folder / f'{name}.out'
+
+    # Requests
+
+    def health(self, name: str) -> dict[str, Any]:
+        """Ask a control host for its state; empty if it does not answer."""
+        address = self.launcher.http_address(name)
+        try:
+            page = read_json(address, '/health', _PAGE_LIMIT_S)
+        except (ConnectionLost, ValueError):
+            return {}
+        return page if isinstance(page, dict) else {}
+
+    def page(self, entry: str, topic: str) -> dict[str, Any]:
+        """Read a page of the control group; empty if there is no answer."""
+        address = self.launcher.http_address(entry)
+        client = WebClient(address)
+        try:
+            response = client.request(
+                'GET', f'/v1/control/{topic}', timeout_s=_PAGE_LIMIT_S
+            )
+            page = response.document() if response.status == 200 else {}
+        except (ConnectionLost, ValueError):
+            return {}
+        finally:
+            client.close()
+        return page if isinstance(page, dict) else {}
+
+    def leader(self, limit_s: float = 20.0) -> str:
+        """Wait until a control host leads, and return its name."""
+        found: list[str] = []
+
+        def one_leads() -> bool:
+            for name in self.controls:
+                if not self.launcher.is_running(name):
+                    continue
+                log = self.health(name).get('log', {})
+                if log.get('role') == 'leader':
+                    found.append(name)
+                    return True
+            return False
+
+        wait_until(one_leads, 'a leader', limit_s)
+        return found[-1]
+
+    def next_ticket_number(self) -> int:
+        """Return a number that no ticket has had."""
+        self._last_ticket += 1
+        return self._last_ticket
+
+    def put_ticket(
+        self, entry: str, state: dict[str, Any], limit_s: float = 30.0
+    ) -> int:
+        """Put a ticket until its outcome is known; return its number.
+
+        One whose answer was lost is resent with number and content.
+        """
+        number = self.next_ticket_number()
+        give_up_at = time.monotonic() + limit_s
+        turn = self.entries.index(entry)
+        while time.monotonic() < give_up_at:
+            name = self.entries[turn % len(self.entries)]
+            status = self._try_ticket(name, number, state)
+            if status == 'accepted':
+                self.accepted_state_by_number[number] = state
+                return number
+            if status:
+                raise WaitedInVain(f'ticket {number} is {status}')
+            turn += 1
+            time.sleep(0.1)
+        raise WaitedInVain(f'ticket {number} has no outcome')
+
+    def _try_ticket(
+        self, entry: str, number: int, state: dict[str, Any]
+    ) -> str:
+        client = WebClient(self.launcher.http_address(entry))
+        body = {'number': number, 'state': state}
+        try:
+            response = client.request(
+                'POST', '/v1/tickets', body, timeout_s=REQUEST_LIMIT_S
+            )
+            return str(response.document().get('status', ''))
+        except (ConnectionLost, ValueError):
+            return ''
+        finally:
+            client.close()
