--- a/baobabgap/entry/_entry.py
+++ b/baobabgap/entry/_entry.py
@@ -38,6 +38,7 @@
 
 _MOST_TASKS_OF_THE_POOL: Final = 16_384
 _CHECK_PAUSE_S: Final = 0.25
+_SHORTEST_PAUSE_S: Final = 0.01
 _DRAIN_CHECK_S: Final = 0.05
 
 
@@ -53,7 +54,7 @@
         self._stopping = threading.Event()
         self._draining = threading.Event()
         self._state_by_key: dict[str, Any] = {}
-        self._kept = KeptAnswers(own.kept_answers)
+        self._kept = KeptAnswers(own.kept_answers, own.kept_values)
         self._quotas = QuotaLedger()
         self._joins = Joins(own.owner_return_s)
         timing = LinkTiming(
@@ -185,6 +186,7 @@
         """Tell whether a job would find control and an upstream."""
         return (
             self.is_accepting()
+            and not self._control.is_superseded
             and self._control.is_connected
             and self._dispatcher.pool.accepting_slots() > 0
         )
@@ -270,7 +272,7 @@
                 checked_at = now
                 self._check(now)
             pause_s = min(next_deadline - time.monotonic(), _CHECK_PAUSE_S)
-            self._stopping.wait(max(pause_s, 0.001))
+            self._stopping.wait(max(pause_s, _SHORTEST_PAUSE_S))
 
     def _check(self, now: float) -> None:
         self._dispatcher.acknowledge_results()
