Record and check histories of runs under random faults

make history runs seeds one after the other: eleven processes, callers, operators and readers under kills, planned stops, freezes and silent cuts.

--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,14 @@
 PYTHON ?= $(VENV)/bin/python
 BOOTSTRAP ?= python3
 
-.PHONY: demo test lint unit format bench
+.PHONY: demo test lint unit format bench history
 
 CASES ?=
 SECONDS ?= 30
 SEED ?= 1
+SEEDS ?= 50
+FIRST ?= 1
+HISTORY_SECONDS ?= 6
 
 $(VENV)/ready: | pyproject.toml constraints.txt
 	$(BOOTSTRAP) -m venv $(VENV)
@@ -35,3 +38,7 @@
 bench: $(VENV)/ready
 	$(PYTHON) -m tools.bench --cases='$(CASES)' --seconds=$(SECONDS) \
 		--seed=$(SEED)
+
+history: $(VENV)/ready
+	$(PYTHON) -m tools.history --seeds=$(SEEDS) --first=$(FIRST) \
+		--seconds=$(HISTORY_SECONDS)
--- a/baobabgap/standin/_leases.py
+++ b/baobabgap/standin/_leases.py
@@ -217,6 +217,11 @@
                     identifier.split('/', 1)
                     for identifier in self._starts_by_id
                 ],
+                'starts_of_repeated': {
+                    identifier: times
+                    for identifier, times in self._starts_by_id.items()
+                    if times > 1
+                },
                 'repeated_requests': self.repeated_requests,
                 'renewals': self.renewals,
                 'maximum_running': self.maximum_running,
--- /dev/null
+++ b/tools/history/__init__.py
@@ -0,0 +1,1 @@
+"""Runs under random faults whose recorded histories are checked."""
--- /dev/null
+++ b/tools/history/_faults.py
@@ -0,0 +1,111 @@
+"""A schedule of faults drawn from a seed, and its execution."""
+
+from dataclasses import dataclass
+import random
+import threading
+import time
+from typing import Final
+
+from tools.history._deployment import Deployment
+
+_STOP_LIMIT_S: Final = 15.0
+# Processes that fail in turn; the lanes run side by side, so that two
+# faults may meet, but never two control hosts are down on purpose.
+LANES: Final = (
+    ('entry-1', 'entry-2', 'agent-1'),
+    ('control-1', 'control-2', 'control-3', 'agent-2', 'agent-3'),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Kill:
+    """The process ends at once, and is started again."""
+
+    name: str
+    down_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """The process is stopped as planned, and is started again."""
+
+    name: str
+    down_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Freeze:
+    """The process stands still for a while."""
+
+    name: str
+    frozen_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """The open links of a member to the control group go silent."""
+
+    name: str
+    to_host: bool
+    to_member: bool
+
+
+Fault = Kill | Stop | Freeze | Cut
+
+
+def draw_fault(chance: random.Random, names: tuple[str, ...]) -> Fault:
+    """Draw one fault of one of these processes."""
+    name = chance.choice(names)
+    match chance.choice(('kill', 'stop', 'freeze', 'freeze', 'cut')):
+        case 'kill':
+            return Kill(name, chance.uniform(0.0, 0.8))
+        case 'stop':
+            return Stop(name, chance.uniform(0.0, 0.5))
+        case 'cut' if not name.startswith('control'):
+            to_host, to_member = chance.choice(
+                ((True, True), (True, False), (False, True))
+            )
+            return Cut(name, to_host, to_member)
+        case _:
+            return Freeze(name, chance.choice((0.2, 0.5, 1.0, 2.0)))
+
+
+class Faults:
+    """Injects faults until the run is over."""
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self._deployment = deployment
+        self._seed = seed
+        self._lock = threading.Lock()
+        self.injected: list[Fault] = []
+
+    def inject(self, lane: int, over: threading.Event) -> None:
+        """Go through the faults of one lane, one after the other."""
+        chance = random.Random(f'{self._seed}-lane-{lane}')
+        while not over.wait(chance.uniform(0.3, 1.0)):
+            fault = draw_fault(chance, LANES[lane])
+            with self._lock:
+                self.injected.append(fault)
+            self._inject(fault)
+
+    def _inject(self, fault: Fault) -> None:
+        launcher = self._deployment.launcher
+        match fault:
+            case Kill(name, down_s):
+                launcher.kill(name)
+                time.sleep(down_s)
+                self._deployment.start_again(name)
+                launcher.wait_until_ready([name])
+            case Stop(name, down_s):
+                launcher.stop(name, _STOP_LIMIT_S)
+                time.sleep(down_s)
+                self._deployment.start_again(name)
+                launcher.wait_until_ready([name])
+            case Freeze(name, frozen_s):
+                launcher.freeze(name)
+                time.sleep(frozen_s)
+                launcher.thaw(name)
+            case Cut(name, to_host, to_member):
+                self._deployment.silence_control_links(
+                    name, to_host=to_host, to_member=to_member
+                )
