Answer pending only once the job is claimed

A refusal must hold for requests that were answered before. Now the 202 waits for the claim's outcome (or the job's end), and such a request counts as a waiting one. Ruled out: telling ran unknown for an unknown job, since any other refusal at another entry meets the same gap. The test of the entry was shown failing with the wait taken out.

--- a/baobabgap/api/_application.py
+++ b/baobabgap/api/_application.py
@@ -162,18 +162,20 @@
         submission = JobSubmission.from_document(document)
         identifier = submission.identifier
         waits = request.args.get('wait', 'yes') != 'no'
-        if waits and not self._enter():
+        if not self._enter():
             return self._refuse_busy(identifier)
         try:
             with start_action(action_type='job', job=identifier) as action:
                 log_action = action.serialize_task_id().decode()
                 future = self._service.submit(submission, log_action)
                 wait_s = submission.deadline_ms / 1000 + _ANSWER_GRACE_S
+                if not waits:
+                    # Once this is answered, no entry may say `not run`.
+                    self._service.wait_for_claim(identifier, wait_s)
                 answer = _wait(future, wait_s if waits else 0.0)
                 action.add_success_fields(state=_state_of(answer))
         finally:
-            if waits:
-                self._leave()
+            self._leave()
         if answer is None:
             return pending_response(identifier)
         return answer_response(answer)
--- a/baobabgap/api/_service.py
+++ b/baobabgap/api/_service.py
@@ -28,6 +28,9 @@
     ) -> Future[JobAnswer]:
         """Run a job, or join it if it is known already."""
 
+    def wait_for_claim(self, identifier: str, timeout_s: float) -> None:
+        """Wait until other entries can find the job, or it has ended."""
+
     def fetch(self, identifier: str) -> Future[JobAnswer]:
         """Join a running job or find the kept answer of an ended one."""
 
--- a/baobabgap/api/tests/fake_service.py
+++ b/baobabgap/api/tests/fake_service.py
@@ -35,6 +35,7 @@
         self.accepting = True
         self.submissions: list[JobSubmission] = []
         self.log_actions: list[str] = []
+        self.awaited_claims: list[str] = []
         self.tickets: list[tuple[int, dict[str, Any]]] = []
         self.ticket_status = TicketStatus.ACCEPTED
 
@@ -46,6 +47,10 @@
         self.log_actions.append(log_action)
         return self._answered()
 
+    def wait_for_claim(self, identifier: str, timeout_s: float) -> None:
+        """Note that the claim was waited for."""
+        self.awaited_claims.append(identifier)
+
     def fetch(self, identifier: str) -> Future[JobAnswer]:
         """Answer as told."""
         return self._answered()
--- a/baobabgap/api/tests/test_application.py
+++ b/baobabgap/api/tests/test_application.py
@@ -112,6 +112,7 @@
                 response = self.client.open(path, method=method, json=document)
                 self.assertEqual(202, response.status_code)
                 self.assertEqual(expected, response.json)
+        self.assertEqual([JOB], self.service.awaited_claims)
 
     def test_fetch_and_cancel(self) -> None:
         cancelled = failed(FailureCode.CANCELLED, Ran.UNKNOWN)
--- a/baobabgap/entry/_active_job.py
+++ b/baobabgap/entry/_active_job.py
@@ -63,6 +63,8 @@
     placed_by_task: dict[str, PendingTask] = field(default_factory=dict)
     # Values of ended tasks by their identifier.
     value_by_task: dict[str, Any] = field(default_factory=dict)
+    # Ends once the outcome of the claim is known here.
+    claim_settled: Future[None] = field(default_factory=Future)
     # Whether any task may have started.
     may_have_started: bool = False
     # Whether the one answer has been given.
--- a/baobabgap/entry/_entry.py
+++ b/baobabgap/entry/_entry.py
@@ -170,6 +170,10 @@
         """Take a job; see `Submissions.submit`."""
         return self._submissions.submit(submission, log_action)
 
+    def wait_for_claim(self, identifier: str, timeout_s: float) -> None:
+        """Wait until other entries can find the job."""
+        self._submissions.wait_for_claim(identifier, timeout_s)
+
     def fetch(self, identifier: str) -> Future[JobAnswer]:
         """Return the answer of a job, once there is one."""
         return self._submissions.fetch(identifier)
--- a/baobabgap/entry/_submissions.py
+++ b/baobabgap/entry/_submissions.py
@@ -6,7 +6,9 @@
 of this entry.
 """
 
+from concurrent.futures import FIRST_COMPLETED
 from concurrent.futures import Future
+from concurrent.futures import wait
 from itertools import count
 import time
 from typing import Protocol
@@ -101,6 +103,17 @@
             self._dispatcher.add(job)
         return self._claim(job)
 
+    def wait_for_claim(self, identifier: str, timeout_s: float) -> None:
+        """Return once a job of this entry is claimed or has ended.
+
+        Until then another entry that is asked would find nothing, and
+        tell that the job has not run.
+        """
+        with self._dispatcher.lock:
+            job = self._dispatcher.find(identifier)
+        if job is not None:
+            wait((job.claim_settled, job.future), timeout_s, FIRST_COMPLETED)
+
     def fetch(self, identifier: str) -> Future[JobAnswer]:
         """Return the answer of a job, once there is one."""
         future = self.find_owned(identifier)
@@ -223,6 +236,7 @@
                     self._control.release([job.identifier])
             elif self._dispatcher.withdraw(job):
                 _forward(self._settle_owned(done.result()), job.future)
+            job.claim_settled.set_result(None)
 
         claimed.add_done_callback(settle)
         return job.future
--- a/baobabgap/entry/tests/test_submissions.py
+++ b/baobabgap/entry/tests/test_submissions.py
@@ -1,5 +1,6 @@
 """Tests of the way of a submission: claimed, joined or refused."""
 
+from concurrent.futures import ThreadPoolExecutor
 import time
 import unittest
 
@@ -30,6 +31,29 @@
         self.assertEqual(first.result(1), third.result(1))
         self.assertEqual([], agent.take(PlaceTasks))
 
+    def test_claim_is_waited_for(self) -> None:
+        entry = FakeEntry()
+        entry.add_agent('a', 4)
+        future = entry.submissions.submit(job(), '')
+        identifier = job().identifier
+        with ThreadPoolExecutor(1) as pool:
+            waited = pool.submit(
+                entry.submissions.wait_for_claim, identifier, 10.0
+            )
+            with self.assertRaises(TimeoutError):
+                waited.result(0.05)
+            entry.control.settle_claim()
+            waited.result(5)
+        self.assertFalse(future.done())
+
+    def test_claim_of_an_ended_job_is_not_waited_for(self) -> None:
+        entry = FakeEntry()
+        entry.add_agent('a', 4)
+        future = entry.submissions.submit(job(), '')
+        entry.submissions.cancel(job().identifier)
+        entry.submissions.wait_for_claim(job().identifier, 10.0)
+        self.assertTrue(future.done())
+
     def test_other_content_is_a_conflict(self) -> None:
         entry = FakeEntry()
         agent = entry.add_agent('a', 4)
