--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,16 @@
 PYTHON ?= $(VENV)/bin/python
 BOOTSTRAP ?= python3
 
-.PHONY: demo test lint unit format bench slopes history-control
+.PHONY: demo test lint unit format bench slopes matrix history \
+	history-control
 
 CASES ?=
 POLICIES ?=
 SECONDS ?= 30
 SEED ?= 1
 SEEDS ?= 50
+FIRST ?= 1
+HISTORY_SECONDS ?= 6
 
 $(VENV)/ready: | pyproject.toml constraints.txt
 	$(BOOTSTRAP) -m venv $(VENV)
@@ -43,5 +46,12 @@
 	$(PYTHON) -m tools.slopes_claims
 	$(PYTHON) -m tools.slopes_links
 
+matrix: $(VENV)/ready
+	$(PYTHON) -m tools.matrix --seed=$(SEED)
+
+history: $(VENV)/ready
+	$(PYTHON) -m tools.history --seeds=$(SEEDS) --first=$(FIRST) \
+		--seconds=$(HISTORY_SECONDS)
+
 history-control: $(VENV)/ready
 	$(PYTHON) -m tools.control_history --seeds=$(SEEDS)
