--- a/baobabgap/entry/_submissions.py
+++ b/baobabgap/entry/_submissions.py
@@ -11,6 +11,7 @@
 from concurrent.futures import wait
 from itertools import count
 import time
+from typing import Any
 from typing import Protocol
 
 from returns.pipeline import is_successful
@@ -112,7 +113,8 @@
         with self._dispatcher.lock:
             job = self._dispatcher.find(identifier)
         if job is not None:
-            wait((job.claim_settled, job.future), timeout_s, FIRST_COMPLETED)
+            known: list[Future[Any]] = [job.claim_settled, job.future]
+            wait(known, timeout_s, FIRST_COMPLETED)
 
     def fetch(self, identifier: str) -> Future[JobAnswer]:
         """Return the answer of a job, once there is one."""
--- a/tools/history/_deployment.py
+++ b/tools/history/_deployment.py
@@ -25,7 +25,6 @@
             'drain_limit_s': 6.0,
             'agent_return_s': 2.0,
             'owner_return_s': 1.0,
-            'claim_limit_s': 2.0,
         },
         'agent': {
             'upstream_check_s': 0.25,
