--- a/baobabgap/control/_pending.py
+++ b/baobabgap/control/_pending.py
@@ -7,7 +7,6 @@
 from collections.abc import Sequence
 from concurrent.futures import Future
 from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
 import threading
 import time
@@ -65,13 +64,6 @@
     address: str
 
 
-@dataclass(slots=True)
-class _Batch:
-    """What one sent request carries."""
-
-    items: list[_Pending] = field(default_factory=list)
-
-
 class PendingRequests:
     """Batches, numbers, matches and expires requests."""
 
@@ -80,7 +72,7 @@
         self._lock = threading.Lock()
         self._next_request = 1
         self._waiting: list[_Pending] = []
-        self._batch_by_request: dict[int, _Batch] = {}
+        self._batch_by_request: dict[int, list[_Pending]] = {}
         # Answers come from the peer with this name.
         self.peer = ''
 
@@ -112,7 +104,7 @@
                 if not items:
                     break
                 request = self._take_number()
-                self._batch_by_request[request] = _Batch(items)
+                self._batch_by_request[request] = items
                 messages.append(self._message(request, items))
         return messages
 
@@ -120,10 +112,10 @@
         """Queue everything on the way for sending on the next link."""
         with self._lock:
             for batch in self._batch_by_request.values():
-                for item in batch.items:
+                for item in batch:
                     item.unchanged = False
                     item.reason = f'the link to {self.peer} was lost'
-                self._waiting.extend(batch.items)
+                self._waiting.extend(batch)
             self._batch_by_request.clear()
 
     def take_answer(self, message: object) -> bool:
@@ -147,7 +139,7 @@
         expired: list[_Pending] = []
         with self._lock:
             for batch in self._batch_by_request.values():
-                for item in batch.items:
+                for item in batch:
                     if item.deadline <= now and not item.future.done():
                         item.unchanged = False
                         item.reason = f'no answer from {self.peer}'
@@ -155,7 +147,7 @@
             self._batch_by_request = {
                 request: batch
                 for request, batch in self._batch_by_request.items()
-                if any(item.deadline > now for item in batch.items)
+                if any(item.deadline > now for item in batch)
             }
             expired.extend(
                 item for item in self._waiting if item.deadline <= now
@@ -237,16 +229,16 @@
 
     def _complete(self, request: int, answers: Sequence[Any]) -> None:
         with self._lock:
-            batch = self._batch_by_request.pop(request, _Batch())
-        for item, answer in zip(batch.items, answers, strict=False):
+            batch = self._batch_by_request.pop(request, [])
+        for item, answer in zip(batch, answers, strict=False):
             if not item.future.done():
                 item.future.set_result(answer)
 
     def _try_again(self, message: ControlUnavailable) -> None:
         not_before = time.monotonic() + _PAUSE_S
         with self._lock:
-            batch = self._batch_by_request.pop(message.request, _Batch())
-            for item in batch.items:
+            batch = self._batch_by_request.pop(message.request, [])
+            for item in batch:
                 item.unchanged = item.unchanged and message.unchanged
                 item.reason = message.message
                 item.not_before = not_before
