--- a/tools/matrix/_injection.py
+++ b/tools/matrix/_injection.py
@@ -57,13 +57,12 @@
             case Fault.LOST_DISK:
                 deployment.lose_disk(victim)
                 time.sleep(_DOWN_S)
-            case Fault.FULL_DISK:
-                deployment.order_disk(victim, DiskFault.FULL)
-                time.sleep(_FAULT_LASTS_S)
             case Fault.TORN_WRITE:
                 self._tear(victim)
-            case Fault.SLOW_SYNC:
-                deployment.order_disk(victim, DiskFault.SLOW)
+            case Fault.FULL_DISK | Fault.SLOW_SYNC:
+                is_full = fault is Fault.FULL_DISK
+                ordered = DiskFault.FULL if is_full else DiskFault.SLOW
+                deployment.order_disk(victim, ordered)
                 time.sleep(_FAULT_LASTS_S)
             case Fault.DOUBLE:
                 deployment.kill(victim)
