--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,11 @@
 PYTHON ?= $(VENV)/bin/python
 BOOTSTRAP ?= python3
 
-.PHONY: demo test lint unit format bench
+.PHONY: demo test lint unit format bench matrix
 
 CASES ?=
+STEPS ?=
+FAULTS ?=
 SECONDS ?= 30
 SEED ?= 1
 
@@ -35,3 +37,7 @@
 bench: $(VENV)/ready
 	$(PYTHON) -m tools.bench --cases='$(CASES)' --seconds=$(SECONDS) \
 		--seed=$(SEED)
+
+matrix: $(VENV)/ready
+	$(PYTHON) -m tools.matrix --steps='$(STEPS)' --faults='$(FAULTS)' \
+		--seed=$(SEED)
--- a/tools/matrix/_checks.py
+++ b/tools/matrix/_checks.py
@@ -13,6 +13,7 @@
 
 _WHOLE_LIMIT_S: Final = 30.0
 _IN_FORCE_LIMIT_S: Final = 5.0
+_VERSION_GAUGE: Final = 'baobabgap_configuration_version'
 _GOOD_ENDS: Final = (End.WHOLE, End.FAILED, End.REFUSED)
 
 
@@ -65,9 +66,9 @@
     """Yield what is wrong with the ends and starts of jobs."""
     counts.refresh()
     starts = counts.starts_by_task({job.identifier for job in called})
-    for (job, task), number in starts.items():
+    for (identifier, task), number in starts.items():
         if number > 1:
-            yield f'{job}/{task} was started {number} times'
+            yield f'{identifier}/{task} was started {number} times'
     started_jobs = {job for job, _ in starts}
     for job in called:
         if job.end not in _GOOD_ENDS:
@@ -110,24 +111,42 @@
     if not versions:
         yield f'ticket {newest} is not in the history'
         return
-    try:
-        wait_until(
-            lambda: _all_have(deployment, versions[0]),
-            f'ticket {newest} is in force everywhere',
-            _IN_FORCE_LIMIT_S,
-        )
-    except WaitedInVain as error:
-        yield str(error)
+    for what, lagging in (
+        ('is in force at', _lagging_entries),
+        ('is shown by members at', _not_shown),
+    ):
+        try:
+            wait_until(
+                lambda: not lagging(deployment, versions[0]),  # noqa: B023
+                '',
+                _IN_FORCE_LIMIT_S,
+            )
+        except WaitedInVain:
+            found = lagging(deployment, versions[0])
+            yield (
+                f'not in {_IN_FORCE_LIMIT_S:g} s: ticket {newest}, version '
+                f'{versions[0]}, {what} {found}'
+            )
+
 
+def _lagging_entries(deployment: Deployment, version: int) -> dict[str, Any]:
+    """Return the versions that are in force at entries and are older."""
+    lagging = {}
+    for name in deployment.entries:
+        in_force = deployment.gauge(name, _VERSION_GAUGE)
+        if in_force < version:
+            lagging[name] = in_force
+    return lagging
 
-def _all_have(deployment: Deployment, version: int) -> bool:
+
+def _not_shown(deployment: Deployment, version: int) -> dict[str, Any]:
+    """Return the processes for which members shows no such version."""
     page = deployment.page(deployment.entries[0], 'members')
-    version_by_name = {
-        row['name']: row['version_in_force'] or 0
-        for row in page.get('members', [])
-        if row['alive']
-    }
-    return all(
-        version_by_name.get(name, 0) >= version
-        for name in (*deployment.entries, *deployment.agents)
-    )
+    row_by_name = {row['name']: row for row in page.get('members', [])}
+    lagging = {}
+    for name in (*deployment.entries, *deployment.agents):
+        row = row_by_name.get(name, {'alive': False, 'version_in_force': 0})
+        in_force = row['version_in_force']
+        if not row['alive'] or (in_force or 0) < version:
+            lagging[name] = in_force if row['alive'] else 'not alive'
+    return lagging
--- a/tools/matrix/_daemon.py
+++ b/tools/matrix/_daemon.py
@@ -16,6 +16,9 @@
 from typing import Any
 from typing import Final
 
+from websockets.sync.client import connect
+from websockets.sync.server import serve
+
 from baobabgap.daemon import main
 from baobabgap.replication import _log
 from baobabgap.replication._folder import AppendFile
@@ -88,26 +91,23 @@
             return None
 
 
-def _behind_relay(serve: Callable[..., Any]) -> Callable[..., Any]:
+def _behind_relay(listen: Callable[..., Any]) -> Callable[..., Any]:
     def serve_behind(handler: Any, host: str, *rest: Any, **named: Any) -> Any:
         if host == RELAY_HOST:
             host = LISTEN_HOST
-        return serve(handler, host, *rest, **named)
+        return listen(handler, host, *rest, **named)
 
     return serve_behind
 
 
 def _install(name: str) -> None:
     """Put the seams in place of the product's own."""
+    from_own_address = functools.partial(
+        connect, source_address=(source_host(name), 0)
+    )
     seams: list[tuple[Any, str, Any]] = [
-        (
-            _dialer,
-            'connect',
-            functools.partial(
-                _dialer.connect, source_address=(source_host(name), 0)
-            ),
-        ),
-        (_listener, 'serve', _behind_relay(_listener.serve)),
+        (_dialer, 'connect', from_own_address),
+        (_listener, 'serve', _behind_relay(serve)),
         (_log, 'DiskFolder', _OrderedFolder),
         (_log, 'LogLimits', lambda: _LIMITS),
     ]
--- a/tools/matrix/_deployment.py
+++ b/tools/matrix/_deployment.py
@@ -15,6 +15,7 @@
 from baobabgap.web import WebClient
 from tools.deployment_plan import DeploymentPlan
 from tools.launcher import Launcher
+from tools.launcher import LaunchError
 from tools.launcher import read_json
 from tools.matrix._addresses import RELAY_HOST
 from tools.matrix._addresses import source_host
@@ -26,7 +27,8 @@
 REQUEST_LIMIT_S: Final = 6.0
 _PAGE_LIMIT_S: Final = 3.0
 _POLL_PAUSE_S: Final = 0.02
-_FOUNDING_LIMIT_S: Final = 40.0
+_FOUNDING_LIMIT_S: Final = 20.0
+_MOST_STARTS: Final = 3
 _COMMAND: Final = (sys.executable, '-m', 'tools.matrix._daemon')
 _PLAN: Final = DeploymentPlan(
     control_hosts=3,
@@ -40,13 +42,13 @@
             'drain_grace_s': 0.2,
             'agent_return_s': 3.0,
             'owner_return_s': 2.0,
-            'claim_limit_s': 3.0,
             'http_threads': 64,
         },
         'control': {
             'election_timeout_s': 0.5,
             'member_heartbeat_s': 0.5,
             'member_silence_s': 1.5,
+            'claim_wait_s': 3.0,
             'kept_tickets': 50,
         },
     },
@@ -91,7 +93,19 @@
 
     @classmethod
     def start(cls) -> Self:
-        """Start all processes and wait until jobs can run."""
+        """Start all processes and wait until jobs can run.
+
+        Tries again where another program took a chosen port meanwhile.
+        """
+        for _ in range(_MOST_STARTS - 1):
+            try:
+                return cls._start_once()
+            except (LaunchError, OSError):
+                time.sleep(_POLL_PAUSE_S)
+        return cls._start_once()
+
+    @classmethod
+    def _start_once(cls) -> Self:
         folder = Path(tempfile.mkdtemp(prefix='baobabgap-matrix-'))
         planned = []
         ports = {}
@@ -194,6 +208,23 @@
             client.close()
         return page if isinstance(page, dict) else {}
 
+    def gauge(self, name: str, gauge: str) -> float:
+        """Read a gauge of a process; -1 if it does not answer."""
+        client = WebClient(self.launcher.http_address(name))
+        try:
+            response = client.request(
+                'GET', '/metrics', timeout_s=_PAGE_LIMIT_S
+            )
+        except ConnectionLost:
+            return -1.0
+        finally:
+            client.close()
+        for line in response.body.decode().splitlines():
+            key, _, value = line.partition(' ')
+            if key == gauge:
+                return float(value)
+        return -1.0
+
     def leader(self, limit_s: float = 20.0) -> str:
         """Wait until a control host leads, and return its name."""
         found: list[str] = []
--- a/tools/matrix/_injection.py
+++ b/tools/matrix/_injection.py
@@ -38,6 +38,7 @@
         return f'{victim}{done}'
 
     def _inject(self, fault: Fault, victim: str) -> str:
+        """Let a fault strike and last; return details for the report."""
         deployment = self._deployment
         match fault:
             case Fault.KILL:
@@ -46,35 +47,50 @@
             case Fault.FREEZE:
                 deployment.launcher.freeze(victim)
                 time.sleep(_FAULT_LASTS_S)
-            case Fault.CUT_ONE_WAY:
-                inbound = self._chance.random() < 0.5
-                deployment.cut(victim, inbound=inbound, outbound=not inbound)
-                time.sleep(_FAULT_LASTS_S)
-                return ' inbound' if inbound else ' outbound'
-            case Fault.CUT_BOTH_WAYS:
-                deployment.cut(victim, inbound=True, outbound=True)
-                time.sleep(_FAULT_LASTS_S)
+            case Fault.CUT_ONE_WAY | Fault.CUT_BOTH_WAYS:
+                return self._cut(victim, fault is Fault.CUT_BOTH_WAYS)
+            case Fault.DOUBLE:
+                return self._kill_two(victim)
+            case Fault.FAR_BEHIND:
+                deployment.kill(victim)
+                self._pass_by(victim)
+            case _:
+                self._spoil_disk(fault, victim)
+        return ''
+
+    def _spoil_disk(self, fault: Fault, victim: str) -> None:
+        deployment = self._deployment
+        match fault:
             case Fault.LOST_DISK:
                 deployment.lose_disk(victim)
                 time.sleep(_DOWN_S)
             case Fault.FULL_DISK:
                 deployment.order_disk(victim, DiskFault.FULL)
                 time.sleep(_FAULT_LASTS_S)
-            case Fault.TORN_WRITE:
-                self._tear(victim)
             case Fault.SLOW_SYNC:
                 deployment.order_disk(victim, DiskFault.SLOW)
                 time.sleep(_FAULT_LASTS_S)
-            case Fault.DOUBLE:
-                deployment.kill(victim)
-                second = self._second_victim(victim)
-                deployment.kill(second)
-                time.sleep(_DOWN_S)
-                return f' and {second}'
-            case Fault.FAR_BEHIND:
-                deployment.kill(victim)
-                self._pass_by(victim)
-        return ''
+            case Fault.TORN_WRITE:
+                self._tear(victim)
+
+    def _cut(self, victim: str, both_ways: bool) -> str:
+        inbound = self._chance.random() < 0.5
+        self._deployment.cut(
+            victim,
+            inbound=inbound or both_ways,
+            outbound=not inbound or both_ways,
+        )
+        time.sleep(_FAULT_LASTS_S)
+        if both_ways:
+            return ''
+        return ' inbound' if inbound else ' outbound'
+
+    def _kill_two(self, victim: str) -> str:
+        self._deployment.kill(victim)
+        second = self._second_victim(victim)
+        self._deployment.kill(second)
+        time.sleep(_DOWN_S)
+        return f' and {second}'
 
     def _tear(self, victim: str) -> None:
         """Have the victim die in the midst of its next write."""
--- a/tools/matrix/_relay.py
+++ b/tools/matrix/_relay.py
@@ -6,9 +6,11 @@
 made after the cut has healed work.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 import socket
 import threading
+from typing import Any
 from typing import Final
 
 from tools.matrix._addresses import LISTEN_HOST
@@ -70,8 +72,8 @@
         with self._lock:
             self._sockets += sockets
 
-    def _start(self, task: object, *arguments: object) -> None:
-        threading.Thread(target=task, args=arguments, daemon=True).start()  # type: ignore[arg-type]
+    def _start(self, task: Callable[..., None], *arguments: Any) -> None:
+        threading.Thread(target=task, args=arguments, daemon=True).start()
 
     def _accept(self, server: socket.socket, port: int) -> None:
         while True:
