--- a/tools/matrix/_relay.py
+++ b/tools/matrix/_relay.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 import socket
 import threading
+from typing import Any
 from typing import Final
 
 from tools.matrix._addresses import LISTEN_HOST
@@ -71,7 +72,7 @@
         with self._lock:
             self._sockets += sockets
 
-    def _start(self, task: Callable[..., None], *arguments: object) -> None:
+    def _start(self, task: Callable[..., None], *arguments: Any) -> None:
         threading.Thread(target=task, args=arguments, daemon=True).start()
 
     def _accept(self, server: socket.socket, port: int) -> None:
