--- a/baobabgap/entry/_admission.py
+++ b/baobabgap/entry/_admission.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from typing import Final
 
 from returns.result import Failure
 from returns.result import Result
@@ -18,8 +19,7 @@
 from baobabgap.jobs import JobSubmission
 from baobabgap.jobs import Ran
 
-_NO_UPSTREAM_PAUSE_S = 1.0
-_DRAINING_PAUSE_S = 1.0
+_NO_UPSTREAM_PAUSE_S: Final = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,18 +91,6 @@
         return Success(None)
 
 
-def draining_failure() -> JobFailure:
-    """Return the refusal of an entry that is about to stop."""
-    return JobFailure(
-        code=FailureCode.DRAINING,
-        message='this entry is about to stop; try another one',
-        step='admit',
-        peer='',
-        ran=Ran.NO,
-        retry_after_s=_DRAINING_PAUSE_S,
-    )
-
-
 def _lateness_s(
     submission: JobSubmission,
     workload: Workload,
--- a/baobabgap/entry/_submissions.py
+++ b/baobabgap/entry/_submissions.py
@@ -16,16 +16,19 @@
 
 from returns.pipeline import is_successful
 
-from baobabgap.control import ControlUnavailableError
 from baobabgap.entry._active_job import ActiveJob
 from baobabgap.entry._admission import Admission
-from baobabgap.entry._admission import draining_failure
 from baobabgap.entry._admission import Workload
 from baobabgap.entry._dispatcher import Dispatcher
+from baobabgap.entry._failures import cancelled
+from baobabgap.entry._failures import conflict
+from baobabgap.entry._failures import control_unavailable
+from baobabgap.entry._failures import draining
+from baobabgap.entry._failures import unknown_job
+from baobabgap.entry._failures import window_passed
 from baobabgap.entry._job_log import JobLog
 from baobabgap.entry._joins import Joins
 from baobabgap.entry._kept_answers import KeptAnswers
-from baobabgap.jobs import FailureCode
 from baobabgap.jobs import JobAnswer
 from baobabgap.jobs import JobFailure
 from baobabgap.jobs import JobSubmission
@@ -36,8 +39,6 @@
 from baobabgap.messages import ClaimStatus
 from baobabgap.telemetry import Metrics
 
-_CONTROL_PAUSE_S = 1.0
-
 
 class ClaimClient(Protocol):
     """What this module needs of the control group's client."""
@@ -121,7 +122,7 @@
         future = self.find_owned(identifier)
         if future is not None:
             return future
-        return self._look_up(Claim(identifier, b''), _failure_of_unknown_job())
+        return self._look_up(Claim(identifier, b''), unknown_job())
 
     def cancel(self, identifier: str) -> Future[JobAnswer]:
         """End a job, here or at its owner; tasks that run are stopped."""
@@ -129,7 +130,7 @@
         if future is not None:
             return future
         return self._look_up(
-            Claim(identifier, b''), _failure_of_unknown_job(), cancel=True
+            Claim(identifier, b''), unknown_job(), cancel=True
         )
 
     def cancel_owned(self, identifier: str) -> Future[JobAnswer] | None:
@@ -138,14 +139,7 @@
             job = self._dispatcher.find(identifier)
             if job is None:
                 return self.find_owned(identifier)
-            failure = JobFailure(
-                code=FailureCode.CANCELLED,
-                message='cancelled by its client',
-                step='cancel',
-                peer='',
-                ran=job.ran,
-            )
-            self._dispatcher.fail(job, failure)
+            self._dispatcher.fail(job, cancelled(job))
             return job.future
 
     def find_owned(self, identifier: str) -> Future[JobAnswer] | None:
@@ -178,7 +172,7 @@
         if known is None:
             return None
         if known.digest != digest:
-            return _completed(_conflict(identifier, ''))
+            return _failed(identifier, conflict(''))
         self._metrics.count('baobabgap_jobs_joined_total')
         return self.find_owned(identifier)
 
@@ -186,7 +180,7 @@
         self, submission: JobSubmission, expected_ms: list[float], now: float
     ) -> JobFailure | None:
         if self.is_draining or self._control.is_superseded:
-            return draining_failure()
+            return draining()
         decision = self._admission.decide(
             submission,
             self._workload(submission, expected_ms),
@@ -251,7 +245,7 @@
         """
         if self._dispatcher.withdraw(job):
             self._control.release([job.identifier])
-            failure = _control_failure(error, Ran.UNKNOWN)
+            failure = control_unavailable(error)
             answer = JobAnswer.from_failure(job.identifier, failure)
             self._count_end(answer)
             job.future.set_result(answer)
@@ -265,7 +259,7 @@
         def settle(done: Future[ClaimOutcome]) -> None:
             error = done.exception()
             if error is not None:
-                failure = _control_failure(error, Ran.UNKNOWN)
+                failure = control_unavailable(error)
                 future.set_result(JobAnswer.from_failure(claim.job, failure))
             elif done.result().status is ClaimStatus.UNCLAIMED:
                 future.set_result(JobAnswer.from_failure(claim.job, refusal))
@@ -281,9 +275,9 @@
         """Answer for a job that this submission does not own."""
         match outcome.status:
             case ClaimStatus.CONFLICT:
-                return _completed(_conflict(outcome.job, outcome.owner))
+                return _failed(outcome.job, conflict(outcome.owner))
             case ClaimStatus.WINDOW_PASSED:
-                return _completed(_window_passed(outcome.job))
+                return _failed(outcome.job, window_passed())
             case _:
                 self._metrics.count('baobabgap_jobs_joined_total')
                 return self._join(outcome)
@@ -320,49 +314,5 @@
     )
 
 
-def _conflict(job: str, owner: str) -> JobAnswer:
-    return JobAnswer.from_failure(
-        job,
-        JobFailure(
-            code=FailureCode.CONFLICT,
-            message='this identifier was used for a job with other content',
-            step='claim',
-            peer=owner,
-            ran=Ran.UNKNOWN,
-        ),
-    )
-
-
-def _window_passed(job: str) -> JobAnswer:
-    return JobAnswer.from_failure(
-        job,
-        JobFailure(
-            code=FailureCode.WINDOW_PASSED,
-            message='this job is older than what is remembered here',
-            step='claim',
-            peer='',
-            ran=Ran.UNKNOWN,
-        ),
-    )
-
-
-def _failure_of_unknown_job() -> JobFailure:
-    return JobFailure(
-        code=FailureCode.UNKNOWN_JOB,
-        message='no such job',
-        step='fetch',
-        peer='',
-        ran=Ran.NO,
-    )
-
-
-def _control_failure(error: BaseException, ran: Ran) -> JobFailure:
-    peer = error.peer if isinstance(error, ControlUnavailableError) else ''
-    return JobFailure(
-        code=FailureCode.CONTROL_UNAVAILABLE,
-        message=f'the job could not be claimed: {error}',
-        step='claim',
-        peer=peer,
-        ran=ran,
-        retry_after_s=_CONTROL_PAUSE_S,
-    )
+def _failed(identifier: str, failure: JobFailure) -> Future[JobAnswer]:
+    return _completed(JobAnswer.from_failure(identifier, failure))
