--- a/tools/history/__main__.py
+++ b/tools/history/__main__.py
@@ -1,11 +1,11 @@
 """Runs seeds one after the other: `make history SEEDS=50`."""
 
 import argparse
+import signal
 import sys
 from typing import Final
 
 from tools.history._run import run
-from tools.history._run import RunResult
 from tools.launcher import LaunchError
 
 _DEFAULT_SECONDS: Final = 6.0
@@ -18,6 +18,8 @@
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=_DEFAULT_SECONDS)
     arguments = parser.parse_args()
+    # Whoever ends this process ends the processes of its run as well.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     seeds = range(arguments.first, arguments.first + arguments.seeds)
     count_by_verdict = {'held': 0, 'RED': 0, 'not-run': 0}
     for seed in seeds:
@@ -30,8 +32,8 @@
 
 def _run_one(seed: int, seconds: float) -> str:
     try:
-        result: RunResult = run(seed, seconds)
-    except (LaunchError, TimeoutError) as error:
+        result = run(seed, seconds)
+    except LaunchError as error:
         print(f'seed {seed} not-run {error}', flush=True)
         return 'not-run'
     print(result.line(), flush=True)
--- a/tools/history/_deployment.py
+++ b/tools/history/_deployment.py
@@ -115,6 +115,14 @@
             self._generation_by_name[name] = generation + 1
         self.launcher.start(name)
 
+    def outputs_of_unready(self) -> dict[str, str]:
+        """Return what the processes that aren't ready have printed."""
+        return {
+            name: self.launcher.output(name)
+            for name in self.launcher.names
+            if not self.launcher.is_ready(name)
+        }
+
     def starts(self) -> list[Started]:
         """Ask the stand-ins what they have started."""
         found = []
--- a/tools/history/_run.py
+++ b/tools/history/_run.py
@@ -19,6 +19,7 @@
 from tools.history._faults import LANES
 from tools.history._operators import Operators
 from tools.history._recorder import Recorder
+from tools.launcher import LaunchError
 
 _CALLERS: Final = 4
 _OPERATORS: Final = 2
@@ -74,15 +75,26 @@
 
 
 def run(seed: int, seconds: float) -> RunResult:
-    """Put up a deployment, let it run under faults, and check."""
+    """Put up a deployment, let it run under faults, and check.
+
+    A process that doesn't become ready again after its faults breaks a
+    rule as well. Raises `LaunchError` if the deployment doesn't come up.
+    """
     recorder = Recorder()
+    violations: list[Violation] = []
     with Deployment.start() as deployment:
         faults = Faults(deployment, seed)
-        _record(deployment, recorder, faults, seed, seconds)
+        try:
+            _record(deployment, recorder, faults, seed, seconds)
+        except (LaunchError, TimeoutError) as error:
+            violations.append(Violation('recovers', str(error), ()))
+            violations += [
+                Violation('recovers', f'{name}: {output}', ())
+                for name, output in deployment.outputs_of_unready().items()
+            ]
     history = recorder.history()
-    return RunResult(
-        seed, history, tuple(faults.injected), tuple(check(history))
-    )
+    violations += check(history)
+    return RunResult(seed, history, tuple(faults.injected), tuple(violations))
 
 
 def _record(
