--- a/Makefile
+++ b/Makefile
@@ -42,9 +42,14 @@
 		--seconds=$(SECONDS) --seed=$(SEED)
 
 slopes: $(VENV)/ready
-	$(PYTHON) -m tools.slopes_members
-	$(PYTHON) -m tools.slopes_claims
-	$(PYTHON) -m tools.slopes_links
+	mkdir -p var
+	$(PYTHON) -m tools.slopes_members > var/slopes.jsonl
+	$(PYTHON) -m tools.slopes_claims --sync_delay_ms=4 >> var/slopes.jsonl
+	$(PYTHON) -m tools.slopes_links >> var/slopes.jsonl
+	$(PYTHON) -m tools.bench --cases=wide --seconds=10 >> var/slopes.jsonl
+	cat var/slopes.jsonl
+	$(PYTHON) -m pip install --quiet --constraint constraints.txt matplotlib
+	$(PYTHON) -m tools.plot_slopes var/slopes.jsonl docs/slopes.png
 
 matrix: $(VENV)/ready
 	$(PYTHON) -m tools.matrix --seed=$(SEED)
--- a/tools/bench/_cases.py
+++ b/tools/bench/_cases.py
@@ -24,7 +24,7 @@
 _DEADLINE_STRETCH: Final = 3.0
 _FAULT_LOAD: Final = 0.5
 WIDE_PREFIX: Final = 'wide-'
-_WIDE_SIZES: Final = (100, 300, 1000)
+_WIDE_SIZES: Final = (30, 100, 300, 1000)
 _WIDE_TASKS_PER_SECOND: Final = 500.0
 
 
--- a/tools/bench/_report.py
+++ b/tools/bench/_report.py
@@ -56,6 +56,7 @@
         'load': run.load,
         'jobs': len(run.jobs),
         'tasks': tasks,
+        'tasks_per_job': tasks / max(len(run.jobs), 1),
         **_response_figures(run),
         **_cost_figures(run),
         **_goodput_figures(run),
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -241,16 +241,6 @@
     return 0
 
 
-def read_text(address: str, path: str, timeout_s: float = 5.0) -> str:
-    """Get one page of text from a process."""
-    client = WebClient(address)
-    try:
-        response = client.request('GET', path, timeout_s=timeout_s)
-        return response.body.decode('utf-8')
-    finally:
-        client.close()
-
-
 def read_json(address: str, path: str, timeout_s: float = 5.0) -> Any:
     """Get one JSON document from a process."""
     client = WebClient(address)
--- a/tools/slopes_links.py
+++ b/tools/slopes_links.py
@@ -8,7 +8,6 @@
 
 import json
 import time
-from typing import Any
 from typing import Final
 
 import fire
@@ -18,10 +17,10 @@
 from baobabgap.messages import UpstreamOffer
 from baobabgap.settings import Links
 from tools._light_members import LightMembers
-from tools._measured_group import process_usage
 from tools.deployment_plan import DeploymentPlan
 from tools.launcher import Launcher
-from tools.launcher import read_text
+from tools.slopes_members import slope
+from tools.slopes_members import usage
 
 _SIZES: Final = (100, 250, 570, 1700)
 _SETTLE_S: Final = 3.0
@@ -57,51 +56,13 @@
         members.add(size - connected)
         connected = size
         time.sleep(_SETTLE_S)
-        before = _sample(pid, address)
+        before = usage(pid, web)
         time.sleep(_SAMPLE_S)
-        after = _sample(pid, address)
-        print(json.dumps({'links': size, **_slope(before, after)}), flush=True)
+        after = usage(pid, web)
+        print(json.dumps({'links': size, **slope(before, after)}), flush=True)
     members.close()
 
 
-def _sample(pid: int, address: str) -> dict[str, float]:
-    used = process_usage(pid)
-    value_by_name = {
-        name: float(value)
-        for name, _, value in (
-            line.rpartition(' ')
-            for line in read_text(address, '/metrics').splitlines()
-        )
-    }
-    return {
-        'at': time.monotonic(),
-        'cpu_s': used.cpu_s,
-        'threads': used.threads,
-        'memory_mb': used.memory_mb,
-        'sent': value_by_name.get('baobabgap_link_bytes_sent_total', 0.0),
-        'received': value_by_name.get(
-            'baobabgap_link_bytes_received_total', 0.0
-        ),
-    }
-
-
-def _slope(
-    before: dict[str, float], after: dict[str, float]
-) -> dict[str, Any]:
-    seconds = after['at'] - before['at']
-
-    def rate(key: str) -> float:
-        return (after[key] - before[key]) / seconds
-
-    return {
-        'cpu_percent_of_core': round(100 * rate('cpu_s'), 2),
-        'threads': int(after['threads']),
-        'memory_mb': round(after['memory_mb'], 1),
-        'sent_bytes_per_s': round(rate('sent')),
-        'received_bytes_per_s': round(rate('received')),
-    }
-
-
 def _internal_port(output: str) -> int:
     for line in output.splitlines():
         if '"entry_started"' in line:
