--- a/tools/slopes_links.py
+++ b/tools/slopes_links.py
@@ -38,17 +38,19 @@
     plan = DeploymentPlan(control_hosts=1, entries=1, agents=0)
     with Launcher.from_plan(plan) as launcher:
         launcher.start_all()
-        address = launcher.http_address('entry-1')
         limit_at = time.monotonic() + _READY_LIMIT_S
         while 'internal_port' not in launcher.output('entry-1'):
             if time.monotonic() > limit_at:
                 raise TimeoutError(launcher.output('entry-1'))
             time.sleep(0.1)
         port = _internal_port(launcher.output('entry-1'))
-        measure(launcher.pid('entry-1'), address, port, sizes)
+        web = WebClient(launcher.http_address('entry-1'))
+        measure(launcher.pid('entry-1'), web, port, sizes)
 
 
-def measure(pid: int, address: str, port: int, sizes: tuple[int, ...]) -> None:
+def measure(
+    pid: int, web: WebClient, port: int, sizes: tuple[int, ...]
+) -> None:
     """Print one line for each size."""
     members = LightMembers(port, Links().heartbeat_s, _GREETING)
     connected = 0
