--- a/tools/plot_slopes.py
+++ b/tools/plot_slopes.py
@@ -30,13 +30,13 @@
 
 
 CURVES: Final = (
-    Curve('control host: % of a core', 'members', 'cpu_percent_of_a_core', 2.4),
+    Curve(
+        'control host: % of a core', 'members', 'cpu_percent_of_a_core', 2.4
+    ),
     Curve('control host: MB', 'members', 'memory_mb', 256.0),
     Curve('entry: % of a core, idle', 'links', 'cpu_percent_of_a_core', 2.4),
     Curve('entry: MB, idle', 'links', 'memory_mb', 256.0),
-    Curve(
-        'entry: us a task', 'tasks_per_job', 'entry_cpu_us_per_task', 100.0
-    ),
+    Curve('entry: us a task', 'tasks_per_job', 'entry_cpu_us_per_task', 100.0),
     Curve('claims a second', 'batch', 'claims_per_s'),
 )
 
@@ -56,9 +56,7 @@
     figure.savefig(picture, dpi=90)
 
 
-def _draw(
-    panel: Any, curve: Curve, lines: Sequence[dict[str, Any]]
-) -> None:
+def _draw(panel: Any, curve: Curve, lines: Sequence[dict[str, Any]]) -> None:
     points = sorted(
         (line[curve.size_key], line[curve.value_key])
         for line in lines
--- a/tools/slopes_links.py
+++ b/tools/slopes_links.py
@@ -16,6 +16,7 @@
 from baobabgap.messages import SlotGrant
 from baobabgap.messages import UpstreamOffer
 from baobabgap.settings import Links
+from baobabgap.web import WebClient
 from tools._light_members import LightMembers
 from tools.deployment_plan import DeploymentPlan
 from tools.launcher import Launcher
