Let no job in behind a wait that most others could not stand

The slots were busy; but jobs with long tasks have long deadlines, filled the queue to the wait that they could stand, and every short job was refused.

Admission now also refuses behind a wait that the least patient fifth of the recent jobs could not stand, and takes running tasks as half done when it estimates the wait. The new test fails without the common patience.

--- a/baobabgap/entry/_admission.py
+++ b/baobabgap/entry/_admission.py
@@ -5,7 +5,9 @@
 its deadline.
 """
 
+from collections import deque
 from dataclasses import dataclass
+import math
 from typing import Final
 
 from returns.result import Failure
@@ -20,6 +22,38 @@
 from baobabgap.jobs import Ran
 
 _NO_UPSTREAM_PAUSE_S: Final = 1.0
+_RECENT_JOBS: Final = 256
+_JOBS_BETWEEN_SORTS: Final = 16
+# The share of jobs whose patience is not waited for.
+_IMPATIENT_SHARE: Final = 0.2
+
+
+class Patience:
+    """How long most of the recent jobs could wait for a slot.
+
+    Under overload the jobs that can wait long would otherwise fill the
+    queue, so that only they are served and all short ones refused. No job
+    is let in behind a wait that most of the others could not stand; it is
+    told when to come back instead.
+    """
+
+    def __init__(self) -> None:
+        self._recent_ms: deque[float] = deque(maxlen=_RECENT_JOBS)
+        self._until_sorted = 0
+        self._common_ms = math.inf
+
+    def add(self, patience_ms: float) -> None:
+        """Take in how many milliseconds one job could wait."""
+        self._recent_ms.append(max(patience_ms, 0.0))
+        self._until_sorted -= 1
+        if self._until_sorted < 0:
+            self._until_sorted = _JOBS_BETWEEN_SORTS
+            ordered = sorted(self._recent_ms)
+            self._common_ms = ordered[int(len(ordered) * _IMPATIENT_SHARE)]
+
+    def common_ms(self) -> float:
+        """Return the wait that all but the least patient jobs stand."""
+        return self._common_ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,9 +66,9 @@
     tasks_fit: bool
     # Whether any agent has a link to this entry.
     has_agents: bool
-    # Expected run time of all waiting and running tasks at all entries,
-    # in milliseconds.
-    outstanding_ms: float
+    # Milliseconds that a new task would wait for a slot, as far as the
+    # work at all entries is known.
+    wait_ms: float
     # Expected run time of all tasks of the job, in milliseconds.
     job_ms: float
     # Expected run time of the job's longest task, in milliseconds.
@@ -46,6 +80,7 @@
 
     def __init__(self, quotas: QuotaLedger) -> None:
         self._quotas = quotas
+        self._patience = Patience()
 
     def decide(
         self,
@@ -72,7 +107,7 @@
                 FailureCode.NEVER_FITS,
                 'a task is larger than every upstream',
             )
-        late_s = _lateness_s(submission, workload, configuration)
+        late_s = self._lateness_s(submission, workload, configuration)
         if late_s > 0:
             return _refuse(
                 FailureCode.OVERLOADED,
@@ -90,20 +125,19 @@
             )
         return Success(None)
 
-
-def _lateness_s(
-    submission: JobSubmission,
-    workload: Workload,
-    configuration: Configuration,
-) -> float:
-    """Return by how many seconds the job would miss its deadline."""
-    queued_ms = max(workload.outstanding_ms + workload.job_ms, 0.0)
-    drain_ms = queued_ms / workload.slots
-    expected_ms = max(drain_ms, workload.longest_ms)
-    if drain_ms > workload.longest_ms:
-        expected_ms = drain_ms + workload.longest_ms / 2
-    allowed_ms = submission.deadline_ms * configuration.policy.admission_slack
-    return (expected_ms - allowed_ms) / 1000
+    def _lateness_s(
+        self,
+        submission: JobSubmission,
+        workload: Workload,
+        configuration: Configuration,
+    ) -> float:
+        """Return by how many seconds too long the job would wait."""
+        slack = configuration.policy.admission_slack
+        run_ms = max(workload.longest_ms, workload.job_ms / workload.slots)
+        own_patience_ms = submission.deadline_ms * slack - run_ms
+        self._patience.add(own_patience_ms)
+        patience_ms = min(own_patience_ms, self._patience.common_ms())
+        return (workload.wait_ms - patience_ms) / 1000
 
 
 def _refuse(
--- a/baobabgap/entry/_dispatcher.py
+++ b/baobabgap/entry/_dispatcher.py
@@ -100,6 +100,20 @@
         """Return the expected run time of all waiting and placed tasks."""
         return self._waiting_work_ms + self._outstanding.work_ms
 
+    def expected_wait_ms(self) -> float:
+        """Return how long a new task would wait for a slot.
+
+        Tasks that run are taken to be half done; the peers' work is taken
+        to be made up like this entry's own.
+        """
+        own_ms = self.outstanding_work_ms()
+        if self.pool.idle_tokens() > 0 or own_ms <= 0:
+            return 0.0
+        placed_share = self._outstanding.work_ms / own_ms
+        all_ms = own_ms + self.balancer.peers_work_ms()
+        left_ms = all_ms * (1 - placed_share / 2)
+        return left_ms / max(self.pool.accepting_slots(), 1)
+
     # Jobs
 
     def add(self, job: ActiveJob) -> None:
--- a/baobabgap/entry/_submissions.py
+++ b/baobabgap/entry/_submissions.py
@@ -199,10 +199,7 @@
             slots=pool.accepting_slots(),
             tasks_fit=all(pool.can_ever_hold(size) for size in sizes),
             has_agents=len(pool) > 0,
-            outstanding_ms=(
-                dispatcher.outstanding_work_ms()
-                + dispatcher.balancer.peers_work_ms()
-            ),
+            wait_ms=dispatcher.expected_wait_ms(),
             job_ms=sum(expected_ms),
             longest_ms=max(expected_ms),
         )
--- a/baobabgap/entry/tests/test_submissions.py
+++ b/baobabgap/entry/tests/test_submissions.py
@@ -138,6 +138,19 @@
                 self.assertEqual((code, Ran.NO), (failure.code, failure.ran))
                 self.assertEqual([], entry.control.claims)
 
+    def test_patient_jobs_do_not_crowd_out_the_others(self) -> None:
+        entry = FakeEntry()
+        entry.add_agent('a', 1)
+        entry.submit(job(1000))
+        for number in range(1, 100):
+            deadline_ms = 60_000 if number % 2 else 500
+            entry.submissions.submit(job(number, deadline_ms=deadline_ms), '')
+        codes = [claim.job for claim, _ in entry.control.lookups]
+        refused_patient = [
+            name for name in codes if int(name.split('.')[1]) % 2
+        ]
+        self.assertGreater(len(refused_patient), len(codes) / 3)
+
     def test_over_quota_has_a_time_to_come_back(self) -> None:
         quota = {'tasks_per_second': 1, 'burst_tasks': 1}
         entry = FakeEntry(Configuration.from_state(1, {'quota/rowing': quota}))
