Test what unchanged says without a link, and batching step by step

The test now answers the first and sees the 96 that waited travel as one; that given-up requests make room has a test of its own. A refused claim whose last attempt was on the way when its time was over could have failed the test of unchanged, so that one drives the pending requests directly, with three more cases.

--- a/baobabgap/control/tests/test_client.py
+++ b/baobabgap/control/tests/test_client.py
@@ -1,18 +1,25 @@
 """The members' client against a host that follows a script."""
 
 from collections.abc import Callable
+from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
 import queue
 import threading
+import time
 from typing import Any
 import unittest
 
 from baobabgap.control import ControlClient
 from baobabgap.control import ControlUnavailableError
+from baobabgap.control._pending import ClaimSender
+from baobabgap.control._pending import PendingRequests
 from baobabgap.control.tests._group import claim
 from baobabgap.control.tests._group import LONGEST_WAIT_S
 from baobabgap.messages import Changes
 from baobabgap.messages import ClaimJobs
+from baobabgap.messages import ClaimOutcome
+from baobabgap.messages import ClaimOutcomes
+from baobabgap.messages import ClaimStatus
 from baobabgap.messages import ControlUnavailable
 from baobabgap.messages import Hello
 from baobabgap.messages import Subscribe
@@ -56,7 +63,9 @@
 
 
 class ClientTest(unittest.TestCase):
-    def start(self, answer: Answer = lambda _: []) -> None:
+    def start(
+        self, answer: Answer = lambda _: [], claim_wait_s: float = 0.4
+    ) -> None:
         pool = ThreadPoolExecutor(64)
         self.addCleanup(pool.shutdown, wait=False)
         self.host = ScriptedHost(pool, answer)
@@ -73,7 +82,7 @@
                     ),
                 ),
                 links=Links(heartbeat_s=0.1, silence_s=2.0),
-                control=ControlSettings(claim_wait_s=0.4),
+                control=ControlSettings(claim_wait_s=claim_wait_s),
             ),
             'entry',
             'entry-1-a',
@@ -117,31 +126,6 @@
         asked = self.host.subscriptions.get(timeout=LONGEST_WAIT_S)
         self.assertEqual(asked.version, 5)
 
-    def test_unchanged_is_truthful(self) -> None:
-        def refuse(*unchanged: bool) -> Answer:
-            answers = list(unchanged)
-
-            def answer(message: ClaimJobs) -> list[object]:
-                flag = answers.pop(0) if len(answers) > 1 else answers[0]
-                return [ControlUnavailable(message.request, 'no', flag)]
-
-            return answer
-
-        cases: list[tuple[str, Answer, bool]] = [
-            ('refused each time', refuse(True), True),
-            ('unknown once, then refused', refuse(False, True), False),
-            ('refused, then unknown', refuse(True, False), False),
-            ('never answered', lambda _: [], False),
-        ]
-        for name, answer, expected in cases:
-            with self.subTest(name):
-                self.start(answer)
-                error: Any = self.client.claim(claim('kurek.5.n')).exception(
-                    LONGEST_WAIT_S
-                )
-                self.assertIsInstance(error, ControlUnavailableError)
-                self.assertIs(error.unchanged, expected)
-
     def test_lookup_never_changes_anything(self) -> None:
         self.start()
         error: Any = self.client.lookup(claim('kurek.5.n')).exception(
@@ -150,21 +134,96 @@
         self.assertIs(error.unchanged, True)
 
     def test_claims_that_wait_travel_together(self) -> None:
-        sizes: list[int] = []
+        received: queue.Queue[ClaimJobs] = queue.Queue()
 
         def note(message: ClaimJobs) -> list[object]:
-            sizes.append(len(message.claims))
+            received.put(message)
             return []
 
-        self.start(note)
+        self.start(note, claim_wait_s=LONGEST_WAIT_S)
         futures = [
             self.client.claim(claim(f'kurek.{number}.n'))
             for number in range(100)
         ]
-        for future in futures:
-            future.exception(LONGEST_WAIT_S)
-        # Four may be on the way at once; the others wait for an answer.
-        self.assertLessEqual(len(sizes), 4)
-        before = len(sizes)
-        self.client.claim(claim('kurek.1000.n')).exception(LONGEST_WAIT_S)
-        self.assertEqual(len(sizes), before + 1, 'given up ones block it')
+        first = [received.get(timeout=LONGEST_WAIT_S) for _ in range(4)]
+        self.assertEqual([len(each.claims) for each in first], [1, 1, 1, 1])
+        outcome = ClaimOutcome(first[0].claims[0].job, ClaimStatus.GRANTED)
+        self.link.send(ClaimOutcomes(first[0].request, (outcome,)))
+        self.assertEqual(futures[0].result(LONGEST_WAIT_S), outcome)
+        rest = received.get(timeout=LONGEST_WAIT_S)
+        self.assertEqual(len(rest.claims), 96)
+
+    def test_requests_that_were_given_up_make_room(self) -> None:
+        received: queue.Queue[ClaimJobs] = queue.Queue()
+
+        def note(message: ClaimJobs) -> list[object]:
+            received.put(message)
+            return []
+
+        self.start(note)
+        for number in range(4):
+            self.client.claim(claim(f'kurek.{number}.n'))
+            received.get(timeout=LONGEST_WAIT_S)
+        # It waits behind the four, and may still be sent when they expire.
+        last = self.client.claim(claim('kurek.99.n'))
+        self.assertIsNotNone(last.exception(LONGEST_WAIT_S))
+        self.client.claim(claim('kurek.1000.n'))
+        jobs: list[str] = []
+        while 'kurek.1000.n' not in jobs:
+            message = received.get(timeout=LONGEST_WAIT_S)
+            jobs.extend(each.job for each in message.claims)
+
+
+class PendingRequestsTest(unittest.TestCase):
+    def test_unchanged_is_truthful(self) -> None:
+        cases: list[tuple[str, list[bool | None], bool]] = [
+            ('never sent', [], True),
+            ('refused', [True], True),
+            ('refused twice', [True, True], True),
+            ('unknown once, then refused', [False, True], False),
+            ('refused, then unknown', [True, False], False),
+            ('link lost, then refused', [None, True], False),
+        ]
+        for name, attempts, expected in cases:
+            with self.subTest(name):
+                pending = PendingRequests(ClaimSender('e', 'e-a', ''))
+                future = pending.add_claim(
+                    claim('kurek.5.n'), 0.3, lookup_only=False
+                )
+                for unchanged in attempts:
+                    self.attempt(pending, unchanged)
+                error = self.expire(pending, future)
+                self.assertIs(error.unchanged, expected)
+
+    def test_request_on_the_way_is_unknown(self) -> None:
+        pending = PendingRequests(ClaimSender('e', 'e-a', ''))
+        future = pending.add_claim(claim('kurek.5.n'), 0.1, lookup_only=False)
+        self.assertEqual(len(pending.take_messages()), 1)
+        self.assertIs(self.expire(pending, future).unchanged, False)
+
+    def attempt(
+        self, pending: PendingRequests, unchanged: bool | None
+    ) -> None:
+        """Send, and have it refused or, for None, lose the link."""
+        messages = pending.take_messages()
+        while not messages:
+            time.sleep(0.01)
+            messages = pending.take_messages()
+        if unchanged is None:
+            pending.link_lost()
+            return
+        (message,) = messages
+        assert isinstance(message, ClaimJobs)
+        pending.take_answer(
+            ControlUnavailable(message.request, 'no', unchanged)
+        )
+
+    def expire(self, pending: PendingRequests, future: Future[Any]) -> Any:
+        deadline = time.monotonic() + LONGEST_WAIT_S
+        while not future.done():
+            self.assertLess(time.monotonic(), deadline)
+            time.sleep(0.02)
+            pending.expire()
+        error = future.exception()
+        self.assertIsInstance(error, ControlUnavailableError)
+        return error
