--- a/baobabgap/api/_documents.py
+++ b/baobabgap/api/_documents.py
@@ -93,3 +93,18 @@
 def pending_response(identifier: str) -> Response:
     """Build the response for a job whose end isn't known here yet."""
     return json_response({'identifier': identifier, 'state': 'pending'}, 202)
+
+
+def refusal_response(code: FailureCode, message: str, status: int) -> Response:
+    """Build the response to a request that reached no job."""
+    failure = JobFailure(code, message, 'request', '', Ran.NO)
+    return failure_response('', failure, status)
+
+
+def internal_response(error: Exception) -> Response:
+    """Build the response to a request that met a fault of the entry."""
+    message = f'{type(error).__name__}: {error}'
+    failure = JobFailure(
+        FailureCode.INTERNAL, message, 'request', '', Ran.UNKNOWN
+    )
+    return failure_response('', failure, 500)
--- a/baobabgap/api/tests/test_application.py
+++ b/baobabgap/api/tests/test_application.py
@@ -230,8 +230,12 @@
             'invalid',
             'wait_ms',
             method='GET',
-            path='/v1/jobs/a?wait_ms=b',
+            path=f'/v1/jobs/{JOB}?wait_ms=b',
         )
+        for method in ('GET', 'DELETE'):
+            self._refused(
+                400, 'invalid', 'identifier', method=method, path='/v1/jobs/x'
+            )
         self._refused(
             404, 'invalid', 'members', method='GET', path='/v1/control/a'
         )
