Keep the tests' relay alive while its host is down

The relay ended for good at the first connection that its control host refused, so that a member lost one control host after the other.

--- a/baobabgap/control/tests/_cut_relay.py
+++ b/baobabgap/control/tests/_cut_relay.py
@@ -44,9 +44,14 @@
         while True:
             try:
                 member, _ = self._server.accept()
-                host = socket.create_connection(('127.0.0.1', self._target))
             except OSError:
                 return
+            try:
+                host = socket.create_connection(('127.0.0.1', self._target))
+            except OSError:
+                # The host is down for now; the relay lives on.
+                member.close()
+                continue
             gates = (threading.Event(), threading.Event())
             with self._lock:
                 self._sockets += [member, host]
