--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,11 @@
 PYTHON ?= $(VENV)/bin/python
 BOOTSTRAP ?= python3
 
-.PHONY: demo test lint unit format bench history
+.PHONY: demo test lint unit format bench slopes matrix history \
+	history-control
 
 CASES ?=
+POLICIES ?=
 SECONDS ?= 30
 SEED ?= 1
 SEEDS ?= 50
@@ -36,9 +38,20 @@
 	$(PYTHON) -m ruff format baobabgap tools
 
 bench: $(VENV)/ready
-	$(PYTHON) -m tools.bench --cases='$(CASES)' --seconds=$(SECONDS) \
-		--seed=$(SEED)
+	$(PYTHON) -m tools.bench --cases='$(CASES)' --policies='$(POLICIES)' \
+		--seconds=$(SECONDS) --seed=$(SEED)
+
+slopes: $(VENV)/ready
+	$(PYTHON) -m tools.slopes_members
+	$(PYTHON) -m tools.slopes_claims
+	$(PYTHON) -m tools.slopes_links
+
+matrix: $(VENV)/ready
+	$(PYTHON) -m tools.matrix --seed=$(SEED)
 
 history: $(VENV)/ready
 	$(PYTHON) -m tools.history --seeds=$(SEEDS) --first=$(FIRST) \
 		--seconds=$(HISTORY_SECONDS)
+
+history-control: $(VENV)/ready
+	$(PYTHON) -m tools.control_history --seeds=$(SEEDS)
