--- a/tools/tests/test_history_checker.py
+++ b/tools/tests/test_history_checker.py
@@ -305,7 +305,11 @@
 
 
 class _Model:
-    """A right system, asked one thing after the other."""
+    """A right system, which carries out one thing after the other.
+
+    Requests may begin long before that moment and end long after it, so
+    that they overlap; the requests of one reader don't.
+    """
 
     def __init__(self) -> None:
         self.now_s = 0.0
@@ -317,7 +321,9 @@
         self.now_s += 2.0
         return self.now_s
 
-    def ask(self, job: str, action: JobAction, end: str) -> None:
+    def ask(
+        self, job: str, action: JobAction, end: str, spread: tuple[int, int]
+    ) -> None:
         """Submit, fetch or cancel; `end` is how a new job would end."""
         refused = Refused('draining' if action is JobAction.SUBMIT else 'none')
         known = self.end_by_job.get(job)
@@ -328,9 +334,23 @@
         outcome = known or refused
         if known is not None and end in ('pending', 'no answer'):
             outcome = Pending() if end == 'pending' else NoAnswer()
-        self.events.append(_request(self.tick(), outcome, action, job))
+        request = _request(0.0, outcome, action, job)
+        self.events.append(self.spread(request, spread))
 
-    def put(self, number: int, content: str, is_answered: bool) -> None:
+    def spread(self, event: Any, spread: tuple[int, int]) -> Any:
+        now_s = self.tick()
+        before_s, after_s = spread
+        return replace(
+            event, began_s=now_s - before_s, ended_s=now_s + after_s
+        )
+
+    def put(
+        self,
+        number: int,
+        content: str,
+        is_answered: bool,
+        spread: tuple[int, int],
+    ) -> None:
         newest = self.tickets[-1].number if self.tickets else 0
         kept = {ticket.number: ticket for ticket in self.tickets}.get(number)
         result: Any
@@ -344,7 +364,8 @@
             self.tickets.append(ReadTicket(number, version, content))
             result = Accepted(version)
         result = result if is_answered else TicketUnknown()
-        self.events.append(_put(self.tick(), number, content, result))
+        put = _put(0.0, number, content, result)
+        self.events.append(self.spread(put, spread))
 
     def read(self, reader: str) -> None:
         now_s = self.tick()
@@ -376,17 +397,23 @@
     'pending',
     'no answer',
 )
+# Seconds before and after the moment at which a request is carried out.
+_SPREADS: Final = strategies.tuples(
+    strategies.integers(0, 9), strategies.integers(0, 9)
+)
 _ASKED: Final = strategies.tuples(
     strategies.just('ask'),
     strategies.sampled_from(('a', 'b', 'c')),
     strategies.sampled_from(tuple(JobAction)),
     strategies.sampled_from(_ENDS),
+    _SPREADS,
 )
 _PUTS: Final = strategies.tuples(
     strategies.just('put'),
     strategies.integers(1, 6),
     strategies.sampled_from(('x', 'y')),
     strategies.booleans(),
+    _SPREADS,
 )
 _READS: Final = strategies.tuples(
     strategies.just('read'), strategies.sampled_from(('one', 'other'))
