--- a/baobabgap/entry/_entry.py
+++ b/baobabgap/entry/_entry.py
@@ -299,6 +299,10 @@
             'baobabgap_outstanding_work_seconds',
             lambda: dispatcher.outstanding_work_ms() / 1000,
         )
+        self.metrics.gauge(
+            'baobabgap_control_silent_seconds',
+            lambda: self._control.silent_s,
+        )
         self.metrics.gauge(
             'baobabgap_configuration_version',
             lambda: dispatcher.configuration.version,
