Tell nothing of a job before its claim is settled

Until the claim is settled, another entry may own the job, so that ran is unknown. Now a deadline that passes before tells control_unavailable with ran unknown, such an answer is not kept, and a cancel waits for the outcome: it ends the job here unstarted, or goes to the owner. Ruled out: telling cancelled with ran unknown at once, since the owner may still answer whole.

The starts are now read also in a run in which a process did not recover.

--- a/baobabgap/entry/_active_job.py
+++ b/baobabgap/entry/_active_job.py
@@ -63,6 +63,11 @@
     placed_by_task: dict[str, PendingTask] = field(default_factory=dict)
     # Values of ended tasks by their identifier.
     value_by_task: dict[str, Any] = field(default_factory=dict)
+    # Whether this entry is known to own the job. Until then another entry
+    # may run it, so that nothing can be told of it.
+    is_claimed: bool = False
+    # Whether the job is to end as soon as it is claimed.
+    is_cancel_wanted: bool = False
     # Ends once the outcome of the claim is known here.
     claim_settled: Future[None] = field(default_factory=Future)
     # Whether any task may have started.
@@ -112,7 +117,8 @@
         """Whether any task has run, as far as this entry can tell."""
         if self.value_by_task:
             return Ran.YES
-        return Ran.UNKNOWN if self.may_have_started else Ran.NO
+        is_unknown = self.may_have_started or not self.is_claimed
+        return Ran.UNKNOWN if is_unknown else Ran.NO
 
     def place_next(
         self, agent: str, agent_incarnation: str, now: float
--- a/baobabgap/entry/_deadlines.py
+++ b/baobabgap/entry/_deadlines.py
@@ -5,7 +5,6 @@
 import math
 
 from baobabgap.entry._active_job import ActiveJob
-from baobabgap.jobs import Ran
 
 
 class Deadlines:
@@ -32,7 +31,7 @@
             job = heapq.heappop(self._heap)[2]
             if job.ended:
                 continue
-            if now >= job.deadline_at or job.ran is Ran.NO:
+            if now >= job.deadline_at or not job.may_have_started:
                 due.append(job)
             else:
                 self._push(job.deadline_at, job)
--- a/baobabgap/entry/_failures.py
+++ b/baobabgap/entry/_failures.py
@@ -25,6 +25,15 @@
 
 def out_of_time(job: ActiveJob, retry_after_s: float) -> JobFailure:
     """Return the end of a job that can't meet its deadline."""
+    if not job.is_claimed:
+        return JobFailure(
+            code=FailureCode.CONTROL_UNAVAILABLE,
+            message='the job was not claimed by its deadline',
+            step='claim',
+            peer='',
+            ran=Ran.UNKNOWN,
+            retry_after_s=_SHORT_PAUSE_S,
+        )
     has_not_run = job.ran is Ran.NO
     return JobFailure(
         code=FailureCode.DEADLINE,
--- a/baobabgap/entry/_submissions.py
+++ b/baobabgap/entry/_submissions.py
@@ -139,8 +139,24 @@
             job = self._dispatcher.find(identifier)
             if job is None:
                 return self.find_owned(identifier)
-            self._dispatcher.fail(job, cancelled(job))
-            return job.future
+            if job.is_claimed:
+                self._dispatcher.fail(job, cancelled(job))
+                return job.future
+            job.is_cancel_wanted = True
+        return self._cancel_once_settled(job)
+
+    def _cancel_once_settled(self, job: ActiveJob) -> Future[JobAnswer]:
+        """Answer once it is known which entry has the job to cancel."""
+        future: Future[JobAnswer] = Future()
+
+        def settle(done: Future[None]) -> None:
+            if job.is_claimed:
+                _forward(job.future, future)
+            else:
+                _forward(self.cancel(job.identifier), future)
+
+        job.claim_settled.add_done_callback(settle)
+        return future
 
     def find_owned(self, identifier: str) -> Future[JobAnswer] | None:
         """Return the answer of a job that runs here or has ended here."""
@@ -158,7 +174,8 @@
         client may submit it again.
         """
         failure = answer.failure
-        if failure is None or failure.ran is not Ran.NO:
+        has_run = failure is None or failure.ran is not Ran.NO
+        if has_run and job.is_claimed:
             self._kept.keep(job.digest, answer)
         else:
             self._control.release([job.identifier])
@@ -225,8 +242,7 @@
             if error is not None:
                 self._abandon(job, error)
             elif done.result().status is ClaimStatus.GRANTED:
-                if not self._dispatcher.release(job):
-                    self._control.release([job.identifier])
+                self._begin(job)
             elif self._dispatcher.withdraw(job):
                 _forward(self._settle_owned(done.result()), job.future)
             job.claim_settled.set_result(None)
@@ -234,6 +250,17 @@
         claimed.add_done_callback(settle)
         return job.future
 
+    def _begin(self, job: ActiveJob) -> None:
+        """Let a claimed job run, unless it has ended or was cancelled."""
+        with self._dispatcher.lock:
+            job.is_claimed = True
+            if job.is_cancel_wanted:
+                is_alive = self._dispatcher.fail(job, cancelled(job))
+            else:
+                is_alive = self._dispatcher.release(job)
+        if not is_alive:
+            self._control.release([job.identifier])
+
     def _abandon(self, job: ActiveJob, error: BaseException) -> None:
         """Answer a job whose claim may or may not have been committed.
 
--- a/tools/history/_run.py
+++ b/tools/history/_run.py
@@ -92,6 +92,8 @@
                 Violation('recovers', f'{name}: {output}', ())
                 for name, output in deployment.outputs_of_unready().items()
             ]
+        for start in deployment.starts():
+            recorder.record(start)
     history = recorder.history()
     violations += check(history)
     return RunResult(seed, history, tuple(faults.injected), tuple(violations))
@@ -129,5 +131,3 @@
         callers.fetch_all()
         for entry in deployment.entries:
             operators.read('last', entry)
-        for start in deployment.starts():
-            recorder.record(start)
