--- a/tools/matrix/_moments.py
+++ b/tools/matrix/_moments.py
@@ -19,6 +19,10 @@
 _REPAIR_LIMIT_S: Final = 20.0
 
 
+class StepNotReached(Exception):
+    """The moment of a step was missed, so no fault was injected."""
+
+
 class Moments:
     """Brings a deployment to a step and names the process to hit."""
 
@@ -174,5 +178,5 @@
     give_up_at = time.monotonic() + _MOMENT_LIMIT_S
     while not condition():
         if time.monotonic() > give_up_at:
-            raise WaitedInVain(f'the step was not reached: {what}')
+            raise StepNotReached(f'the step was not reached: {what}')
         time.sleep(_WATCH_PAUSE_S)
--- a/tools/matrix/_run.py
+++ b/tools/matrix/_run.py
@@ -24,8 +24,10 @@
 from tools.matrix._deployment import WaitedInVain
 from tools.matrix._injection import Injection
 from tools.matrix._moments import Moments
+from tools.matrix._moments import StepNotReached
 
-_LONGEST_REASONS: Final = 4
+_MOST_REASONS: Final = 4
+_MOST_ATTEMPTS: Final = 2
 _RESUMED_LIMIT_S: Final = 15.0
 _ERRORS: Final = (WaitedInVain, LaunchError, BaobabgapError, OSError)
 
@@ -57,15 +59,29 @@
         reason = reason_not_to_run(cell)
         if reason:
             return Result(cell, Verdict.NOT_RUN, self._seed, reason)
-        if self._deployment is None:
-            self._deployment = Deployment.start()
-        problems = self._problems(cell, self._deployment)
+        try:
+            problems = self._try(cell)
+        except StepNotReached as error:
+            return Result(cell, Verdict.NOT_RUN, self._seed, str(error))
         if not problems:
             return Result(cell, Verdict.HELD, self._seed)
         self.close()
-        reason = '; '.join(problems[:_LONGEST_REASONS])
+        reason = '; '.join(problems[:_MOST_REASONS])
         return Result(cell, Verdict.RED, self._seed, reason)
 
+    def _try(self, cell: Cell) -> list[str]:
+        """Run a cell, once more on a new deployment if its step is missed."""
+        for attempts_left in reversed(range(_MOST_ATTEMPTS)):
+            if self._deployment is None:
+                self._deployment = Deployment.start()
+            try:
+                return self._problems(cell, self._deployment)
+            except StepNotReached:
+                self.close()
+                if not attempts_left:
+                    raise
+        return []
+
     def close(self) -> None:
         """End the deployment."""
         if self._deployment is not None:
