--- a/baobabgap/api/tests/test_application.py
+++ b/baobabgap/api/tests/test_application.py
@@ -112,6 +112,7 @@
                 response = self.client.open(path, method=method, json=document)
                 self.assertEqual(202, response.status_code)
                 self.assertEqual(expected, response.json)
+        self.assertEqual([JOB], self.service.awaited_claims)
 
     def test_fetch_and_cancel(self) -> None:
         cancelled = failed(FailureCode.CANCELLED, Ran.UNKNOWN)
@@ -230,8 +231,12 @@
             'invalid',
             'wait_ms',
             method='GET',
-            path='/v1/jobs/a?wait_ms=b',
+            path=f'/v1/jobs/{JOB}?wait_ms=b',
         )
+        for method in ('GET', 'DELETE'):
+            self._refused(
+                400, 'invalid', 'identifier', method=method, path='/v1/jobs/x'
+            )
         self._refused(
             404, 'invalid', 'members', method='GET', path='/v1/control/a'
         )
--- a/baobabgap/standin/tests/test_standin.py
+++ b/baobabgap/standin/tests/test_standin.py
@@ -21,6 +21,7 @@
             {
                 'role': 'stand-in',
                 'name': 'up',
+                # Nobody listens there.
                 'stand_in': {'slots': 2, 'agent_address': '127.0.0.1:1'},
             },
             source='test',
