Take a member's subscription as a report of what it has in force

Cause: a member reports a version when it changes. Ruled out: the ticket itself, which the entries' own metric shows in force, and passing reports on after a change of leader.

--- a/baobabgap/control/_sessions.py
+++ b/baobabgap/control/_sessions.py
@@ -140,6 +140,10 @@
         """Take a message that is no request."""
         match message:
             case Subscribe():
+                # A member that comes from another host has something in
+                # force already, and reports it only when it changes.
+                if message.version > 0:
+                    self._note_report(session, message.version)
                 session.subscribe(message, self._state)
             case MemberReport():
                 self._note_report(session, message.version)
