Refuse at once what can't meet its deadline even alone

Cause: a job whose learned run time exceeds its deadline was refused as overloaded with a Retry-After of 3 ms, each time anew. It is refused as deadline now, without a time to come back; one that needs up to twice its deadline is let in while there is no wait, since learned times are means.

--- a/baobabgap/entry/_admission.py
+++ b/baobabgap/entry/_admission.py
@@ -22,6 +22,7 @@
 from baobabgap.jobs import Ran
 
 _NO_UPSTREAM_PAUSE_S: Final = 1.0
+_SHORTEST_PAUSE_S: Final = 0.1
 _RECENT_JOBS: Final = 256
 _JOBS_BETWEEN_SORTS: Final = 16
 # The share of jobs whose patience is not waited for.
@@ -44,7 +45,7 @@
 
     def add(self, patience_ms: float) -> None:
         """Take in how many milliseconds one job could wait."""
-        self._recent_ms.append(max(patience_ms, 0.0))
+        self._recent_ms.append(patience_ms)
         self._until_sorted -= 1
         if self._until_sorted < 0:
             self._until_sorted = _JOBS_BETWEEN_SORTS
@@ -74,6 +75,11 @@
     # Expected run time of the job's longest task, in milliseconds.
     longest_ms: float
 
+    @property
+    def alone_ms(self) -> float:
+        """Milliseconds that the job would take with all slots for it."""
+        return max(self.longest_ms, self.job_ms / self.slots)
+
 
 class Admission:
     """The entry's decision about new jobs."""
@@ -107,12 +113,18 @@
                 FailureCode.NEVER_FITS,
                 'a task is larger than every upstream',
             )
+        if workload.alone_ms > 2 * submission.deadline_ms:
+            # Waiting for less load would not help.
+            return _refuse(
+                FailureCode.DEADLINE,
+                'even alone the job would take more than twice its deadline',
+            )
         late_s = self._lateness_s(submission, workload, configuration)
         if late_s > 0:
             return _refuse(
                 FailureCode.OVERLOADED,
                 'the work ahead leaves no time to meet the deadline',
-                late_s,
+                max(late_s, _SHORTEST_PAUSE_S),
             )
         wait_s = self._quotas.spend(
             submission.team, len(submission.tasks), quota, now
@@ -133,8 +145,8 @@
     ) -> float:
         """Return by how many seconds too long the job would wait."""
         slack = configuration.policy.admission_slack
-        run_ms = max(workload.longest_ms, workload.job_ms / workload.slots)
-        own_patience_ms = submission.deadline_ms * slack - run_ms
+        allowed_ms = submission.deadline_ms * slack
+        own_patience_ms = max(allowed_ms - workload.alone_ms, 0.0)
         self._patience.add(own_patience_ms)
         patience_ms = min(own_patience_ms, self._patience.common_ms())
         return (workload.wait_ms - patience_ms) / 1000
