--- a/baobabgap/transport/_connection.py
+++ b/baobabgap/transport/_connection.py
@@ -1,24 +1,18 @@
 """One link between two processes: typed messages over a WebSocket.
 
-Sending never blocks the caller: what the socket has room for goes out at
-once, anything else to a queue that one task drains, so that whatever waits
-together travels in one frame. Receiving
+Sending never blocks the caller: messages go to a queue that one task
+drains, so that whatever waits together travels in one frame. Receiving
 is an iterator that ends with `ConnectionLost` when the peer closes the
 link or has sent nothing, not even a heartbeat, for the silence limit.
 """
 
 from collections.abc import Iterator
 from concurrent.futures import Executor
-from contextlib import suppress
 from dataclasses import dataclass
 from queue import Empty
 from queue import SimpleQueue
 import random
-import select
-from socket import SHUT_RDWR
-from socket import socket as Socket
 import threading
-import time
 from typing import Any
 from typing import Final
 from typing import Protocol
@@ -35,8 +29,6 @@
 from baobabgap.transport._traffic import PROCESS_TRAFFIC
 
 _MAXIMUM_MESSAGES_IN_FRAME: Final = 256
-# A socket that polls as writable has room for this much.
-_LARGEST_DIRECT_FRAME_BYTES: Final = 8 * 1024
 # Most frames of a quiet link are this one; it is packed only once.
 _HEARTBEAT: Final = Heartbeat()
 _HEARTBEAT_FRAME: Final = encode([_HEARTBEAT])
@@ -45,9 +37,6 @@
 class WebSocket(Protocol):
     """What this module needs of a synchronous WebSocket connection."""
 
-    # The connected TCP socket.
-    socket: Socket
-
     def send(self, message: bytes) -> None:
         """Send one binary message."""
 
@@ -90,12 +79,6 @@
         self._socket = socket
         self._timing = timing
         self._outgoing: SimpleQueue[Any] = SimpleQueue()
-        # Messages that are queued or on their way out of the queue.
-        self._queued = 0
-        self._sending = threading.Lock()
-        self._sent_at = time.monotonic()
-        self._room = select.poll()
-        self._room.register(socket.socket, select.POLLOUT)
         self._closed = threading.Event()
 
     @classmethod
@@ -129,34 +112,9 @@
         self._timing = timing
 
     def send(self, *messages: object) -> None:
-        """Send messages without ever waiting for the peer.
-
-        A small frame goes out at once, in the caller's task, if nothing
-        is ahead of it and the socket has room; anything else is queued
-        for the sending task. Dropped if the link is closed.
-        """
-        with self._sending:
-            if self._closed.is_set():
-                return
-            if self._queued == 0 and self._room.poll(0):
-                self._send_at_once(encode(messages))
-            else:
-                self._enqueue(*messages)
-
-    def _send_at_once(self, frame: bytes) -> None:
-        """Send a frame now if the socket has room for all of it."""
-        if len(frame) > _LARGEST_DIRECT_FRAME_BYTES:
-            self._enqueue(frame)
-            return
-        try:
-            self._send_frame(frame)
-        except (ConnectionClosed, OSError):
-            self.close()
-
-    def _enqueue(self, *items: object) -> None:
-        self._queued += len(items)
-        for item in items:
-            self._outgoing.put(item)
+        """Queue messages for sending; dropped if the link is closed."""
+        for message in messages:
+            self._outgoing.put(message)
 
     def close(self) -> None:
         """Close the link; the peer sees the end of it at once."""
@@ -164,10 +122,6 @@
             return
         self._closed.set()
         self._outgoing.put(None)
-        if not self._room.poll(0):
-            # A task may be stuck in sending to a peer that reads nothing.
-            with suppress(OSError):
-                self._socket.socket.shutdown(SHUT_RDWR)
         # A peer that is frozen never answers the closing handshake.
         closer = threading.Thread(target=self._socket.close, daemon=True)
         closer.start()
@@ -208,32 +162,19 @@
             batch, flushed = self._take_batch()
             try:
                 if batch:
-                    self._send_batch(batch)
-                elif not flushed:
-                    self._beat()
+                    self._send_frame(batch)
             except (ConnectionClosed, OSError):
                 self.close()
-            with self._sending:
-                self._queued -= len(batch)
             for event in flushed:
                 event.set()
 
-    def _beat(self) -> None:
-        """Send a heartbeat, unless something has gone out meanwhile."""
-        with self._sending:
-            quiet_s = time.monotonic() - self._sent_at
-            if quiet_s < self._timing.heartbeat_s / 2 or self._queued:
-                return
-            if self._room.poll(0):
-                self._send_frame(_HEARTBEAT_FRAME)
-
     def _take_batch(self) -> tuple[list[object], list[threading.Event]]:
         batch: list[object] = []
         flushed: list[threading.Event] = []
         try:
             item = self._outgoing.get(timeout=self._heartbeat_pause_s())
         except Empty:
-            return batch, flushed
+            return [_HEARTBEAT], flushed
         while True:
             if isinstance(item, threading.Event):
                 flushed.append(item)
@@ -255,23 +196,10 @@
         """Vary the pause, so that many links don't beat in step."""
         return self._timing.heartbeat_s * random.uniform(0.8, 1.0)
 
-    def _send_batch(self, batch: list[object]) -> None:
-        """Send messages in one frame; frames among them as they are."""
-        messages: list[object] = []
-        for item in batch:
-            if not isinstance(item, bytes):
-                messages.append(item)
-                continue
-            if messages:
-                self._send_frame(encode(messages))
-                messages = []
-            self._send_frame(item)
-        if messages:
-            self._send_frame(encode(messages))
-
-    def _send_frame(self, frame: bytes) -> None:
+    def _send_frame(self, batch: list[object]) -> None:
+        is_heartbeat = len(batch) == 1 and batch[0] is _HEARTBEAT
+        frame = _HEARTBEAT_FRAME if is_heartbeat else encode(batch)
         self._socket.send(frame)
-        self._sent_at = time.monotonic()
         PROCESS_TRAFFIC.count_sent(len(frame))
 
 
