Test the last protecting lines of the entry; stop agents sooner

The test of an owner out of reach had the other one's name.

It waits 5 s for entries without a link now.

--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -44,6 +44,8 @@
 # Seconds that a planned stop waits for tasks to end and for entries to
 # acknowledge their results.
 _DRAIN_LIMIT_S: Final = 30.0
+# Seconds after which it no longer waits for entries without a link.
+_UNLINKED_LIMIT_S: Final = 5.0
 _DRAIN_PAUSE_S: Final = 0.02
 
 
@@ -169,10 +171,15 @@
             dialer.stop()
 
     def _drain(self) -> None:
-        give_up_at = time.monotonic() + _DRAIN_LIMIT_S
-        while self._scheduler.outstanding_tasks:
-            if time.monotonic() > give_up_at:
-                left = self._scheduler.outstanding_tasks
+        began_at = time.monotonic()
+        while True:
+            waited_s = time.monotonic() - began_at
+            left = self._scheduler.count_outstanding(
+                with_unlinked=waited_s < _UNLINKED_LIMIT_S
+            )
+            if not left:
+                return
+            if waited_s > _DRAIN_LIMIT_S:
                 log_event('agent:drain_given_up', tasks=left)
                 return
             time.sleep(_DRAIN_PAUSE_S)
--- a/baobabgap/agent/_scheduler.py
+++ b/baobabgap/agent/_scheduler.py
@@ -62,10 +62,21 @@
         """What the entries were told last."""
         return self._desk.offer
 
-    @property
-    def outstanding_tasks(self) -> int:
-        """Tasks that run, wait, or have a result not yet acknowledged."""
-        return len(self._desk.memory)
+    def count_outstanding(self, *, with_unlinked: bool = True) -> int:
+        """Count tasks that run, wait, or have an unacknowledged result.
+
+        Results of an entry that has no link now are left out on demand:
+        if it has died, nobody will ever fetch them.
+        """
+        with self._desk.outbox:
+            return sum(
+                with_unlinked or record.result is None or self._linked(record)
+                for record in self._desk.memory.records()
+            )
+
+    def _linked(self, record: TaskRecord) -> bool:
+        link = self._desk.links.find(record.owner, record.owner_incarnation)
+        return link is not None
 
     def set_offer(self, offer: UpstreamOffer) -> None:
         """Tell the entries of a changed offer, and share its slots out."""
--- a/baobabgap/agent/tests/test_scheduler.py
+++ b/baobabgap/agent/tests/test_scheduler.py
@@ -134,6 +134,18 @@
         self.assertIs(TaskOutcome.LOST, link.outcomes[-1])
         self.assertEqual(5, self.wasted('duplicate_placement'))
 
+    def test_a_planned_stop_may_leave_out_results_of_dead_entries(
+        self,
+    ) -> None:
+        self.place(self.link, 'ended', 'running')
+        self.end(0)
+        self.scheduler.lose_link(self.link)
+        count = self.scheduler.count_outstanding
+        self.assertEqual(2, count())
+        self.assertEqual(1, count(with_unlinked=False))
+        self.open_link()
+        self.assertEqual(2, count(with_unlinked=False))
+
     def test_placements_that_must_never_start(self) -> None:
         self.place(self.link, 'first')
         other = self.open_link('entry-b', 'b1')
--- a/baobabgap/entry/tests/test_dispatcher.py
+++ b/baobabgap/entry/tests/test_dispatcher.py
@@ -9,6 +9,7 @@
 from baobabgap.entry.tests.fakes import job
 from baobabgap.jobs import FailureCode
 from baobabgap.jobs import Ran
+from baobabgap.messages import AcknowledgeResults
 from baobabgap.messages import CancelJobs
 from baobabgap.messages import EntryState
 from baobabgap.messages import PlaceTasks
@@ -89,6 +90,8 @@
         future = entry.submit(job())
         placed = agent.take(PlaceTasks)[0]
         entry.finish(agent, placed, TaskOutcome.NOT_STARTED)
+        kinds = [type(message) for message in agent.sent]
+        self.assertEqual([AcknowledgeResults, PlaceTasks], kinds)
         again = agent.take(PlaceTasks)[0]
         entry.finish(agent, again)
         self.assertTrue(future.result(1).is_whole)
--- a/baobabgap/entry/tests/test_submissions.py
+++ b/baobabgap/entry/tests/test_submissions.py
@@ -7,6 +7,7 @@
 from baobabgap.configuration import Configuration
 from baobabgap.control import ControlUnavailableError
 from baobabgap.entry.tests.fakes import FakeEntry
+from baobabgap.entry.tests.fakes import FakeLink
 from baobabgap.entry.tests.fakes import job
 from baobabgap.jobs import FailureCode
 from baobabgap.jobs import JobAnswer
@@ -102,7 +103,7 @@
         entry.joins.answer(JoinedAnswer(request, answer))
         self.assertEqual(answer, future.result(1))
 
-    def test_owner_that_restarted_has_lost_the_job(self) -> None:
+    def test_owner_out_of_reach_has_lost_the_job(self) -> None:
         entry = FakeEntry()
         entry.add_agent('a', 4)
         future = entry.submissions.submit(job(), '')
@@ -115,6 +116,19 @@
         self.assertEqual('entry-9', failure.peer)
         self.assertEqual(Ran.UNKNOWN, failure.ran)
 
+    def test_owner_that_restarted_is_not_asked(self) -> None:
+        entry = FakeEntry()
+        entry.add_agent('a', 4)
+        restarted = FakeLink('entry-2', 'entry', 'i2')
+        entry.dispatcher.balancer.add_peer(restarted.connection)
+        future = entry.submissions.submit(job(), '')
+        entry.control.settle_claim(ClaimStatus.OWNED, 'entry-2')
+        self.assertEqual([], restarted.sent)
+        entry.joins.give_up(time.monotonic())
+        failure = future.result(1).failure
+        assert failure is not None
+        self.assertEqual(FailureCode.OWNER_LOST, failure.code)
+
 
 class TestRefusals(unittest.TestCase):
     """A refusal says `not run` only after control has confirmed it."""
