Never show a version in force going back; distrust a host just lost

The greater version is kept now.

An address whose link was lost is not moved to for 5 s; the follower relays meanwhile.

--- a/baobabgap/control/_client.py
+++ b/baobabgap/control/_client.py
@@ -213,9 +213,11 @@
     def _run(self) -> None:
         while not self._stopping.is_set() and not self._is_superseded:
             before = self._messages_taken
+            address = self._choice.next_address()
             try:
-                self._hold_link(self._choice.next_address())
+                self._hold_link(address)
             except BaobabgapError as error:
+                self._choice.note_lost(address, time.monotonic())
                 log_event('control_client:link_lost', error=str(error))
             except Exception as error:
                 log_event('control_client:failed', error=repr(error))
@@ -273,6 +275,8 @@
         """Move an entry's link to the leader."""
         if self._own.role != 'entry' or not hint.address:
             return
+        if not self._choice.trusts(hint.address, time.monotonic()):
+            return
         if connection.peer.name != hint.leader:
             self._choice.prefer(hint.address)
             connection.close()
--- a/baobabgap/control/_host_choice.py
+++ b/baobabgap/control/_host_choice.py
@@ -7,6 +7,8 @@
 from baobabgap.settings import Settings
 
 _FIRST_PAUSE_S: Final = 0.05
+# Seconds for which an address is not moved to after a link was lost.
+_DISTRUST_S: Final = 5.0
 _LONGEST_PAUSE_S: Final = 1.0
 
 
@@ -30,6 +32,7 @@
         self._longest_pause_s = longest_pause_s
         self._pause_s = first_pause_s
         self._preferred = ''
+        self._lost_at_by_address: dict[str, float] = {}
 
     @classmethod
     def from_settings(cls, settings: Settings, role: str) -> 'HostChoice':
@@ -47,6 +50,19 @@
         """Have this address dialled next, once."""
         self._preferred = address
 
+    def note_lost(self, address: str, now: float) -> None:
+        """Remember that a link to this address failed just now."""
+        self._lost_at_by_address[address] = now
+
+    def trusts(self, address: str, now: float) -> bool:
+        """Tell whether no link to this address has failed of late.
+
+        A host may go on naming a leader that has frozen; a member that
+        has just lost it would waste the time in which it has to be back.
+        """
+        lost_at = self._lost_at_by_address.get(address)
+        return lost_at is None or now - lost_at > _DISTRUST_S
+
     def next_address(self) -> str:
         """Return the address to dial now."""
         if self._preferred:
--- a/baobabgap/control/_sessions.py
+++ b/baobabgap/control/_sessions.py
@@ -193,9 +193,15 @@
         wait(closing, 2 * _FLUSH_LIMIT_S)
 
     def note_reports(self, version_by_member: dict[str, int]) -> None:
-        """Take reports that another host passes on."""
+        """Take reports that another host passes on.
+
+        A host that comes back passes on what it knew before; what is in
+        force at a member never goes back.
+        """
         with self._lock:
-            self._version_by_member.update(version_by_member)
+            for name, version in version_by_member.items():
+                known = self._version_by_member.get(name, 0)
+                self._version_by_member[name] = max(known, version)
 
     def version_in_force(self, name: str) -> int | None:
         """Return the version that a member has reported last."""
