Keep a working link to an entry that is taken for dead

An agent now gives a dialer up only once it has no link; the link's own heartbeats judge. The new test failed on the code before for want of the link.

--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -194,7 +194,11 @@
         self._scheduler.set_offer(self._upstream.offer())
 
     def _follow_directory(self) -> None:
-        """Dial entries that are new, and drop those that are gone."""
+        """Dial entries that are new, and drop those that are gone.
+
+        The control group may take an entry for dead that only it can't
+        hear; as long as the link to that entry works, the link counts.
+        """
         wanted = self.directory.entry_addresses()
         with self._dialer_lock:
             if self._is_stopping.is_set():
@@ -202,7 +206,8 @@
             for address in wanted - self._dialer_by_address.keys():
                 self._dialer_by_address[address] = self._dial(address)
             for address in self._dialer_by_address.keys() - wanted:
-                self._dialer_by_address.pop(address).stop()
+                if not self._dialer_by_address[address].is_connected:
+                    self._dialer_by_address.pop(address).stop()
 
     def _dial(self, address: str) -> Dialer:
         own = Hello(
@@ -266,6 +271,8 @@
         if self._control.is_superseded:
             # Another process has this agent's name: it serves now.
             self._stop_dialers()
+        else:
+            self._follow_directory()
         self._refresh_offer()
         self._scheduler.tick()
 
--- a/baobabgap/agent/tests/test_agent.py
+++ b/baobabgap/agent/tests/test_agent.py
@@ -71,6 +71,16 @@
         self.entry.drop_link()
         self.assertEqual({'t1': TaskOutcome.DONE}, self.outcomes(1))
 
+    def test_an_entry_taken_for_dead_keeps_its_working_link(self) -> None:
+        link = self.entry.wait_for_link()
+        entries = self.deployment.entries
+        self.deployment.entries = []
+        self.deployment.apply()
+        self.entry.place('a.1.x', {'t1': {'sleep_ms': 700}})
+        self.assertEqual({'t1': TaskOutcome.DONE}, self.outcomes(1))
+        self.assertIs(link, self.entry.link)
+        self.deployment.entries = entries
+
     def test_an_agent_restarts_while_its_upstream_runs_tasks(self) -> None:
         old = self.deployment.agent
         link = self.entry.wait_for_link()
--- a/baobabgap/transport/_dialer.py
+++ b/baobabgap/transport/_dialer.py
@@ -71,6 +71,11 @@
         self._stopping = threading.Event()
         self._current: Connection | None = None
 
+    @property
+    def is_connected(self) -> bool:
+        """Tell whether there is a link now."""
+        return self._current is not None
+
     def start(self) -> None:
         """Begin dialling in a task of the pool."""
         self._pool.submit(self._run)
