--- a/tools/tests/test_control_history.py
+++ b/tools/tests/test_control_history.py
@@ -114,7 +114,7 @@
 
 class ShortRunTest(unittest.TestCase):
     def test_promises_hold_under_random_faults(self) -> None:
-        history = HistoryRun(seed=1, seconds=4.0).run()
+        history = HistoryRun(seed=1, seconds=9.0).run()
         self.assertEqual(check(history), [])
         self.assertGreater(len(history.claims), 0)
         self.assertGreater(len(history.reads), 0)
