--- a/tools/history/_run.py
+++ b/tools/history/_run.py
@@ -122,8 +122,11 @@
             for act, count in actors
             for number in range(count)
         ]
-        time.sleep(seconds)
-        over.set()
+        try:
+            time.sleep(seconds)
+        finally:
+            # Also if this process is asked to end.
+            over.set()
         for future in futures:
             future.result()
         deployment.launcher.wait_until_ready()
