--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -44,6 +44,8 @@
 # Seconds that a planned stop waits for tasks to end and for entries to
 # acknowledge their results.
 _DRAIN_LIMIT_S: Final = 30.0
+# Seconds after which it no longer waits for entries without a link.
+_UNLINKED_LIMIT_S: Final = 5.0
 _DRAIN_PAUSE_S: Final = 0.02
 
 
@@ -169,10 +171,15 @@
             dialer.stop()
 
     def _drain(self) -> None:
-        give_up_at = time.monotonic() + _DRAIN_LIMIT_S
-        while self._scheduler.outstanding_tasks:
-            if time.monotonic() > give_up_at:
-                left = self._scheduler.outstanding_tasks
+        began_at = time.monotonic()
+        while True:
+            waited_s = time.monotonic() - began_at
+            left = self._scheduler.count_outstanding(
+                with_unlinked=waited_s < _UNLINKED_LIMIT_S
+            )
+            if not left:
+                return
+            if waited_s > _DRAIN_LIMIT_S:
                 log_event('agent:drain_given_up', tasks=left)
                 return
             time.sleep(_DRAIN_PAUSE_S)
@@ -187,7 +194,11 @@
         self._scheduler.set_offer(self._upstream.offer())
 
     def _follow_directory(self) -> None:
-        """Dial entries that are new, and drop those that are gone."""
+        """Dial entries that are new, and drop those that are gone.
+
+        The control group may take an entry for dead that only it can't
+        hear; as long as the link to that entry works, the link counts.
+        """
         wanted = self.directory.entry_addresses()
         with self._dialer_lock:
             if self._is_stopping.is_set():
@@ -195,7 +206,8 @@
             for address in wanted - self._dialer_by_address.keys():
                 self._dialer_by_address[address] = self._dial(address)
             for address in self._dialer_by_address.keys() - wanted:
-                self._dialer_by_address.pop(address).stop()
+                if not self._dialer_by_address[address].is_connected:
+                    self._dialer_by_address.pop(address).stop()
 
     def _dial(self, address: str) -> Dialer:
         own = Hello(
@@ -259,6 +271,8 @@
         if self._control.is_superseded:
             # Another process has this agent's name: it serves now.
             self._stop_dialers()
+        else:
+            self._follow_directory()
         self._refresh_offer()
         self._scheduler.tick()
 
--- a/baobabgap/entry/tests/test_submissions.py
+++ b/baobabgap/entry/tests/test_submissions.py
@@ -7,6 +7,7 @@
 from baobabgap.configuration import Configuration
 from baobabgap.control import ControlUnavailableError
 from baobabgap.entry.tests.fakes import FakeEntry
+from baobabgap.entry.tests.fakes import FakeLink
 from baobabgap.entry.tests.fakes import job
 from baobabgap.jobs import FailureCode
 from baobabgap.jobs import JobAnswer
@@ -102,7 +103,7 @@
         entry.joins.answer(JoinedAnswer(request, answer))
         self.assertEqual(answer, future.result(1))
 
-    def test_owner_that_restarted_has_lost_the_job(self) -> None:
+    def test_owner_out_of_reach_has_lost_the_job(self) -> None:
         entry = FakeEntry()
         entry.add_agent('a', 4)
         future = entry.submissions.submit(job(), '')
@@ -115,6 +116,19 @@
         self.assertEqual('entry-9', failure.peer)
         self.assertEqual(Ran.UNKNOWN, failure.ran)
 
+    def test_owner_that_restarted_is_not_asked(self) -> None:
+        entry = FakeEntry()
+        entry.add_agent('a', 4)
+        restarted = FakeLink('entry-2', 'entry', 'i2')
+        entry.dispatcher.balancer.add_peer(restarted.connection)
+        future = entry.submissions.submit(job(), '')
+        entry.control.settle_claim(ClaimStatus.OWNED, 'entry-2')
+        self.assertEqual([], restarted.sent)
+        entry.joins.give_up(time.monotonic())
+        failure = future.result(1).failure
+        assert failure is not None
+        self.assertEqual(FailureCode.OWNER_LOST, failure.code)
+
 
 class TestRefusals(unittest.TestCase):
     """A refusal says `not run` only after control has confirmed it."""
@@ -126,11 +140,17 @@
         cases = {
             'unknown team': (strict, 1, job(team='other'), 'unknown_team'),
             'no upstream': (None, 0, job(), 'no_upstream'),
-            'overloaded': (
+            'far more work than its deadline allows': (
                 None,
                 1,
                 job(tasks=50, deadline_ms=300),
-                'overloaded',
+                'deadline',
+            ),
+            'far longer than its deadline': (
+                None,
+                1,
+                job(run_time_ms=5000, deadline_ms=300),
+                'deadline',
             ),
         }
         for name, (configuration, agents, submission, code) in cases.items():
@@ -146,6 +166,19 @@
                 self.assertEqual((code, Ran.NO), (failure.code, failure.ran))
                 self.assertEqual([], entry.control.claims)
 
+    def test_overloaded_has_a_time_to_come_back(self) -> None:
+        entry = FakeEntry()
+        entry.add_agent('a', 1)
+        entry.submit(job(1, tasks=50))
+        future = entry.submissions.submit(job(2, deadline_ms=300), '')
+        entry.control.settle_lookup()
+        failure = future.result(1).failure
+        assert failure is not None
+        self.assertEqual(
+            (FailureCode.OVERLOADED, Ran.NO), (failure.code, failure.ran)
+        )
+        self.assertGreater(failure.retry_after_s, 1.0)
+
     def test_patient_jobs_do_not_crowd_out_the_others(self) -> None:
         entry = FakeEntry()
         entry.add_agent('a', 1)
