--- /dev/null
+++ b/baobabgap/accepted/__init__.py
@@ -0,0 +1,37 @@
+"""Durably accepted jobs and the configuration, as replicated state."""
+
+from baobabgap.accepted._commands import AcceptJobs
+from baobabgap.accepted._commands import CancelJobs
+from baobabgap.accepted._commands import DismissAgents
+from baobabgap.accepted._commands import EnrolAgents
+from baobabgap.accepted._commands import NoteEnds
+from baobabgap.accepted._commands import PutConfiguration
+from baobabgap.accepted._model import AcceptedJob
+from baobabgap.accepted._model import Demand
+from baobabgap.accepted._model import JobState
+from baobabgap.accepted._model import RunEnd
+from baobabgap.accepted._model import Step
+from baobabgap.accepted._model import TaskEnd
+from baobabgap.accepted._model import TaskId
+from baobabgap.accepted._state import AcceptedState
+from baobabgap.accepted._state import JobEnd
+from baobabgap.accepted._state import UnfinishedJob
+
+__all__ = [
+    'AcceptedJob',
+    'AcceptedState',
+    'AcceptJobs',
+    'CancelJobs',
+    'Demand',
+    'DismissAgents',
+    'EnrolAgents',
+    'JobEnd',
+    'JobState',
+    'NoteEnds',
+    'PutConfiguration',
+    'RunEnd',
+    'Step',
+    'TaskEnd',
+    'TaskId',
+    'UnfinishedJob',
+]
--- /dev/null
+++ b/baobabgap/accepted/_state.py
@@ -0,0 +1,231 @@
+"""The replicated state of accepted jobs and of the configuration."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+from typing import Final
+
+from baobabgap.accepted._commands import AcceptedSnapshot
+from baobabgap.accepted._commands import AcceptJobs
+from baobabgap.accepted._commands import CancelJobs
+from baobabgap.accepted._commands import DismissAgents
+from baobabgap.accepted._commands import EnrolAgents
+from baobabgap.accepted._commands import NoteEnds
+from baobabgap.accepted._commands import PutConfiguration
+from baobabgap.accepted._commands import StoredEnd
+from baobabgap.accepted._commands import StoredJob
+from baobabgap.accepted._model import AcceptedJob
+from baobabgap.accepted._model import JobState
+from baobabgap.accepted._model import RunEnd
+from baobabgap.accepted._model import TaskEnd
+from baobabgap.accepted._model import TaskId
+from baobabgap.messages import decode
+from baobabgap.messages import encode
+from baobabgap.queues import QueueConfiguration
+
+
+@dataclass(slots=True)
+class UnfinishedJob:
+    """An accepted job with the ends that are durable."""
+
+    job: AcceptedJob
+    done: set[tuple[int, int]] = field(default_factory=set)
+    failed_runs_by_task: dict[tuple[int, int], set[int]] = field(
+        default_factory=dict
+    )
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every task is done."""
+        return len(self.done) == sum(step.tasks for step in self.job.steps)
+
+    def failed_runs(self, task: TaskId) -> int:
+        """Return how many runs of a task have failed."""
+        runs = self.failed_runs_by_task.get((task.step, task.index), ())
+        return len(runs)
+
+
+@dataclass(frozen=True, slots=True)
+class JobEnd:
+    """A job has reached its last state."""
+
+    job_id: str
+    state: JobState
+
+
+class AcceptedState:
+    """Applies the commands; see `StateMachine` of the replication.
+
+    Retention of ended jobs is counted in the time that the commands
+    carry, so that every host forgets the same jobs. Call all methods and
+    read all fields from the task that applies, or through a read barrier.
+    """
+
+    def __init__(self, retention_ms: int) -> None:
+        self._retention_ms: Final = retention_ms
+        self.configuration: QueueConfiguration | None = None
+        self.unfinished_by_id: dict[str, UnfinishedJob] = {}
+        # Oldest end first.
+        self.ended_by_id: dict[str, StoredEnd] = {}
+        self.agents: set[str] = set()
+        self.now_ms = 0
+        # Called after each configuration that comes into force.
+        self.on_configuration: Callable[[QueueConfiguration], None] = _ignore
+
+    def apply(self, index: int, command: bytes) -> Any:
+        """Apply one command and return what it changed."""
+        for message in decode(command, peer='log'):
+            return self._apply(message)
+        return None
+
+    def _apply(self, command: object) -> Any:
+        match command:
+            case AcceptJobs(jobs=jobs):
+                for job in jobs:
+                    self._accept(job)
+                return None
+            case NoteEnds(ends=ends, now_ms=now_ms):
+                self._forget_old(now_ms)
+                return self._note_ends(ends)
+            case CancelJobs(job_ids=job_ids, now_ms=now_ms):
+                self._forget_old(now_ms)
+                for job_id in job_ids:
+                    self._end(job_id, JobState.CANCELLED)
+                return None
+            case PutConfiguration(configuration=configuration):
+                self._put(configuration)
+                return None
+            case EnrolAgents(names=names):
+                self.agents.update(names)
+                return None
+            case DismissAgents(names=names):
+                self.agents.difference_update(names)
+                return None
+            case _:
+                raise ValueError(f'no command: {command!r}')
+
+    def state_of(self, job_id: str) -> JobState | None:
+        """Return the durable state of a job, or None if it is unknown.
+
+        An unfinished job is `QUEUED` here, whether or not it runs.
+        """
+        ended = self.ended_by_id.get(job_id)
+        if ended is not None:
+            return ended.state
+        if job_id in self.unfinished_by_id:
+            return JobState.QUEUED
+        return None
+
+    def snapshot(self) -> bytes:
+        """Pack the whole state."""
+        return encode(
+            [
+                AcceptedSnapshot(
+                    self.configuration,
+                    tuple(
+                        _stored(unfinished)
+                        for unfinished in self.unfinished_by_id.values()
+                    ),
+                    tuple(self.ended_by_id.values()),
+                    tuple(sorted(self.agents)),
+                    self.now_ms,
+                )
+            ]
+        )
+
+    def restore(self, index: int, snapshot: bytes) -> None:
+        """Replace the state by one that `snapshot` packed."""
+        (stored,) = decode(snapshot, peer='snapshot')
+        self.unfinished_by_id = {
+            job.job.job_id: _unfinished(job) for job in stored.jobs
+        }
+        self.ended_by_id = {end.job_id: end for end in stored.ended}
+        self.agents = set(stored.agents)
+        self.now_ms = stored.now_ms
+        self.configuration = stored.configuration
+        if stored.configuration is not None:
+            self.on_configuration(stored.configuration)
+
+    def _accept(self, job: AcceptedJob) -> None:
+        self._forget_old(job.accepted_ms)
+        if self.state_of(job.job_id) is None:
+            self.unfinished_by_id[job.job_id] = UnfinishedJob(job)
+
+    def _note_ends(self, ends: tuple[TaskEnd, ...]) -> list[JobEnd]:
+        job_ends = []
+        for end in ends:
+            state = self._note_end(end)
+            if state is not None:
+                self._end(end.task.job_id, state)
+                job_ends.append(JobEnd(end.task.job_id, state))
+        return job_ends
+
+    def _note_end(self, end: TaskEnd) -> JobState | None:
+        """Keep one end; return the state if it was the job's last."""
+        unfinished = self.unfinished_by_id.get(end.task.job_id)
+        if unfinished is None:
+            return None
+        task = (end.task.step, end.task.index)
+        if task in unfinished.done:
+            return None
+        match end.end:
+            case RunEnd.DONE:
+                unfinished.done.add(task)
+                if unfinished.is_complete:
+                    return JobState.COMPLETED
+            case RunEnd.FAILED:
+                runs = unfinished.failed_runs_by_task.setdefault(task, set())
+                runs.add(end.run)
+                if len(runs) >= unfinished.job.attempts:
+                    return JobState.FAILED
+        return None
+
+    def _end(self, job_id: str, state: JobState) -> None:
+        unfinished = self.unfinished_by_id.pop(job_id, None)
+        if unfinished is not None:
+            self.ended_by_id[job_id] = StoredEnd(
+                job_id, unfinished.job.queue, state, self.now_ms
+            )
+
+    def _put(self, configuration: QueueConfiguration) -> None:
+        held = self.configuration
+        if held is None or configuration.version > held.version:
+            self.configuration = configuration
+            self.on_configuration(configuration)
+
+    def _forget_old(self, now_ms: int) -> None:
+        """Forget what ended before the retention time."""
+        self.now_ms = max(self.now_ms, now_ms)
+        oldest_ms = self.now_ms - self._retention_ms
+        while self.ended_by_id:
+            job_id = next(iter(self.ended_by_id))
+            if self.ended_by_id[job_id].ended_ms >= oldest_ms:
+                return
+            del self.ended_by_id[job_id]
+
+
+def _stored(unfinished: UnfinishedJob) -> StoredJob:
+    return StoredJob(
+        unfinished.job,
+        tuple(sorted(unfinished.done)),
+        tuple(
+            (step, index, run)
+            for (step, index), runs in sorted(
+                unfinished.failed_runs_by_task.items()
+            )
+            for run in sorted(runs)
+        ),
+    )
+
+
+def _unfinished(stored: StoredJob) -> UnfinishedJob:
+    unfinished = UnfinishedJob(stored.job, set(stored.done))
+    for step, index, run in stored.failed_runs:
+        runs = unfinished.failed_runs_by_task.setdefault((step, index), set())
+        runs.add(run)
+    return unfinished
+
+
+def _ignore(configuration: QueueConfiguration) -> None:
+    """Stand in until somebody wants to know."""
--- /dev/null
+++ b/baobabgap/dispatch/_committer.py
@@ -0,0 +1,46 @@
+"""Having commands of the accepted jobs' state committed."""
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Any
+from typing import Final
+
+from baobabgap.messages import encode
+from baobabgap.replication import ReplicatedLog
+from baobabgap.telemetry import log_event
+
+# What a command without a result of its own brings.
+STORED: Final = 'stored'
+
+
+class Committer:
+    """Proposes commands and hands on what became of them."""
+
+    def __init__(self, log: ReplicatedLog) -> None:
+        self._log: Final = log
+
+    def propose(
+        self, command: object, on_end: Callable[[Any], None]
+    ) -> None:
+        """Propose one command.
+
+        `on_end` gets the result once the command is durable and applied,
+        or None if its outcome is unknown; it runs in the task that
+        applies and must not block.
+        """
+        future = self._log.propose(encode([command]))
+
+        def ended(done: Future[Any]) -> None:
+            error = done.exception()
+            if error is not None:
+                log_event(
+                    'command_outcome_unknown',
+                    command=type(command).__name__,
+                    error=str(error),
+                )
+                on_end(None)
+                return
+            result = done.result()
+            on_end(STORED if result is None else result)
+
+        future.add_done_callback(ended)
--- /dev/null
+++ b/baobabgap/dispatch/_control_node.py
@@ -0,0 +1,347 @@
+"""A control host that keeps accepted jobs and, as leader, places them."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+import threading
+from typing import Any
+from typing import Final
+import uuid
+
+from baobabgap._exceptions import BaobabgapError
+from baobabgap._exceptions import ConnectionLost
+from baobabgap.accepted import AcceptedState
+from baobabgap.accepted import PutConfiguration
+from baobabgap.dispatch._committer import Committer
+from baobabgap.dispatch._events import AgentLinked
+from baobabgap.dispatch._events import AgentReported
+from baobabgap.dispatch._events import AgentUnlinked
+from baobabgap.dispatch._events import CallArrived
+from baobabgap.dispatch._events import CallDropped
+from baobabgap.dispatch._group_keeper import GroupKeeper
+from baobabgap.dispatch._leadership import Leadership
+from baobabgap.dispatch._messages import CancelPath
+from baobabgap.dispatch._messages import DropCall
+from baobabgap.dispatch._messages import JoinGroup
+from baobabgap.dispatch._messages import LeaderReady
+from baobabgap.dispatch._messages import ReadPath
+from baobabgap.dispatch._messages import SubmitJob
+from baobabgap.dispatch._scheduler import Scheduler
+from baobabgap.dispatch._timing import LeaseTiming
+from baobabgap.messages import Hello
+from baobabgap.messages import LeaderHint
+from baobabgap.queues import QueueConfiguration
+from baobabgap.queues import QueueTable
+from baobabgap.queues import RequestLimits
+from baobabgap.replication import NotLeader
+from baobabgap.replication import ReplicatedLog
+from baobabgap.settings import ControlHost
+from baobabgap.settings import Settings
+from baobabgap.telemetry import log_event
+from baobabgap.telemetry import Metrics
+from baobabgap.transport import Connection
+from baobabgap.transport import LinkTiming
+from baobabgap.transport import Listener
+from baobabgap.transport import PROCESS_TRAFFIC
+
+CONTROL_ROLE: Final = 'control'
+ENTRY_ROLE: Final = 'entry'
+AGENT_ROLE: Final = 'agent'
+# A control host that wants to be taken into the group.
+JOINER_ROLE: Final = 'joiner'
+_THREADS: Final = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class ControlNodeOptions:
+    """What a control node must know beyond its settings."""
+
+    lease_timing: LeaseTiming
+    # Milliseconds for which the state of an ended job can be read.
+    retention_ms: int
+    # How much longer a task takes away from its data.
+    far_factor: float
+    # Members of the control group; others stand by.
+    wanted_members: int
+    # Seconds of silence after which a member may be replaced.
+    member_patience_s: float
+
+
+class ControlNode:
+    """Serves the control group's links and, while it leads, all members.
+
+    Example::
+
+        node = ControlNode.from_settings(settings, options)
+        node.start()
+        node.put_configuration(configuration).result(timeout=3)
+    """
+
+    def __init__(
+        self, settings: Settings, options: ControlNodeOptions
+    ) -> None:
+        self._settings: Final = settings
+        self._incarnation = uuid.uuid4().hex[:16]
+        self._pool = ThreadPoolExecutor(_THREADS, 'control')
+        self.metrics: Final = Metrics()
+        self.metrics.add_source(PROCESS_TRAFFIC.as_metrics)
+        self._state = AcceptedState(options.retention_ms)
+        self._log = ReplicatedLog.from_settings(
+            settings, self._incarnation, self._state, self._pool
+        )
+        self._committer = Committer(self._log)
+        self._leadership = Leadership(
+            self._log,
+            self._state,
+            options.lease_timing.confirmation_s,
+            self._close_members,
+        )
+        self._scheduler = Scheduler(
+            self._state,
+            self._committer,
+            options.lease_timing,
+            options.far_factor,
+            self._leadership.is_confirmed,
+            self.metrics,
+        )
+        self._state.on_configuration = self._put_in_force
+        self._keeper = GroupKeeper(
+            self._log, options.wanted_members, options.member_patience_s
+        )
+        self._limits = RequestLimits()
+        self._member_lock = threading.Lock()
+        self._members: set[Connection] = set()
+        self._listener = Listener(
+            settings.listen.host,
+            settings.listen.internal_port,
+            self.hello,
+            LinkTiming(settings.links.heartbeat_s, settings.links.silence_s),
+            self._pool,
+            self._serve_link,
+            _log_link_error,
+        )
+
+    @classmethod
+    def from_settings(
+        cls, settings: Settings, options: ControlNodeOptions
+    ) -> 'ControlNode':
+        """Open the data folder and bind the internal port.
+
+        Raises `DataFolderInUse`, `DamagedLog` or `StorageUnavailable`.
+        """
+        return cls(settings, options)
+
+    @property
+    def internal_port(self) -> int:
+        """Where members and the other control hosts dial."""
+        return self._listener.port
+
+    @property
+    def is_leading(self) -> bool:
+        """Tell whether this host leads and knows what was committed."""
+        return self._leadership.term != 0
+
+    @property
+    def leader(self) -> ControlHost | None:
+        """The leader as far as known here."""
+        return self._log.leader
+
+    def hello(self) -> Hello:
+        """Return how this host introduces itself."""
+        return Hello(
+            self._settings.name,
+            CONTROL_ROLE,
+            self._incarnation,
+            f'{self._settings.listen.host}:{self.internal_port}',
+            self._settings.place.availability_zone,
+        )
+
+    def start(self) -> None:
+        """Take part in the group."""
+        self._listener.start()
+        self._log.start()
+        self._start_task('scheduler', self._scheduler.run)
+        self._start_task(
+            'leadership', lambda: self._leadership.run(self._scheduler)
+        )
+        self._start_task('group keeper', self._keeper.run)
+        log_event('control_started', internal_port=self.internal_port)
+
+    def stop(self) -> None:
+        """Hand leadership over, then stop."""
+        if self._log.is_leader:
+            handed_over = self._log.transfer_leadership()
+            log_event('leadership_handed_over', succeeded=handed_over)
+        self._keeper.stop()
+        self._leadership.stop()
+        self._scheduler.stop()
+        self._listener.stop()
+        self._close_members()
+        self._log.stop()
+        log_event('control_stopped')
+
+    def join_session(
+        self,
+        connection: Connection,
+        ready: LeaderReady,
+        messages: Iterator[object],
+    ) -> None:
+        """Ask the leader to be taken in; for a `LeaderLink` of this host."""
+        connection.send(
+            JoinGroup(
+                self._settings.name,
+                self._settings.listen.host,
+                self.internal_port,
+            )
+        )
+        for _ in messages:
+            pass
+
+    def put_configuration(
+        self, configuration: QueueConfiguration
+    ) -> Future[Any]:
+        """Have a configuration stored; completes once it is in force.
+
+        Fails with `NotLeader` or `OutcomeUnknown`. One whose version is
+        not higher than the one in force changes nothing.
+        """
+        if not self.is_leading:
+            future: Future[Any] = Future()
+            future.set_exception(NotLeader('put configuration', self.leader))
+            return future
+        future = Future()
+
+        def ended(result: Any) -> None:
+            if result is None:
+                future.set_exception(
+                    NotLeader('put configuration', self.leader)
+                )
+            else:
+                future.set_result(result)
+
+        self._committer.propose(PutConfiguration(configuration), ended)
+        return future
+
+    def read_configuration(self) -> Future[QueueConfiguration | None]:
+        """Read the newest configuration; fails with `NotLeader`."""
+        future: Future[QueueConfiguration | None] = Future()
+
+        def read(done: Future[int]) -> None:
+            error = done.exception()
+            if error is not None:
+                future.set_exception(error)
+            else:
+                future.set_result(self._state.configuration)
+
+        self._log.read_barrier().add_done_callback(read)
+        return future
+
+    def _put_in_force(self, configuration: QueueConfiguration) -> None:
+        self._scheduler.put_in_force(
+            QueueTable.from_configuration(configuration)
+        )
+        log_event(
+            'configuration_in_force',
+            version=configuration.version,
+            queues=len(configuration.queues),
+        )
+        if configuration.limits != self._limits:
+            self._limits = configuration.limits
+            ready = self._leader_ready()
+            with self._member_lock:
+                for connection in self._members:
+                    connection.send(ready)
+
+    def _start_task(self, name: str, run: Callable[[], None]) -> None:
+        def run_logged() -> None:
+            try:
+                run()
+            except Exception as error:
+                # Without this task the host is useless as a leader.
+                log_event('task_failed', task=name, error=repr(error))
+                self._log.stop()
+                raise
+
+        self._pool.submit(run_logged)
+
+    def _leader_ready(self) -> LeaderReady:
+        addresses = tuple(
+            member.address for member in self._log.status().members
+        )
+        return LeaderReady(
+            self._leadership.term, addresses, self._limits.body_bytes
+        )
+
+    def _serve_link(self, connection: Connection) -> None:
+        if connection.peer.role == CONTROL_ROLE:
+            self._log.serve(connection)
+            return
+        if not self.is_leading:
+            leader = self.leader
+            connection.send(
+                LeaderHint(
+                    leader.name if leader else '',
+                    leader.address if leader else '',
+                )
+            )
+            connection.flush_and_close()
+            return
+        with self._member_lock:
+            self._members.add(connection)
+        try:
+            connection.send(self._leader_ready())
+            self._serve_member(connection)
+        finally:
+            with self._member_lock:
+                self._members.discard(connection)
+
+    def _serve_member(self, connection: Connection) -> None:
+        match connection.peer.role:
+            case 'agent':
+                self._serve_agent(connection)
+            case 'entry':
+                self._serve_entry(connection)
+            case 'joiner':
+                self._serve_joiner(connection)
+            case role:
+                log_event('unknown_role', role=role[:40])
+
+    def _serve_agent(self, connection: Connection) -> None:
+        self._scheduler.tell(AgentLinked(connection))
+        try:
+            for message in connection.messages():
+                self._scheduler.tell(AgentReported(connection, message))
+        finally:
+            self._scheduler.tell(AgentUnlinked(connection))
+
+    def _serve_entry(self, connection: Connection) -> None:
+        for message in connection.messages():
+            match message:
+                case SubmitJob() | ReadPath() | CancelPath():
+                    self._scheduler.tell(CallArrived(message, connection))
+                case DropCall(call=call):
+                    self._scheduler.tell(CallDropped(call, connection))
+
+    def _serve_joiner(self, connection: Connection) -> None:
+        name = connection.peer.name
+        try:
+            for message in connection.messages():
+                if isinstance(message, JoinGroup):
+                    self._keeper.offer(
+                        ControlHost(message.name, message.host, message.port)
+                    )
+        finally:
+            self._keeper.withdraw(name)
+
+    def _close_members(self) -> None:
+        with self._member_lock:
+            members = list(self._members)
+        for connection in members:
+            connection.close()
+
+
+def _log_link_error(error: BaobabgapError) -> None:
+    if not isinstance(error, ConnectionLost):
+        log_event('link_refused', error=str(error))
--- /dev/null
+++ b/baobabgap/dispatch/_events.py
@@ -0,0 +1,117 @@
+"""What the scheduler is told, in the order in which it happened."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from baobabgap.accepted import JobEnd
+from baobabgap.accepted import UnfinishedJob
+from baobabgap.dispatch._messages import CancelPath
+from baobabgap.dispatch._messages import ReadPath
+from baobabgap.dispatch._messages import SubmitJob
+from baobabgap.transport import Connection
+
+Call = SubmitJob | ReadPath | CancelPath
+
+
+@dataclass(frozen=True, slots=True)
+class Led:
+    """This host leads, and knows all that earlier leaders committed."""
+
+    term: int
+    unfinished: tuple[UnfinishedJob, ...]
+    # Names of the agents that may hold runs of an earlier term.
+    agents: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StoodDown:
+    """This host leads no more."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallArrived:
+    """An entry forwards a call."""
+
+    call: Call
+    # The link that the answer goes back on.
+    connection: Connection
+
+
+@dataclass(frozen=True, slots=True)
+class CallDropped:
+    """Nobody waits for the answer to a call any more."""
+
+    call: int
+    connection: Connection
+
+
+@dataclass(frozen=True, slots=True)
+class AgentLinked:
+    """An agent has a new link."""
+
+    connection: Connection
+
+
+@dataclass(frozen=True, slots=True)
+class AgentUnlinked:
+    """A link of an agent has ended."""
+
+    connection: Connection
+
+
+@dataclass(frozen=True, slots=True)
+class AgentReported:
+    """An agent has sent a message."""
+
+    connection: Connection
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class JobsStored:
+    """Jobs are durable, or their outcome is unknown."""
+
+    term: int
+    job_ids: tuple[str, ...]
+    succeeded: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EndsStored:
+    """Ends of runs are durable; they have ended these jobs."""
+
+    term: int
+    batch: int
+    job_ends: tuple[JobEnd, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CancelStored:
+    """A cancel is durable, or its outcome is unknown."""
+
+    term: int
+    job_id: str
+    succeeded: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AgentsEnrolled:
+    """Agents are durably known and may get runs."""
+
+    term: int
+    names: tuple[str, ...]
+
+
+Event = (
+    Led
+    | StoodDown
+    | CallArrived
+    | CallDropped
+    | AgentLinked
+    | AgentUnlinked
+    | AgentReported
+    | JobsStored
+    | EndsStored
+    | CancelStored
+    | AgentsEnrolled
+)
--- /dev/null
+++ b/baobabgap/dispatch/_group_keeper.py
@@ -0,0 +1,93 @@
+"""Keeping the control group at its size, as the leader."""
+
+import threading
+import time
+from typing import Final
+
+from baobabgap._exceptions import BaobabgapError
+from baobabgap.replication import ReplicatedLog
+from baobabgap.settings import ControlHost
+from baobabgap.telemetry import log_event
+
+_LOOK_PAUSE_S: Final = 0.5
+# Seconds within which a membership change should be committed.
+_CHANGE_LIMIT_S: Final = 10.0
+
+
+class GroupKeeper:
+    """Takes in hosts that ask for it, in place of members that are gone.
+
+    The group has as many voters as it takes to bear the stated losses;
+    further hosts stand by until one of the members has been silent for
+    `patience_s`.
+    """
+
+    def __init__(
+        self, log: ReplicatedLog, wanted_members: int, patience_s: float
+    ) -> None:
+        self._log: Final = log
+        self._wanted_members: Final = wanted_members
+        self._patience_s: Final = patience_s
+        self._lock = threading.Lock()
+        self._candidate_by_name: dict[str, ControlHost] = {}
+        self._leading_since: float | None = None
+        self._stopping = threading.Event()
+
+    def offer(self, host: ControlHost) -> None:
+        """Note a host that stands by."""
+        with self._lock:
+            self._candidate_by_name[host.name] = host
+
+    def withdraw(self, name: str) -> None:
+        """Forget a host that is no longer linked."""
+        with self._lock:
+            self._candidate_by_name.pop(name, None)
+
+    def stop(self) -> None:
+        """End the task."""
+        self._stopping.set()
+
+    def run(self) -> None:
+        """Look after the group until stopped."""
+        while not self._stopping.wait(_LOOK_PAUSE_S):
+            if not self._log.is_leader:
+                self._leading_since = None
+                continue
+            if self._leading_since is None:
+                self._leading_since = time.monotonic()
+            try:
+                self._look()
+            except BaobabgapError as error:
+                log_event('group_not_changed', error=str(error))
+
+    def _look(self) -> None:
+        members = self._log.status().members
+        names = {member.name for member in members}
+        with self._lock:
+            candidates = [
+                host
+                for name, host in self._candidate_by_name.items()
+                if name not in names
+            ]
+        if not candidates:
+            return
+        if len(members) < self._wanted_members:
+            host = candidates[0]
+            log_event('member_added', member=host.name, address=host.address)
+            self._log.add_member(host).result(_CHANGE_LIMIT_S)
+            return
+        silent = self._silent_member(names)
+        if silent:
+            log_event('member_removed', member=silent, reason='silent')
+            self._log.remove_member(silent).result(_CHANGE_LIMIT_S)
+
+    def _silent_member(self, names: set[str]) -> str:
+        """Return a member that has been silent for too long, or empty."""
+        assert self._leading_since is not None
+        led_s = time.monotonic() - self._leading_since
+        if led_s < self._patience_s:
+            return ''
+        for name, silence_s in self._log.silence_s_by_member().items():
+            if name in names and silence_s > self._patience_s:
+                return name
+        return ''
--- /dev/null
+++ b/baobabgap/leaderlink/_calls.py
@@ -0,0 +1,140 @@
+"""Calls of clients, forwarded to the leader."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from concurrent.futures import Future
+from dataclasses import replace
+import itertools
+import threading
+import time
+from typing import Final
+
+from baobabgap.dispatch import CallAnswer
+from baobabgap.dispatch import CallOutcome
+from baobabgap.dispatch import CancelPath
+from baobabgap.dispatch import DropCall
+from baobabgap.dispatch import LeaderReady
+from baobabgap.dispatch import ReadPath
+from baobabgap.dispatch import SubmitJob
+from baobabgap.transport import Connection
+
+Call = SubmitJob | ReadPath | CancelPath
+
+# Seconds between looks for a new leader while a call waits for one.
+_LOOK_PAUSE_S: Final = 0.02
+
+
+class LeaderCalls:
+    """Matches answers of the leader with the calls that wait for them.
+
+    Give `session` to a `LeaderLink`. A call that was sent over a link that
+    ended is answered `UNKNOWN`, unless repeating it is harmless: then it
+    goes to the next leader.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._numbers = itertools.count(1)
+        self._future_by_call: dict[int, Future[CallAnswer]] = {}
+        self._connection: Connection | None = None
+        self.largest_body_bytes = 256 * 1024
+        # Called when the leader's limits are known.
+        self.on_ready: Callable[[], None] = _do_nothing
+
+    @property
+    def is_linked(self) -> bool:
+        """Tell whether there is a leader to ask."""
+        return self._connection is not None
+
+    def session(
+        self,
+        connection: Connection,
+        ready: LeaderReady,
+        messages: Iterator[object],
+    ) -> None:
+        """Take answers until the link ends."""
+        self.largest_body_bytes = ready.largest_body_bytes
+        with self._lock:
+            self._connection = connection
+        self.on_ready()
+        try:
+            for message in messages:
+                match message:
+                    case CallAnswer():
+                        self._resolve(message)
+                    case LeaderReady():
+                        self.largest_body_bytes = message.largest_body_bytes
+        finally:
+            self._fail_all()
+
+    def ask(
+        self, call: Call, wait_for_leader_s: float, wait_for_answer_s: float
+    ) -> CallAnswer:
+        """Forward a call and wait for its answer.
+
+        `UNAVAILABLE` says that nothing was sent; `UNKNOWN` that the call
+        may have taken effect.
+        """
+        give_up_at = time.monotonic() + wait_for_leader_s
+        answer_by = time.monotonic() + wait_for_answer_s
+        while True:
+            answer = self._ask_once(call, answer_by)
+            if not _may_repeat(call, answer):
+                return answer
+            if time.monotonic() >= min(give_up_at, answer_by):
+                return answer
+            time.sleep(_LOOK_PAUSE_S)
+
+    def _ask_once(self, call: Call, answer_by: float) -> CallAnswer:
+        number = next(self._numbers)
+        future: Future[CallAnswer] = Future()
+        with self._lock:
+            connection = self._connection
+            if connection is None:
+                return CallAnswer(
+                    number, CallOutcome.UNAVAILABLE, detail='no leader'
+                )
+            self._future_by_call[number] = future
+        connection.send(replace(call, call=number))
+        try:
+            return future.result(max(0.0, answer_by - time.monotonic()))
+        except TimeoutError:
+            with self._lock:
+                self._future_by_call.pop(number, None)
+            if isinstance(call, SubmitJob) and call.is_volatile:
+                connection.send(DropCall(number))
+            return CallAnswer(
+                number, CallOutcome.UNKNOWN, detail='no answer in time'
+            )
+
+    def _resolve(self, answer: CallAnswer) -> None:
+        with self._lock:
+            future = self._future_by_call.pop(answer.call, None)
+        if future is not None:
+            future.set_result(answer)
+
+    def _fail_all(self) -> None:
+        with self._lock:
+            self._connection = None
+            future_by_call = self._future_by_call
+            self._future_by_call = {}
+        for number, future in future_by_call.items():
+            future.set_result(
+                CallAnswer(
+                    number, CallOutcome.UNKNOWN, detail='leader link lost'
+                )
+            )
+
+
+def _may_repeat(call: Call, answer: CallAnswer) -> bool:
+    """Tell whether a call can go out again without harm."""
+    match answer.outcome:
+        case CallOutcome.UNAVAILABLE:
+            return True
+        case CallOutcome.UNKNOWN:
+            return not isinstance(call, SubmitJob) or call.is_volatile
+    return False
+
+
+def _do_nothing() -> None:
+    """Stand in until somebody wants to know."""
--- /dev/null
+++ b/baobabgap/leaderlink/_link.py
@@ -0,0 +1,128 @@
+"""Finding the leader of the control group and staying linked to it."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from concurrent.futures import Executor
+import random
+import threading
+import time
+from typing import Any
+from typing import Final
+
+from baobabgap._exceptions import BaobabgapError
+from baobabgap.dispatch import LeaderReady
+from baobabgap.messages import Hello
+from baobabgap.messages import LeaderHint
+from baobabgap.telemetry import log_event
+from baobabgap.transport import Connection
+from baobabgap.transport import dial
+from baobabgap.transport import LinkTiming
+
+# Seconds between rounds over all known control hosts: a few rounds fit
+# into the shortest election.
+_ROUND_PAUSE_S: Final = 0.1
+
+
+class LeaderLink:
+    """Keeps one link to the leader, through any change of leader.
+
+    `session` runs with each link once the leader has said that it is
+    ready; it reads the messages until the link ends. A control
+    host that does not lead says who does, and the search goes there.
+    """
+
+    def __init__(
+        self,
+        own: Callable[[], Hello],
+        timing: LinkTiming,
+        pool: Executor,
+        configured: Callable[[], tuple[str, ...]],
+        session: Callable[
+            [Connection, LeaderReady, Iterator[object]], None
+        ],
+    ) -> None:
+        self._own: Final = own
+        self._timing: Final = timing
+        self._pool: Final = pool
+        # Addresses from the settings, which may be exchanged meanwhile.
+        self._configured: Final = configured
+        self._session: Final = session
+        self._learned: tuple[str, ...] = ()
+        self._hint = ''
+        self._stopping = threading.Event()
+        self._current: Connection | None = None
+        self._unreachable: set[str] = set()
+
+    def start(self) -> None:
+        """Begin to search in a task of the pool."""
+        self._pool.submit(self._run)
+
+    def stop(self) -> None:
+        """Close the link and search no more."""
+        self._stopping.set()
+        current = self._current
+        if current is not None:
+            current.close()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            for address in self._candidates():
+                if self._stopping.is_set() or self._try(address):
+                    break
+            self._stopping.wait(_ROUND_PAUSE_S * random.uniform(0.5, 1.0))
+
+    def _candidates(self) -> list[str]:
+        known = dict.fromkeys((*self._learned, *self._configured()))
+        others = [address for address in known if address != self._hint]
+        random.shuffle(others)
+        # What did not answer lately comes last: it may hang.
+        others.sort(key=lambda address: address in self._unreachable)
+        return [self._hint, *others] if self._hint else others
+
+    def _try(self, address: str) -> bool:
+        """Use one control host; tell whether it led."""
+        self._hint = ''
+        try:
+            connection = dial(address, self._own(), self._timing, self._pool)
+        except BaobabgapError as error:
+            if address not in self._unreachable:
+                self._unreachable.add(address)
+                log_event(
+                    'control_unreachable', address=address, error=str(error)
+                )
+            return False
+        self._unreachable.discard(address)
+        self._current = connection
+        try:
+            return self._use(address, connection)
+        except BaobabgapError as error:
+            log_event('leader_link_lost', address=address, error=str(error))
+            return True
+        finally:
+            self._current = None
+            connection.close()
+
+    def _use(self, address: str, connection: Connection) -> bool:
+        messages = connection.messages()
+        first: Any = next(messages, None)
+        match first:
+            case LeaderReady():
+                self._learned = first.control_addresses
+                # After a lost link the same host is asked first.
+                self._hint = address
+                log_event('leader_linked', address=address, fence=first.fence)
+                linked_at = time.monotonic()
+                try:
+                    self._session(connection, first, messages)
+                finally:
+                    log_event(
+                        'leader_unlinked',
+                        address=address,
+                        linked_s=round(time.monotonic() - linked_at, 3),
+                    )
+                return True
+            case LeaderHint(address=hint):
+                if hint and hint != address:
+                    self._hint = hint
+                    return True
+        return False
--- /dev/null
+++ b/baobabgap/queues/__init__.py
@@ -0,0 +1,17 @@
+"""Queues, services and limits, as the operator configures them."""
+
+from baobabgap.queues._model import JobQueue
+from baobabgap.queues._model import QueueConfiguration
+from baobabgap.queues._model import RequestLimits
+from baobabgap.queues._model import Service
+from baobabgap.queues._table import QueueMatch
+from baobabgap.queues._table import QueueTable
+
+__all__ = [
+    'JobQueue',
+    'QueueConfiguration',
+    'QueueMatch',
+    'QueueTable',
+    'RequestLimits',
+    'Service',
+]
--- /dev/null
+++ b/baobabgap/queues/_table.py
@@ -0,0 +1,64 @@
+"""Finding the queue of a request."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from baobabgap.queues._model import JobQueue
+from baobabgap.queues._model import QueueConfiguration
+from baobabgap.queues._model import Service
+
+
+@dataclass(frozen=True, slots=True)
+class QueueMatch:
+    """The queue of a path, and what follows its prefix."""
+
+    queue: JobQueue
+    # The job's identifier, or empty for the queue itself.
+    rest: str
+
+
+class QueueTable:
+    """An index of one configuration.
+
+    The longest prefix that a path begins with wins::
+
+        table = QueueTable.from_configuration(configuration)
+        match = table.find('desk.example', '/entries/5c0e7a21d94b36f8')
+    """
+
+    def __init__(
+        self,
+        configuration: QueueConfiguration,
+        queues_by_host: dict[str, list[JobQueue]],
+        service_by_name: dict[str, Service],
+    ) -> None:
+        self.configuration = configuration
+        self.service_by_name = service_by_name
+        self._queues_by_host = queues_by_host
+
+    @classmethod
+    def from_configuration(
+        cls, configuration: QueueConfiguration
+    ) -> 'QueueTable':
+        """Sort the queues of each host by the length of their prefix."""
+        queues_by_host: dict[str, list[JobQueue]] = defaultdict(list)
+        for queue in configuration.queues:
+            queues_by_host[queue.host.lower()].append(queue)
+        for queues in queues_by_host.values():
+            queues.sort(key=lambda queue: -len(queue.path_prefix))
+        return cls(
+            configuration,
+            dict(queues_by_host),
+            {service.name: service for service in configuration.services},
+        )
+
+    def find(self, host: str, path: str) -> QueueMatch | None:
+        """Return the queue with the longest matching prefix."""
+        for queue in self._queues_by_host.get(_without_port(host), ()):
+            if path.startswith(queue.path_prefix):
+                return QueueMatch(queue, path[len(queue.path_prefix) :])
+        return None
+
+
+def _without_port(host: str) -> str:
+    return host.partition(':')[0].lower()
--- a/baobabgap/replication/_founding.py
+++ b/baobabgap/replication/_founding.py
@@ -32,9 +32,11 @@
         state: GroupState,
         configured: tuple[ControlHost, ...],
         peers: Peers,
+        may_found: bool,
     ) -> None:
         self._state: Final = state
         self._configured: Final = configured
+        self._may_found: Final = may_found
         self._peers: Final = peers
         self._last_obstacle = ''
 
@@ -52,7 +54,7 @@
         state = self._state
         if state.membership.group or state.window.last_index:
             return
-        if self._configured[0].name != state.own.name:
+        if not self._may_found or self._configured[0].name != state.own.name:
             return
         obstacle = self._find_obstacle()
         if obstacle != self._last_obstacle:
--- a/baobabgap/replication/_log.py
+++ b/baobabgap/replication/_log.py
@@ -5,6 +5,7 @@
 from concurrent.futures import Future
 from concurrent.futures import wait
 import threading
+import time
 from typing import Any
 from typing import Final
 
@@ -175,6 +176,14 @@
         """Tell whether this host leads as far as it knows."""
         return self._state.is_leader
 
+    @property
+    def leading_term(self) -> int | None:
+        """The term that this host leads in, or None if it follows."""
+        with self._state.lock:
+            if not self._state.is_leader or self._state.transferring:
+                return None
+            return self._state.term
+
     @property
     def leader(self) -> ControlHost | None:
         """The leader as far as known here."""
@@ -185,6 +194,15 @@
         """Describe this moment."""
         return read_status(self._state, self._peers, self._storage)
 
+    def silence_s_by_member(self) -> dict[str, float]:
+        """Return the seconds since each other member last answered."""
+        now = time.monotonic()
+        with self._state.lock:
+            return {
+                peer.host.name: now - peer.progress.answered_at
+                for peer in self._peers
+            }
+
     def transfer_leadership(self) -> bool:
         """Hand leadership to the peer that is furthest.
 
--- a/baobabgap/replication/_parts.py
+++ b/baobabgap/replication/_parts.py
@@ -89,7 +89,9 @@
         reads = ReadBarriers(
             state, peers.ask_round, peers.confirmed_round_by_voter
         )
-        founding = Founding(state, settings.control_hosts, peers)
+        founding = Founding(
+            state, settings.control_hosts, peers, settings.control.may_found
+        )
         election = Election(
             state, writer, peers.broadcast, peers.answering_voters
         )
@@ -107,7 +109,9 @@
     for host in settings.control_hosts:
         if host.name == settings.name:
             return host
-    raise ValueError(f'{settings.name} is not among control_hosts')
+    # A host that joins a group which others have founded.
+    listen = settings.listen
+    return ControlHost(settings.name, listen.host, listen.internal_port)
 
 
 def _own_hello(
--- /dev/null
+++ b/baobabgap/scheduling/__init__.py
@@ -0,0 +1,31 @@
+"""Decisions on load: admission, order, placing, health. No I/O, no clock."""
+
+from baobabgap.scheduling._admission import admit
+from baobabgap.scheduling._admission import core_seconds
+from baobabgap.scheduling._admission import Refusal
+from baobabgap.scheduling._health import is_overdue
+from baobabgap.scheduling._health import UpstreamHealth
+from baobabgap.scheduling._job_plan import JobPlan
+from baobabgap.scheduling._job_plan import LATE_FACTOR
+from baobabgap.scheduling._job_plan import TaskState
+from baobabgap.scheduling._planner import Placement
+from baobabgap.scheduling._planner import plan_starts
+from baobabgap.scheduling._rooms import choose_room
+from baobabgap.scheduling._rooms import Room
+from baobabgap.scheduling._run_times import RunTimes
+
+__all__ = [
+    'admit',
+    'choose_room',
+    'core_seconds',
+    'is_overdue',
+    'JobPlan',
+    'LATE_FACTOR',
+    'Placement',
+    'plan_starts',
+    'Refusal',
+    'Room',
+    'RunTimes',
+    'TaskState',
+    'UpstreamHealth',
+]
--- /dev/null
+++ b/baobabgap/scheduling/_admission.py
@@ -0,0 +1,68 @@
+"""Whether a new job can still be served in time.
+
+This answers a load that lasts above the capacity: without a refusal each
+job would wait a little longer than the one before, until all are late.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from baobabgap.accepted import AcceptedJob
+from baobabgap.accepted import Step
+from baobabgap.scheduling._rooms import Room
+
+# The longest pause that a refused caller is told, milliseconds.
+_LONGEST_RETRY_AFTER_MS: Final = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A job is refused before anything of it has run."""
+
+    # Milliseconds after which the backlog should have passed.
+    retry_after_ms: int
+    reason: str
+
+
+def core_seconds(job: AcceptedJob, expected_s: tuple[float, ...]) -> float:
+    """Return the work of a job."""
+    return sum(
+        step.tasks * expected * step.demand.cpu_millicores / 1000
+        for step, expected in zip(job.steps, expected_s, strict=True)
+    )
+
+
+def admit(
+    rooms: list[Room],
+    steps: tuple[Step, ...],
+    backlog_core_s: float,
+    patience_s: float,
+) -> Refusal | None:
+    """Refuse a job that can't be served, or not before it is worthless.
+
+    `backlog_core_s` is the work that waits or runs in the job's service,
+    `patience_s` how long the job may wait and still count.
+    """
+    if rooms and not _could_ever_fit(rooms, steps):
+        # Another upstream may come; the caller decides whether to wait.
+        return Refusal(_LONGEST_RETRY_AFTER_MS, 'no upstream is large enough')
+    cores = sum(
+        room.capacity.cpu_millicores / 1000 for room in rooms if room.is_open
+    )
+    if not cores:
+        return None
+    wait_s = backlog_core_s / cores
+    if wait_s <= patience_s:
+        return None
+    retry_after_ms = int(1000 * (wait_s - patience_s)) + 100
+    return Refusal(
+        min(retry_after_ms, _LONGEST_RETRY_AFTER_MS),
+        f'{wait_s:.1f} s of work wait',
+    )
+
+
+def _could_ever_fit(rooms: list[Room], steps: tuple[Step, ...]) -> bool:
+    return all(
+        any(step.demand.fits_in(room.capacity) for room in rooms)
+        for step in steps
+    )
--- /dev/null
+++ b/baobabgap/scheduling/_health.py
@@ -0,0 +1,73 @@
+"""Judging an upstream by its own runs."""
+
+from dataclasses import dataclass
+from typing import Final
+
+# The share of a new run in the moving average of slowness.
+_WEIGHT: Final = 0.2
+# Failures in a row, with no success between, that suspend an upstream: one
+# may be the task's own fault.
+_FAILURES_TO_SUSPEND: Final = 2
+# Seconds of the first suspension; each further one is twice as long.
+_FIRST_SUSPENSION_S: Final = 1.0
+_LONGEST_SUSPENSION_S: Final = 8.0
+# Runs that a suspended upstream gets at a time when it is tried again.
+_TRIAL_RUNS: Final = 1
+# Multiples of the expected run time from which a run counts as overdue.
+_OVERDUE_FACTOR: Final = 2.5
+# Seconds that a run may take longer in any case: clocks, queues, wakes.
+_OVERDUE_SLACK_S: Final = 0.15
+
+
+@dataclass(slots=True)
+class UpstreamHealth:
+    """How one life of an upstream has done so far."""
+
+    # Observed over expected run time; 1.0 is sound.
+    slowness: float = 1.0
+    failures_in_row: int = 0
+    suspensions: int = 0
+    suspended_until: float = 0.0
+    # Whether it has not succeeded since its last suspension.
+    on_trial: bool = False
+
+    def note_done(self, run_s: float, expected_s: float) -> None:
+        """Take note of a run that was done."""
+        self.failures_in_row = 0
+        self.on_trial = False
+        self.suspensions = 0
+        ratio = run_s / max(expected_s, 0.001)
+        self.slowness += _WEIGHT * (min(ratio, 20.0) - self.slowness)
+
+    def note_failed(self, now: float) -> bool:
+        """Take note of a failed run; tell whether it is suspended now."""
+        self.failures_in_row += 1
+        if self.on_trial or self.failures_in_row >= _FAILURES_TO_SUSPEND:
+            self._suspend(now)
+            return True
+        return False
+
+    def note_overdue(self, now: float) -> None:
+        """Suspend an upstream that holds a run far beyond its time."""
+        self._suspend(now)
+
+    def may_take(self, running: int, now: float) -> bool:
+        """Tell whether the upstream may get one more run."""
+        if now < self.suspended_until:
+            return False
+        return not self.on_trial or running < _TRIAL_RUNS
+
+    def _suspend(self, now: float) -> None:
+        if now < self.suspended_until:
+            return
+        pause_s = min(
+            _FIRST_SUSPENSION_S * 2**self.suspensions, _LONGEST_SUSPENSION_S
+        )
+        self.suspensions += 1
+        self.suspended_until = now + pause_s
+        self.on_trial = True
+
+
+def is_overdue(run_s: float, expected_s: float) -> bool:
+    """Tell whether a run has taken far longer than it should."""
+    return run_s > _OVERDUE_FACTOR * expected_s + _OVERDUE_SLACK_S
--- /dev/null
+++ b/baobabgap/scheduling/_job_plan.py
@@ -0,0 +1,144 @@
+"""One unfinished job as the scheduler sees it."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Final
+
+from baobabgap.accepted import AcceptedJob
+from baobabgap.accepted import TaskId
+from baobabgap.accepted import UnfinishedJob
+from baobabgap.scheduling._run_times import RunTimes
+
+# A job counts for little after this multiple of its objective.
+LATE_FACTOR: Final = 3.0
+
+
+@dataclass(slots=True)
+class TaskState:
+    """One task that is not known to be done."""
+
+    task: TaskId
+    # The highest run number given out or seen.
+    last_run: int = 0
+    # Upstreams on which a run has failed or hung.
+    avoided: set[str] = field(default_factory=set)
+    failed_runs: set[int] = field(default_factory=set)
+    # Where the task runs, or may run; empty while it waits.
+    upstream: str = ''
+
+
+class JobPlan:
+    """What is left to do of a job, and by when.
+
+    Times are seconds on the scheduler's clock.
+    """
+
+    def __init__(
+        self, job: AcceptedJob, arrived_at: float, run_times: RunTimes
+    ) -> None:
+        self.job: Final = job
+        self.arrived_at: Final = arrived_at
+        self.has_started = False
+        self.task_by_id: dict[TaskId, TaskState] = {}
+        # Tasks that wait for a start, by step.
+        self.waiting_by_step: list[list[TaskState]] = []
+        self._left_by_step: list[int] = []
+        self.expected_s: tuple[float, ...] = tuple(
+            run_times.expected_s(job.queue, step.estimate_ms)
+            for step in job.steps
+        )
+        for number, step in enumerate(job.steps):
+            tasks = [
+                TaskState(TaskId(job.job_id, number, index))
+                for index in range(step.tasks)
+            ]
+            self.task_by_id.update({task.task: task for task in tasks})
+            self.waiting_by_step.append(tasks)
+            self._left_by_step.append(step.tasks)
+        self._after_s = _chains_after(job, self.expected_s)
+        chain_s = max(
+            own + after
+            for own, after in zip(self.expected_s, self._after_s, strict=True)
+        )
+        self.objective_s: Final = (
+            job.stretch * chain_s + job.latency_allowance_ms / 1000
+        )
+
+    @classmethod
+    def from_unfinished(
+        cls, unfinished: UnfinishedJob, arrived_at: float, run_times: RunTimes
+    ) -> 'JobPlan':
+        """Plan what an earlier leader has left."""
+        plan = cls(unfinished.job, arrived_at, run_times)
+        for (step, index), runs in unfinished.failed_runs_by_task.items():
+            task = plan.task_by_id[TaskId(plan.job.job_id, step, index)]
+            task.failed_runs |= runs
+            task.last_run = max(runs)
+        for step, index in unfinished.done:
+            plan.note_done(TaskId(plan.job.job_id, step, index))
+        return plan
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether no task is left."""
+        return not self.task_by_id
+
+    @property
+    def has_waiting(self) -> bool:
+        """Tell whether a task waits for a start, now or later."""
+        return any(self.waiting_by_step)
+
+    def startable(self) -> Iterator[tuple[int, list[TaskState]]]:
+        """Yield the steps that may start, with the tasks that wait."""
+        for number, waiting in enumerate(self.waiting_by_step):
+            after = self.job.steps[number].after
+            if waiting and not any(self._left_by_step[i] for i in after):
+                yield number, waiting
+
+    def latest_start(self, step: int) -> float:
+        """Return when a step's tasks must start for the job to be on time."""
+        rest_s = self.expected_s[step] + self._after_s[step]
+        return self.arrived_at + self.objective_s - rest_s
+
+    def late_limit(self, step: int) -> float:
+        """Return when starting a step's tasks is worth nothing any more."""
+        rest_s = self.expected_s[step] + self._after_s[step]
+        return self.arrived_at + LATE_FACTOR * self.objective_s - rest_s
+
+    def note_started(self, task: TaskState, upstream: str, run: int) -> None:
+        """A run was ordered, or was found on an upstream."""
+        waiting = self.waiting_by_step[task.task.step]
+        if task in waiting:
+            waiting.remove(task)
+        task.upstream = upstream
+        task.last_run = max(task.last_run, run)
+        self.has_started = True
+
+    def note_gone(self, task: TaskState) -> None:
+        """The task's run is over without being done: it waits again."""
+        if task.upstream:
+            task.upstream = ''
+            self.waiting_by_step[task.task.step].append(task)
+
+    def note_done(self, task_id: TaskId) -> None:
+        """A task is done."""
+        task = self.task_by_id.pop(task_id, None)
+        if task is None:
+            return
+        self._left_by_step[task_id.step] -= 1
+        self.has_started = True
+        if not task.upstream:
+            self.waiting_by_step[task_id.step].remove(task)
+
+
+def _chains_after(
+    job: AcceptedJob, expected_s: tuple[float, ...]
+) -> list[float]:
+    """Return the longest chain of work after each step, seconds."""
+    after_s = [0.0] * len(job.steps)
+    for number in range(len(job.steps) - 1, -1, -1):
+        own_s = expected_s[number] + after_s[number]
+        for earlier in job.steps[number].after:
+            after_s[earlier] = max(after_s[earlier], own_s)
+    return after_s
--- /dev/null
+++ b/baobabgap/scheduling/_planner.py
@@ -0,0 +1,110 @@
+"""Which waiting task starts next, and where.
+
+This answers a load at which more tasks wait than there is room: jobs
+that can still be on time go before those that can't, and among them the
+one that must start first.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from baobabgap.scheduling._job_plan import JobPlan
+from baobabgap.scheduling._job_plan import TaskState
+from baobabgap.scheduling._rooms import choose_room
+from baobabgap.scheduling._rooms import Room
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """One task is to start in one room."""
+
+    plan: JobPlan
+    task: TaskState
+    room: Room
+
+
+@dataclass(frozen=True, slots=True)
+class _StepInLine:
+    """A step of a job whose tasks wait."""
+
+    # Sorts the line: worthless jobs last, then late ones.
+    lateness: int
+    latest_start: float
+    plan: JobPlan
+    step: int
+
+
+def plan_starts(
+    plans: Iterable[JobPlan],
+    rooms_by_service: dict[str, list[Room]],
+    far_factor: float,
+    now: float,
+) -> list[Placement]:
+    """Choose rooms for as many waiting tasks as fit, the most urgent first.
+
+    The rooms are occupied; the tasks are left to the caller to mark.
+    """
+    placements: list[Placement] = []
+    line = [
+        _in_line(plan, step, now)
+        for plan in plans
+        for step, _ in plan.startable()
+    ]
+    line.sort(key=lambda item: (item.lateness, item.latest_start))
+    full_services: set[str] = set()
+    for item in line:
+        service = item.plan.job.service
+        rooms = rooms_by_service.get(service, [])
+        if service in full_services:
+            continue
+        placed = _place_step(item, rooms, far_factor, now)
+        placements.extend(placed)
+        waiting = item.plan.waiting_by_step[item.step]
+        if len(placed) < len(waiting) and _is_plain(item):
+            # Whoever is more urgent gets the next room that is free.
+            full_services.add(service)
+    return placements
+
+
+def _in_line(plan: JobPlan, step: int, now: float) -> _StepInLine:
+    latest_start = plan.latest_start(step)
+    if now <= latest_start:
+        lateness = 0
+    elif now <= plan.late_limit(step):
+        lateness = 1
+    else:
+        lateness = 2
+    return _StepInLine(lateness, latest_start, plan, step)
+
+
+def _is_plain(item: _StepInLine) -> bool:
+    """Tell whether the step could use any room of its service."""
+    step = item.plan.job.steps[item.step]
+    waiting = item.plan.waiting_by_step[item.step]
+    avoids = any(task.avoided for task in waiting)
+    return not (step.required_label or step.most_per_upstream or avoids)
+
+
+def _place_step(
+    item: _StepInLine, rooms: list[Room], far_factor: float, now: float
+) -> list[Placement]:
+    plan = item.plan
+    step = plan.job.steps[item.step]
+    used = Counter(
+        task.upstream
+        for task in plan.task_by_id.values()
+        if task.upstream and task.task.step == item.step
+    )
+    placements = []
+    for task in plan.waiting_by_step[item.step]:
+        room = choose_room(rooms, step, task.avoided, used, far_factor, now)
+        if room is None and task.avoided:
+            # Better where it failed before than nowhere.
+            room = choose_room(rooms, step, (), used, far_factor, now)
+        if room is None:
+            break
+        room.occupy(step.demand)
+        used[room.name] += 1
+        placements.append(Placement(plan, task, room))
+    return placements
--- a/baobabgap/settings/_control.py
+++ b/baobabgap/settings/_control.py
@@ -15,6 +15,9 @@
 
     # The one folder for durable state.
     data_folder: str = 'var/control'
+    # Whether an empty host may found the group; false once the deployment
+    # has run, so that a host which lost its disk never founds another.
+    may_found: bool = True
     # Milliseconds added to each sync, to imitate a slower disk.
     added_sync_delay_ms: Annotated[float, Field(ge=0, le=1000)] = 0.0
     # Seconds without a leader after which a host seeks election; each
--- a/baobabgap/telemetry/_logs.py
+++ b/baobabgap/telemetry/_logs.py
@@ -9,6 +9,8 @@
 from eliot import FileDestination
 from eliot import log_message
 
+from baobabgap.telemetry._bounded_sink import BoundedSink
+
 
 def start_logging(log_file: str, process: str, role: str) -> None:
     """Send all log messages of this process to a file or standard error.
@@ -25,6 +27,15 @@
     add_destinations(FileDestination(file=stream))
 
 
+def start_bounded_logging(process: str, role: str) -> BoundedSink:
+    """Write log messages to standard output, without ever blocking."""
+    sink = BoundedSink(sys.stdout.buffer)
+    sink.add_fields(process=process, role=role)
+    add_global_fields(process=process, role=role)
+    add_destinations(sink)
+    return sink
+
+
 def log_event(event: str, /, **fields: Any) -> None:
     """Log one event within the current eliot action, if there is one."""
     log_message(message_type=event, **fields)
--- /dev/null
+++ b/baobabgap/upstreams/__init__.py
@@ -0,0 +1,17 @@
+"""Looking after one upstream: runs, leases and their ends."""
+
+from baobabgap.upstreams._client import HeldRun
+from baobabgap.upstreams._client import Holding
+from baobabgap.upstreams._client import StartOutcome
+from baobabgap.upstreams._client import UpstreamClient
+from baobabgap.upstreams._client import UpstreamSuperseded
+from baobabgap.upstreams._run_agent import RunAgent
+
+__all__ = [
+    'HeldRun',
+    'Holding',
+    'RunAgent',
+    'StartOutcome',
+    'UpstreamClient',
+    'UpstreamSuperseded',
+]
--- a/baobabgap/web/_client.py
+++ b/baobabgap/web/_client.py
@@ -1,6 +1,7 @@
 """Small HTTP requests with JSON documents, by pycurl."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from io import BytesIO
 import json
@@ -70,6 +71,7 @@
         document: Any = None,
         *,
         timeout_s: float,
+        header_by_name: Mapping[str, str] | None = None,
         is_given_up: Callable[[], bool] | None = None,
     ) -> WebResponse:
         """Send one request and wait for its response.
@@ -90,6 +92,8 @@
         curl.setopt(pycurl.WRITEDATA, body)
         curl.setopt(pycurl.HEADERFUNCTION, head.append)
         headers = list(_LEFT_OUT_HEADERS)
+        for name, value in (header_by_name or {}).items():
+            headers.append(f'{name}: {value}')
         if document is not None or method in _METHODS_WITH_BODY:
             headers.append('Content-Type: application/json')
             curl.setopt(pycurl.POSTFIELDS, json.dumps(document))
