--- a/Makefile
+++ b/Makefile
@@ -23,9 +23,9 @@
 	$(PYTHON) -m tools.demo
 
 lint: $(VENV)/ready
-	$(PYTHON) -m ruff format --check baobabgap tools
-	$(PYTHON) -m ruff check baobabgap tools
-	$(PYTHON) -m flake8 baobabgap tools
+	$(PYTHON) -m ruff format --check baobabgap tools platform
+	$(PYTHON) -m ruff check baobabgap tools platform
+	$(PYTHON) -m flake8 baobabgap tools platform
 	$(PYTHON) -m mypy
 
 unit: $(VENV)/ready
@@ -34,8 +34,8 @@
 test: lint unit
 
 format: $(VENV)/ready
-	$(PYTHON) -m ruff check --fix baobabgap tools
-	$(PYTHON) -m ruff format baobabgap tools
+	$(PYTHON) -m ruff check --fix baobabgap tools platform
+	$(PYTHON) -m ruff format baobabgap tools platform
 
 bench: $(VENV)/ready
 	$(PYTHON) -m tools.bench --cases='$(CASES)' --policies='$(POLICIES)' \
--- a/baobabgap/dispatch/_committer.py
+++ b/baobabgap/dispatch/_committer.py
@@ -19,9 +19,7 @@
     def __init__(self, log: ReplicatedLog) -> None:
         self._log: Final = log
 
-    def propose(
-        self, command: object, on_end: Callable[[Any], None]
-    ) -> None:
+    def propose(self, command: object, on_end: Callable[[Any], None]) -> None:
         """Propose one command.
 
         `on_end` gets the result once the command is durable and applied,
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -161,9 +161,7 @@
     def _reset(self) -> None:
         self._plan_by_id: dict[str, JobPlan] = {}
         # Jobs whose acceptance is not durable yet, with who waits for it.
-        self._storing_by_id: dict[
-            str, tuple[JobPlan, list[CallArrived]]
-        ] = {}
+        self._storing_by_id: dict[str, tuple[JobPlan, list[CallArrived]]] = {}
         self._cancelling_by_id: dict[str, list[CallArrived]] = {}
         # Who waits for the end of a volatile job.
         self._callers_by_id: dict[str, list[CallArrived]] = {}
@@ -823,9 +821,7 @@
                     self._stop_run(self._view_by_name[task.upstream], row.task)
                 plan.note_done(row.task)
                 if plan.is_done and plan.job.is_volatile:
-                    self._end_job(
-                        JobEnd(plan.job.job_id, JobState.COMPLETED)
-                    )
+                    self._end_job(JobEnd(plan.job.job_id, JobState.COMPLETED))
             case RunEnd.FAILED:
                 task.failed_runs.add(row.run)
                 task.avoided.add(view.name)
@@ -1019,9 +1015,7 @@
             plan, task, room = placement.plan, placement.task, placement.room
             room.release(plan.job.steps[task.task.step].demand)
             number = self._next_run(plan.job, task)
-            self._add_run(
-                self._view_by_name[room.name], plan, task, number
-            )
+            self._add_run(self._view_by_name[room.name], plan, task, number)
             orders_by_name[room.name].append(
                 RunOrder(task.task, number, plan.job.payload)
             )
--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -22,6 +22,10 @@
 
 # Seconds between looks for a new leader while a call waits for one.
 _LOOK_PAUSE_S: Final = 0.02
+# Outcomes that say that nothing of the call has been done.
+_NOT_BEGUN: Final = (CallOutcome.UNAVAILABLE, CallOutcome.OVERLOADED)
+# Seconds between looks whether a caller still waits.
+_CALLER_LOOK_S: Final = 0.25
 
 
 class LeaderCalls:
@@ -37,6 +41,7 @@
         self._numbers = itertools.count(1)
         self._future_by_call: dict[int, Future[CallAnswer]] = {}
         self._connection: Connection | None = None
+        self._has_given_up = False
         self.largest_body_bytes = 256 * 1024
         # Called when the leader's limits are known.
         self.on_ready: Callable[[], None] = _do_nothing
@@ -65,27 +70,55 @@
                     case LeaderReady():
                         self.largest_body_bytes = message.largest_body_bytes
         finally:
-            self._fail_all()
+            self._fail_all('leader link lost')
+
+    def give_up(self) -> None:
+        """Answer all calls with `UNKNOWN`, now and from now on.
+
+        Volatile jobs go on: their callers come back to them elsewhere.
+        """
+        self._has_given_up = True
+        self._fail_all('this entry stops')
+
+    @property
+    def waiting(self) -> int:
+        """The number of calls that wait for an answer."""
+        return len(self._future_by_call)
 
     def ask(
-        self, call: Call, wait_for_leader_s: float, wait_for_answer_s: float
+        self,
+        call: Call,
+        wait_for_leader_s: float,
+        wait_for_answer_s: float,
+        caller_has_left: Callable[[], bool],
     ) -> CallAnswer:
         """Forward a call and wait for its answer.
 
         `UNAVAILABLE` says that nothing was sent; `UNKNOWN` that the call
-        may have taken effect.
+        may have taken effect. A volatile job is dropped when its caller
+        has left or the time is over.
         """
         give_up_at = time.monotonic() + wait_for_leader_s
         answer_by = time.monotonic() + wait_for_answer_s
+        may_have_begun = False
         while True:
-            answer = self._ask_once(call, answer_by)
-            if not _may_repeat(call, answer):
+            answer = self._ask_once(call, answer_by, caller_has_left)
+            if may_have_begun and answer.outcome in _NOT_BEGUN:
+                # That is true of this try alone.
+                answer = replace(answer, outcome=CallOutcome.UNKNOWN)
+            may_have_begun |= answer.outcome is CallOutcome.UNKNOWN
+            if self._has_given_up or not _may_repeat(call, answer):
                 return answer
             if time.monotonic() >= min(give_up_at, answer_by):
                 return answer
             time.sleep(_LOOK_PAUSE_S)
 
-    def _ask_once(self, call: Call, answer_by: float) -> CallAnswer:
+    def _ask_once(
+        self,
+        call: Call,
+        answer_by: float,
+        caller_has_left: Callable[[], bool],
+    ) -> CallAnswer:
         number = next(self._numbers)
         future: Future[CallAnswer] = Future()
         with self._lock:
@@ -96,16 +129,21 @@
                 )
             self._future_by_call[number] = future
         connection.send(replace(call, call=number))
-        try:
-            return future.result(max(0.0, answer_by - time.monotonic()))
-        except TimeoutError:
-            with self._lock:
-                self._future_by_call.pop(number, None)
-            if isinstance(call, SubmitJob) and call.is_volatile:
-                connection.send(DropCall(number))
-            return CallAnswer(
-                number, CallOutcome.UNKNOWN, detail='no answer in time'
-            )
+        while True:
+            left_s = answer_by - time.monotonic()
+            try:
+                return future.result(min(max(0.0, left_s), _CALLER_LOOK_S))
+            except TimeoutError:
+                if left_s > 0 and not caller_has_left():
+                    continue
+            break
+        with self._lock:
+            self._future_by_call.pop(number, None)
+        if isinstance(call, SubmitJob) and call.is_volatile:
+            connection.send(DropCall(number))
+        return CallAnswer(
+            number, CallOutcome.UNKNOWN, detail='no answer in time'
+        )
 
     def _resolve(self, answer: CallAnswer) -> None:
         with self._lock:
@@ -113,16 +151,14 @@
         if future is not None:
             future.set_result(answer)
 
-    def _fail_all(self) -> None:
+    def _fail_all(self, detail: str) -> None:
         with self._lock:
             self._connection = None
             future_by_call = self._future_by_call
             self._future_by_call = {}
         for number, future in future_by_call.items():
             future.set_result(
-                CallAnswer(
-                    number, CallOutcome.UNKNOWN, detail='leader link lost'
-                )
+                CallAnswer(number, CallOutcome.UNKNOWN, detail=detail)
             )
 
 
--- a/baobabgap/leaderlink/_link.py
+++ b/baobabgap/leaderlink/_link.py
@@ -37,9 +37,7 @@
         timing: LinkTiming,
         pool: Executor,
         configured: Callable[[], tuple[str, ...]],
-        session: Callable[
-            [Connection, LeaderReady, Iterator[object]], None
-        ],
+        session: Callable[[Connection, LeaderReady, Iterator[object]], None],
     ) -> None:
         self._own: Final = own
         self._timing: Final = timing
--- a/baobabgap/telemetry/_bounded_sink.py
+++ b/baobabgap/telemetry/_bounded_sink.py
@@ -103,6 +103,4 @@
 
 
 def _encode(message: dict[str, Any]) -> bytes:
-    return orjson.dumps(
-        message, default=str, option=orjson.OPT_APPEND_NEWLINE
-    )
+    return orjson.dumps(message, default=str, option=orjson.OPT_APPEND_NEWLINE)
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -434,9 +434,13 @@
         with self._lock:
             if self._upstream is not upstream:
                 held = self._upstream
-                if upstream is None or held is None or (
-                    held.instance != upstream.instance
-                    or held.born_ms != upstream.born_ms
+                if (
+                    upstream is None
+                    or held is None
+                    or (
+                        held.instance != upstream.instance
+                        or held.born_ms != upstream.born_ms
+                    )
                 ):
                     return
             if (
--- a/baobabgap/web/__init__.py
+++ b/baobabgap/web/__init__.py
@@ -3,6 +3,13 @@
 from baobabgap.web._client import RequestNeverSent
 from baobabgap.web._client import WebClient
 from baobabgap.web._client import WebResponse
+from baobabgap.web._server import CLIENT_HAS_LEFT
 from baobabgap.web._server import WebServer
 
-__all__ = ['RequestNeverSent', 'WebClient', 'WebResponse', 'WebServer']
+__all__ = [
+    'CLIENT_HAS_LEFT',
+    'RequestNeverSent',
+    'WebClient',
+    'WebResponse',
+    'WebServer',
+]
--- a/baobabgap/web/_server.py
+++ b/baobabgap/web/_server.py
@@ -1,9 +1,13 @@
 """An HTTP server for a WSGI application, in this process."""
 
+from collections.abc import Callable
 from concurrent.futures import Executor
+import select
+import socket
 from typing import Any
 from typing import Final
 
+from cheroot.wsgi import Gateway_10
 from cheroot.wsgi import Server
 
 from baobabgap.web._errors import JsonErrorConnection
@@ -12,6 +16,36 @@
 _READ_TIMEOUT_S: Final = 30
 
 
+# The key in a request's environment of a function that tells whether the
+# client has closed its connection.
+CLIENT_HAS_LEFT: Final = 'baobabgap.client_has_left'
+
+
+class _Gateway(Gateway_10):
+    """Lets the application ask whether its client still waits."""
+
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        """Return the environment of one request."""
+        environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[CLIENT_HAS_LEFT] = _closed_check(self.req.conn.socket)
+        return environ
+
+
+def _closed_check(connection: socket.socket) -> Callable[[], bool]:
+    def has_closed() -> bool:
+        try:
+            poller = select.poll()
+            poller.register(connection, select.POLLIN)
+            if not poller.poll(0):
+                return False
+            return connection.recv(1, socket.MSG_PEEK) == b''
+        except (OSError, ValueError):
+            # The descriptor is gone, or the connection was reset.
+            return True
+
+    return has_closed
+
+
 class WebServer:
     """Serves a WSGI application on one port with a fixed pool of threads.
 
@@ -38,6 +72,7 @@
             shutdown_timeout=5,
         )
         self._server.ConnectionClass = JsonErrorConnection
+        self._server.gateway = _Gateway
         self._server.max_request_body_size = largest_body_bytes
         self._server.prepare()
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -12,7 +12,12 @@
 import unittest
 
 _KNOWN_RED: Final = Path('KNOWN-RED.txt')
-_ROOTS: Final = ('baobabgap', 'tools')
+# Folders with tests, each with the folder that its packages lie in.
+_ROOTS: Final = (
+    ('baobabgap', '.'),
+    ('tools', '.'),
+    ('platform/baobabgap_platform', 'platform'),
+)
 _WHOLE_RUN_LIMIT_S: Final = 900.0
 
 
@@ -38,9 +43,9 @@
     if names:
         return loader.loadTestsFromNames(names)
     suite = unittest.TestSuite()
-    for root in _ROOTS:
+    for root, top_level in _ROOTS:
         suite.addTests(
-            loader.discover(root, pattern='test_*.py', top_level_dir='.')
+            loader.discover(root, pattern='test_*.py', top_level_dir=top_level)
         )
     return suite
 
