--- a/baobabgap/accepted/__init__.py
+++ b/baobabgap/accepted/__init__.py
@@ -2,8 +2,8 @@
 
 from baobabgap.accepted._commands import AcceptJobs
 from baobabgap.accepted._commands import CancelJobs
-from baobabgap.accepted._commands import DismissAgents
-from baobabgap.accepted._commands import EnrolAgents
+from baobabgap.accepted._commands import DismissMembers
+from baobabgap.accepted._commands import EnrolMembers
 from baobabgap.accepted._commands import NoteEnds
 from baobabgap.accepted._commands import PutConfiguration
 from baobabgap.accepted._model import AcceptedJob
@@ -23,8 +23,8 @@
     'AcceptJobs',
     'CancelJobs',
     'Demand',
-    'DismissAgents',
-    'EnrolAgents',
+    'DismissMembers',
+    'EnrolMembers',
     'JobEnd',
     'JobState',
     'NoteEnds',
--- a/baobabgap/accepted/_commands.py
+++ b/baobabgap/accepted/_commands.py
@@ -41,15 +41,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EnrolAgents:
-    """Remember agents that may come to hold runs."""
+class EnrolMembers:
+    """Remember agents that may hold runs, and entries that may hold calls.
+
+    Names are `role/name`, such as `agent/upstream-7`.
+    """
 
     names: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class DismissAgents:
-    """Forget agents that certainly hold no run."""
+class DismissMembers:
+    """Forget members that certainly hold nothing of an earlier term."""
 
     names: tuple[str, ...]
 
@@ -82,7 +85,7 @@
     configuration: QueueConfiguration | None
     jobs: tuple[StoredJob, ...]
     ended: tuple[StoredEnd, ...]
-    agents: tuple[str, ...]
+    members: tuple[str, ...]
     # The latest time that a command carried.
     now_ms: int
 
@@ -91,8 +94,8 @@
     AcceptedSnapshot,
     AcceptJobs,
     CancelJobs,
-    DismissAgents,
-    EnrolAgents,
+    DismissMembers,
+    EnrolMembers,
     NoteEnds,
     PutConfiguration,
 )
--- a/baobabgap/accepted/_state.py
+++ b/baobabgap/accepted/_state.py
@@ -9,8 +9,8 @@
 from baobabgap.accepted._commands import AcceptedSnapshot
 from baobabgap.accepted._commands import AcceptJobs
 from baobabgap.accepted._commands import CancelJobs
-from baobabgap.accepted._commands import DismissAgents
-from baobabgap.accepted._commands import EnrolAgents
+from baobabgap.accepted._commands import DismissMembers
+from baobabgap.accepted._commands import EnrolMembers
 from baobabgap.accepted._commands import NoteEnds
 from baobabgap.accepted._commands import PutConfiguration
 from baobabgap.accepted._commands import StoredEnd
@@ -68,7 +68,8 @@
         self.unfinished_by_id: dict[str, UnfinishedJob] = {}
         # Oldest end first.
         self.ended_by_id: dict[str, StoredEnd] = {}
-        self.agents: set[str] = set()
+        # Agents and entries, as `role/name`.
+        self.members: set[str] = set()
         self.now_ms = 0
         # Called after each configuration that comes into force.
         self.on_configuration: Callable[[QueueConfiguration], None] = _ignore
@@ -96,11 +97,11 @@
             case PutConfiguration(configuration=configuration):
                 self._put(configuration)
                 return None
-            case EnrolAgents(names=names):
-                self.agents.update(names)
+            case EnrolMembers(names=names):
+                self.members.update(names)
                 return None
-            case DismissAgents(names=names):
-                self.agents.difference_update(names)
+            case DismissMembers(names=names):
+                self.members.difference_update(names)
                 return None
             case _:
                 raise ValueError(f'no command: {command!r}')
@@ -128,7 +129,7 @@
                         for unfinished in self.unfinished_by_id.values()
                     ),
                     tuple(self.ended_by_id.values()),
-                    tuple(sorted(self.agents)),
+                    tuple(sorted(self.members)),
                     self.now_ms,
                 )
             ]
@@ -141,7 +142,7 @@
             job.job.job_id: _unfinished(job) for job in stored.jobs
         }
         self.ended_by_id = {end.job_id: end for end in stored.ended}
-        self.agents = set(stored.agents)
+        self.members = set(stored.members)
         self.now_ms = stored.now_ms
         self.configuration = stored.configuration
         if stored.configuration is not None:
--- a/baobabgap/dispatch/__init__.py
+++ b/baobabgap/dispatch/__init__.py
@@ -1,10 +1,7 @@
 """Dispatch of durably accepted jobs by the leader of the control group."""
 
-from baobabgap.dispatch._control_node import AGENT_ROLE
 from baobabgap.dispatch._control_node import ControlNode
 from baobabgap.dispatch._control_node import ControlNodeOptions
-from baobabgap.dispatch._control_node import ENTRY_ROLE
-from baobabgap.dispatch._control_node import JOINER_ROLE
 from baobabgap.dispatch._messages import Authority
 from baobabgap.dispatch._messages import AuthorityRequest
 from baobabgap.dispatch._messages import CallAnswer
@@ -13,6 +10,7 @@
 from baobabgap.dispatch._messages import DropCall
 from baobabgap.dispatch._messages import EndRow
 from baobabgap.dispatch._messages import EndsNoted
+from baobabgap.dispatch._messages import EntryReport
 from baobabgap.dispatch._messages import FullReport
 from baobabgap.dispatch._messages import LeaderReady
 from baobabgap.dispatch._messages import ReadPath
@@ -26,6 +24,9 @@
 from baobabgap.dispatch._messages import SubmitJob
 from baobabgap.dispatch._messages import UpstreamChanged
 from baobabgap.dispatch._messages import UpstreamState
+from baobabgap.dispatch._roles import AGENT_ROLE
+from baobabgap.dispatch._roles import ENTRY_ROLE
+from baobabgap.dispatch._roles import JOINER_ROLE
 from baobabgap.dispatch._scheduler import boot_time
 from baobabgap.dispatch._timing import CLOCK_DRIFT
 from baobabgap.dispatch._timing import LeaseTiming
@@ -44,6 +45,7 @@
     'DropCall',
     'EndRow',
     'EndsNoted',
+    'EntryReport',
     'ENTRY_ROLE',
     'FullReport',
     'JOINER_ROLE',
--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -38,6 +38,7 @@
     has_reported: bool = False
     # Whether the agent is durably known, so that it may get runs.
     is_enrolled: bool = False
+    is_enrolling: bool = False
     upstream: UpstreamState | None = None
     room: Room | None = None
     run_by_task: dict[TaskId, Run] = field(default_factory=dict)
--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -20,14 +20,17 @@
 from baobabgap.dispatch._events import AgentUnlinked
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._events import CallDropped
+from baobabgap.dispatch._events import EntryLinked
 from baobabgap.dispatch._group_keeper import GroupKeeper
 from baobabgap.dispatch._leadership import Leadership
 from baobabgap.dispatch._messages import CancelPath
 from baobabgap.dispatch._messages import DropCall
+from baobabgap.dispatch._messages import EntryReport
 from baobabgap.dispatch._messages import JoinGroup
 from baobabgap.dispatch._messages import LeaderReady
 from baobabgap.dispatch._messages import ReadPath
 from baobabgap.dispatch._messages import SubmitJob
+from baobabgap.dispatch._roles import CONTROL_ROLE
 from baobabgap.dispatch._scheduler import Scheduler
 from baobabgap.dispatch._timing import LeaseTiming
 from baobabgap.messages import Hello
@@ -46,11 +49,6 @@
 from baobabgap.transport import Listener
 from baobabgap.transport import PROCESS_TRAFFIC
 
-CONTROL_ROLE: Final = 'control'
-ENTRY_ROLE: Final = 'entry'
-AGENT_ROLE: Final = 'agent'
-# A control host that wants to be taken into the group.
-JOINER_ROLE: Final = 'joiner'
 _THREADS: Final = 4096
 
 
@@ -321,6 +319,10 @@
             match message:
                 case SubmitJob() | ReadPath() | CancelPath():
                     self._scheduler.tell(CallArrived(message, connection))
+                case EntryReport(begun_job_ids=job_ids):
+                    self._scheduler.tell(
+                        EntryLinked(connection.peer.name, job_ids)
+                    )
                 case DropCall(call=call):
                     self._scheduler.tell(CallDropped(call, connection))
 
--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -19,8 +19,8 @@
 
     term: int
     unfinished: tuple[UnfinishedJob, ...]
-    # Names of the agents that may hold runs of an earlier term.
-    agents: tuple[str, ...]
+    # Members that may hold something of an earlier term, as `role/name`.
+    members: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,11 +95,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AgentsEnrolled:
-    """Agents are durably known and may get runs."""
+class EntryLinked:
+    """An entry has a new link, and says what it has under way."""
+
+    name: str
+    # Volatile jobs that it has sent to an earlier leader.
+    begun_job_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MembersEnrolled:
+    """An agent is durably known, and may get runs."""
 
     term: int
-    names: tuple[str, ...]
+    name: str
 
 
 Event = (
@@ -113,5 +122,6 @@
     | JobsStored
     | EndsStored
     | CancelStored
-    | AgentsEnrolled
+    | EntryLinked
+    | MembersEnrolled
 )
--- a/baobabgap/dispatch/_leadership.py
+++ b/baobabgap/dispatch/_leadership.py
@@ -16,7 +16,7 @@
 
 # Seconds between confirmations: several fit into the time for which one
 # counts.
-_CONFIRM_PAUSE_S: Final = 0.15
+_CONFIRM_PAUSE_S: Final = 0.1
 # Seconds between looks at the role of this host.
 _LOOK_PAUSE_S: Final = 0.03
 
@@ -99,7 +99,7 @@
             )
             self._confirmed_at = asked_at
             scheduler.tell(
-                Led(term, unfinished, tuple(sorted(self._state.agents)))
+                Led(term, unfinished, tuple(sorted(self._state.members)))
             )
             self.term = term
 
--- a/baobabgap/dispatch/_messages.py
+++ b/baobabgap/dispatch/_messages.py
@@ -76,6 +76,15 @@
     path: str
 
 
+@dataclass(frozen=True, slots=True)
+class EntryReport:
+    """The first message of an entry to each leader."""
+
+    # Volatile jobs that it has handed to an earlier leader lately: their
+    # tasks may run. Any other job is certainly new.
+    begun_job_ids: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class CallAnswer:
     """The answer to any of the calls."""
@@ -262,6 +271,7 @@
     CancelPath,
     DropCall,
     EndsNoted,
+    EntryReport,
     FullReport,
     JoinGroup,
     LeaderReady,
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -19,7 +19,8 @@
 from baobabgap.accepted import AcceptJobs
 from baobabgap.accepted import CancelJobs
 from baobabgap.accepted import Demand
-from baobabgap.accepted import EnrolAgents
+from baobabgap.accepted import DismissMembers
+from baobabgap.accepted import EnrolMembers
 from baobabgap.accepted import JobEnd
 from baobabgap.accepted import JobState
 from baobabgap.accepted import NoteEnds
@@ -31,15 +32,16 @@
 from baobabgap.dispatch._committer import Committer
 from baobabgap.dispatch._events import AgentLinked
 from baobabgap.dispatch._events import AgentReported
-from baobabgap.dispatch._events import AgentsEnrolled
 from baobabgap.dispatch._events import AgentUnlinked
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._events import CallDropped
 from baobabgap.dispatch._events import CancelStored
 from baobabgap.dispatch._events import EndsStored
+from baobabgap.dispatch._events import EntryLinked
 from baobabgap.dispatch._events import Event
 from baobabgap.dispatch._events import JobsStored
 from baobabgap.dispatch._events import Led
+from baobabgap.dispatch._events import MembersEnrolled
 from baobabgap.dispatch._events import StoodDown
 from baobabgap.dispatch._messages import Authority
 from baobabgap.dispatch._messages import AuthorityRequest
@@ -61,11 +63,12 @@
 from baobabgap.dispatch._messages import UpstreamChanged
 from baobabgap.dispatch._messages import UpstreamState
 from baobabgap.dispatch._orphans import Orphans
+from baobabgap.dispatch._roles import AGENT_ROLE
+from baobabgap.dispatch._roles import ENTRY_ROLE
 from baobabgap.dispatch._timing import LeaseTiming
 from baobabgap.queues import QueueMatch
 from baobabgap.queues import QueueTable
 from baobabgap.scheduling import admit
-from baobabgap.scheduling import core_seconds
 from baobabgap.scheduling import is_overdue
 from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import LATE_FACTOR
@@ -88,6 +91,9 @@
 # Seconds for which the end of a volatile job is kept: its caller hands it
 # in again within a few seconds if the answer was lost.
 _KEPT_ENDED_S: Final = 10.0
+# Seconds of silence after which an agent is forgotten: far longer than its
+# upstream can hold a lease.
+_DISMISSED_AFTER_S: Final = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,9 +179,13 @@
         # Reads that wait until a job's last end is durable.
         self._readers_by_id: dict[str, list[CallArrived]] = defaultdict(list)
         self._view_by_name: dict[str, AgentView] = {}
-        # Agents that may hold runs of an earlier term. While there are any
-        # nothing starts: the same task may run there.
+        # Agents that may hold runs of an earlier term, and entries that may
+        # have handed such jobs in. While there are any, only what is
+        # certainly new starts: other tasks may run there.
         self._unheard: set[str] = set()
+        self._unheard_entries: set[str] = set()
+        # Volatile jobs that an earlier leader may have begun.
+        self._begun_before: set[str] = set()
         self._takeover_ends_at = 0.0
         self._is_taking_over = False
         self._unstored_ends: list[TaskEnd] = []
@@ -217,8 +227,10 @@
                     self._lose_link(view)
             case CancelStored():
                 self._take_stored_cancel(event)
-            case AgentsEnrolled(term=term, names=names):
-                self._take_enrolled(term, names)
+            case MembersEnrolled():
+                self._take_enrolled(event)
+            case EntryLinked():
+                self._take_entry(event)
             case Led():
                 self._lead(event)
             case StoodDown():
@@ -228,9 +240,11 @@
         self._reset()
         self._term = event.term
         now = time.monotonic()
-        self._unheard = set(event.agents)
+        agents = _named(AGENT_ROLE, event.members)
+        self._unheard = set(agents)
+        self._unheard_entries = _named(ENTRY_ROLE, event.members)
         self._takeover_ends_at = now + self._timing.takeover_s
-        for name in event.agents:
+        for name in agents:
             view = AgentView(name, is_enrolled=True)
             view.authority_granted_at = boot_time()
             self._view_by_name[name] = view
@@ -242,7 +256,7 @@
             'scheduler:leads',
             term=event.term,
             inherited_jobs=len(event.unfinished),
-            agents=sorted(event.agents),
+            members=event.members,
         )
 
     def _stand_down(self) -> None:
@@ -616,20 +630,31 @@
             view = self._view_by_name[name] = AgentView(name)
         view.connection = event.connection
         view.has_reported = False
-        if not view.is_enrolled:
+        self._enrol(view)
+
+    def _enrol(self, view: AgentView) -> None:
+        """Have an agent durably known before it gets runs."""
+        name = view.name
+        if not view.is_enrolled and not view.is_enrolling:
+            view.is_enrolling = True
             term = self._term
             self._committer.propose(
-                EnrolAgents((name,)),
-                lambda result: self.tell(AgentsEnrolled(term, (name,))),
+                EnrolMembers((f'{AGENT_ROLE}/{name}',)),
+                lambda result: self.tell(MembersEnrolled(term, name)),
             )
 
-    def _take_enrolled(self, term: int, names: tuple[str, ...]) -> None:
-        if term != self._term:
-            return
-        for name in names:
-            view = self._view_by_name.get(name)
-            if view is not None:
-                view.is_enrolled = True
+    def _take_enrolled(self, event: MembersEnrolled) -> None:
+        view = self._view_by_name.get(event.name)
+        if event.term == self._term and view is not None:
+            view.is_enrolled = True
+            view.is_enrolling = False
+
+    def _take_entry(self, event: EntryLinked) -> None:
+        self._unheard_entries.discard(event.name)
+        self._begun_before.update(event.begun_job_ids)
+        member = f'{ENTRY_ROLE}/{event.name}'
+        if self._term and member not in self._state.members:
+            self._committer.propose(EnrolMembers((member,)), _ignore)
 
     def _lose_link(self, view: AgentView) -> None:
         log_event('agent_lost', agent=view.name, runs=len(view.run_by_task))
@@ -670,6 +695,7 @@
         self._change_upstream(view, report.upstream)
         if report.upstream is None:
             return
+        self._enrol(view)
         view.has_reported = True
         self._unheard.discard(view.name)
         self._take_ends(view, report.ended)
@@ -704,6 +730,7 @@
             view.room = None
         view.upstream = upstream
         if upstream is None:
+            self._dismiss(view)
             return
         if view.room is None:
             view.room = Room(
@@ -761,6 +788,15 @@
         if view.room is not None:
             view.room.occupy(Demand())
 
+    def _dismiss(self, view: AgentView) -> None:
+        """Forget durably an agent that certainly holds no run."""
+        if view.is_enrolled and not view.run_by_task:
+            view.is_enrolled = False
+            log_event('agent_dismissed', agent=view.name)
+            self._committer.propose(
+                DismissMembers((f'{AGENT_ROLE}/{view.name}',)), _ignore
+            )
+
     def _stop_unwanted(self, view: AgentView) -> None:
         """Repeat stops that may have been lost with an earlier link."""
         for run in view.run_by_task.values():
@@ -854,14 +890,14 @@
         run_s = now - run.started_at
         match row.end:
             case RunEnd.DONE:
-                room.health.note_done(run_s, run.expected_s)
+                room.health.note_done(
+                    run_s, run.expected_s * room.kind_slowness
+                )
                 if plan is not None:
                     step = plan.job.steps[row.task.step]
+                    plan.note_run_time(row.task.step, run_s)
                     self._run_times.observe(
-                        plan.job.queue,
-                        step.estimate_ms,
-                        run_s,
-                        room.health.slowness,
+                        plan.job.queue, room.kind, step.estimate_ms, run_s
                     )
             case RunEnd.FAILED:
                 log_event(
@@ -951,8 +987,9 @@
             if now - self._ended_by_id[job_id].ended_at < _KEPT_ENDED_S:
                 break
             del self._ended_by_id[job_id]
-        for view in self._view_by_name.values():
-            self._look_at(view, now)
+        if self._is_confirmed():
+            for view in list(self._view_by_name.values()):
+                self._look_at(view, now)
 
     def _end_takeover(self, now: float) -> None:
         if not self._is_taking_over:
@@ -966,30 +1003,61 @@
             jobs=len(self._plan_by_id),
             unheard=sorted(self._unheard),
         )
+        self._unheard = set()
+        self._unheard_entries = set()
+        self._begun_before = set()
+
+    def _may_start(self, plan: JobPlan) -> bool:
+        """Tell whether no run of an earlier term can be under way."""
+        if not self._is_taking_over:
+            return True
+        if plan.job.is_volatile:
+            job_id = plan.job.job_id
+            return (
+                not self._unheard_entries and job_id not in self._begun_before
+            )
+        return plan.job.term == self._term
 
     def _look_at(self, view: AgentView, now: float) -> None:
         if view.connection is None:
             silent_s = boot_time() - view.authority_granted_at
-            if view.run_by_task and silent_s > self._timing.lapse_s:
+            if silent_s > self._timing.lapse_s:
                 self._drop_all_runs(view, 'lease lapsed')
+                self._unheard.discard(view.name)
+            if silent_s > _DISMISSED_AFTER_S:
+                self._dismiss(view)
+                del self._view_by_name[view.name]
             return
+        if view.room is not None:
+            view.room.kind_slowness = self._run_times.slowness(view.room.kind)
         for run in list(view.run_by_task.values()):
-            slowness = view.room.health.slowness if view.room else 1.0
-            expected_s = run.expected_s * max(1.0, slowness)
-            if not run.is_stopping and is_overdue(
-                now - run.started_at, expected_s
-            ):
-                self._replace_overdue(view, run, now)
-
-    def _replace_overdue(self, view: AgentView, run: Run, now: float) -> None:
+            plan = self._plan_by_id.get(run.task.job_id)
+            if plan is None or run.is_stopping:
+                continue
+            run_s = now - run.started_at
+            sibling_s = plan.longest_done_s[run.task.step]
+            if is_overdue(run_s, run.expected_s, sibling_s):
+                self._replace_overdue(view, run, plan, run_s)
+
+    def _replace_overdue(
+        self, view: AgentView, run: Run, plan: JobPlan, run_s: float
+    ) -> None:
         """Stop a run that hangs, so that its task runs elsewhere."""
-        plan = self._plan_by_id.get(run.task.job_id)
-        task = plan.task_by_id.get(run.task) if plan else None
+        task = plan.task_by_id.get(run.task)
         if task is not None:
             task.avoided.add(view.name)
-        if view.room is not None:
-            view.room.health.note_overdue(now)
-            self._log_suspension(view, view.room, 'run overdue')
+        log_event(
+            'run_overdue',
+            job=run.task.job_id,
+            task=_task_text(run.task),
+            run=run.number,
+            agent=view.name,
+            run_ms=round(1000 * run_s),
+            expected_ms=round(1000 * run.expected_s),
+        )
+        room = view.room
+        if room is not None and room.health.note_overdue(time.monotonic()):
+            self._log_suspension(view, room, 'runs hang')
         self._stop_run(view, run.task)
 
     # Starts.
@@ -998,9 +1066,11 @@
         plans = [
             plan
             for job_id, plan in self._plan_by_id.items()
-            if plan.has_waiting and job_id not in self._cancelling_by_id
+            if plan.has_waiting
+            and job_id not in self._cancelling_by_id
+            and self._may_start(plan)
         ]
-        if not plans or self._is_taking_over or not self._is_confirmed():
+        if not plans or not self._is_confirmed():
             return
         rooms_by_service: dict[str, list[Room]] = defaultdict(list)
         for view in self._view_by_name.values():
@@ -1076,5 +1146,19 @@
     )
 
 
+def _named(role: str, members: tuple[str, ...]) -> set[str]:
+    """Return the names of the members with a role."""
+    prefix = f'{role}/'
+    return {
+        member.removeprefix(prefix)
+        for member in members
+        if member.startswith(prefix)
+    }
+
+
+def _ignore(result: object) -> None:
+    """Wait for nothing: a lost command is proposed again when needed."""
+
+
 def _task_text(task: TaskId) -> str:
     return f'{task.step}.{task.index}'
--- a/baobabgap/dispatch/_timing.py
+++ b/baobabgap/dispatch/_timing.py
@@ -16,10 +16,10 @@
     # An agent may renew its upstream's lease for this long without a word
     # from a leader: longer than an election, so that a change of leader
     # interrupts no task.
-    authority_s: float = 2.5
+    authority_s: float = 1.8
     # A leader may grant authority for this long after a majority has
     # confirmed it.
-    confirmation_s: float = 0.6
+    confirmation_s: float = 0.4
     # What an upstream takes to stop runs whose lease has lapsed.
     stop_s: float = 0.05
 
--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -13,6 +13,7 @@
 from baobabgap.dispatch import CallOutcome
 from baobabgap.dispatch import CancelPath
 from baobabgap.dispatch import DropCall
+from baobabgap.dispatch import EntryReport
 from baobabgap.dispatch import LeaderReady
 from baobabgap.dispatch import ReadPath
 from baobabgap.dispatch import SubmitJob
@@ -24,6 +25,9 @@
 _LOOK_PAUSE_S: Final = 0.02
 # Outcomes that say that nothing of the call has been done.
 _NOT_BEGUN: Final = (CallOutcome.UNAVAILABLE, CallOutcome.OVERLOADED)
+# Seconds for which a job that was sent counts as perhaps begun: longer than
+# any task of it can hold a lease after its leader is gone.
+_BEGUN_KEPT_S: Final = 20.0
 # Seconds between looks whether a caller still waits.
 _CALLER_LOOK_S: Final = 0.25
 
@@ -42,6 +46,9 @@
         self._future_by_call: dict[int, Future[CallAnswer]] = {}
         self._connection: Connection | None = None
         self._has_given_up = False
+        # Volatile jobs by when they were last sent to a leader.
+        self._begun_at_by_id: dict[str, float] = {}
+        self._forget_at = 0.0
         self.largest_body_bytes = 256 * 1024
         # Called when the leader's limits are known.
         self.on_ready: Callable[[], None] = _do_nothing
@@ -60,6 +67,8 @@
         """Take answers until the link ends."""
         self.largest_body_bytes = ready.largest_body_bytes
         with self._lock:
+            # Before any call: the leader must know what may have begun.
+            connection.send(EntryReport(self._begun_job_ids()))
             self._connection = connection
         self.on_ready()
         try:
@@ -128,6 +137,8 @@
                     number, CallOutcome.UNAVAILABLE, detail='no leader'
                 )
             self._future_by_call[number] = future
+            if isinstance(call, SubmitJob) and call.is_volatile:
+                self._begun_at_by_id[_job_id(call)] = time.monotonic()
         connection.send(replace(call, call=number))
         while True:
             left_s = answer_by - time.monotonic()
@@ -145,8 +156,24 @@
             number, CallOutcome.UNKNOWN, detail='no answer in time'
         )
 
+    def _begun_job_ids(self) -> tuple[str, ...]:
+        """Return the jobs that a leader may have begun; the lock is held."""
+        oldest = time.monotonic() - _BEGUN_KEPT_S
+        for job_id, begun_at in list(self._begun_at_by_id.items()):
+            if begun_at < oldest:
+                del self._begun_at_by_id[job_id]
+        return tuple(self._begun_at_by_id)
+
+    def _forget_old(self) -> None:
+        """Keep the record of begun jobs small; the lock is held."""
+        now = time.monotonic()
+        if now >= self._forget_at:
+            self._forget_at = now + _BEGUN_KEPT_S / 4
+            self._begun_job_ids()
+
     def _resolve(self, answer: CallAnswer) -> None:
         with self._lock:
+            self._forget_old()
             future = self._future_by_call.pop(answer.call, None)
         if future is not None:
             future.set_result(answer)
@@ -162,6 +189,10 @@
             )
 
 
+def _job_id(call: SubmitJob) -> str:
+    return call.path.rpartition('/')[2]
+
+
 def _may_repeat(call: Call, answer: CallAnswer) -> bool:
     """Tell whether a call can go out again without harm."""
     match answer.outcome:
--- a/baobabgap/leaderlink/_link.py
+++ b/baobabgap/leaderlink/_link.py
@@ -20,7 +20,9 @@
 
 # Seconds between rounds over all known control hosts: a few rounds fit
 # into the shortest election.
-_ROUND_PAUSE_S: Final = 0.1
+_ROUND_PAUSE_S: Final = 0.06
+# Seconds for opening a link: a host that takes longer is no use as leader.
+_DIAL_LIMIT_S: Final = 0.4
 
 
 class LeaderLink:
@@ -41,6 +43,9 @@
     ) -> None:
         self._own: Final = own
         self._timing: Final = timing
+        self._dial_timing: Final = LinkTiming(
+            timing.heartbeat_s, _DIAL_LIMIT_S
+        )
         self._pool: Final = pool
         # Addresses from the settings, which may be exchanged meanwhile.
         self._configured: Final = configured
@@ -81,7 +86,10 @@
         """Use one control host; tell whether it led."""
         self._hint = ''
         try:
-            connection = dial(address, self._own(), self._timing, self._pool)
+            connection = dial(
+                address, self._own(), self._dial_timing, self._pool
+            )
+            connection.use_timing(self._timing)
         except BaobabgapError as error:
             if address not in self._unreachable:
                 self._unreachable.add(address)
@@ -94,6 +102,8 @@
         try:
             return self._use(address, connection)
         except BaobabgapError as error:
+            # Perhaps it hangs: the others are asked first.
+            self._unreachable.add(address)
             log_event('leader_link_lost', address=address, error=str(error))
             return True
         finally:
@@ -106,8 +116,6 @@
         match first:
             case LeaderReady():
                 self._learned = first.control_addresses
-                # After a lost link the same host is asked first.
-                self._hint = address
                 log_event('leader_linked', address=address, fence=first.fence)
                 linked_at = time.monotonic()
                 try:
--- a/baobabgap/scheduling/_health.py
+++ b/baobabgap/scheduling/_health.py
@@ -4,7 +4,12 @@
 from typing import Final
 
 # The share of a new run in the moving average of slowness.
-_WEIGHT: Final = 0.2
+_WEIGHT: Final = 0.1
+# An upstream is slow, and not just of a slower kind, from this multiple of
+# what its kind takes.
+_SICK_SLOWNESS: Final = 1.9
+# Runs that hang in a row, with none done between, that suspend an upstream.
+_HANGS_TO_SUSPEND: Final = 3
 # Failures in a row, with no success between, that suspend an upstream: one
 # may be the task's own fault.
 _FAILURES_TO_SUSPEND: Final = 2
@@ -13,10 +18,13 @@
 _LONGEST_SUSPENSION_S: Final = 8.0
 # Runs that a suspended upstream gets at a time when it is tried again.
 _TRIAL_RUNS: Final = 1
-# Multiples of the expected run time from which a run counts as overdue.
-_OVERDUE_FACTOR: Final = 2.5
+# Multiples of the expected run time from which a run counts as overdue:
+# estimates are rough.
+_OVERDUE_FACTOR: Final = 3.0
+# The same where tasks of its step have shown how long they take.
+_OVERDUE_AMONG_SIBLINGS: Final = 2.0
 # Seconds that a run may take longer in any case: clocks, queues, wakes.
-_OVERDUE_SLACK_S: Final = 0.15
+_OVERDUE_SLACK_S: Final = 0.25
 
 
 @dataclass(slots=True)
@@ -26,6 +34,7 @@
     # Observed over expected run time; 1.0 is sound.
     slowness: float = 1.0
     failures_in_row: int = 0
+    hangs_in_row: int = 0
     suspensions: int = 0
     suspended_until: float = 0.0
     # Whether it has not succeeded since its last suspension.
@@ -34,6 +43,7 @@
     def note_done(self, run_s: float, expected_s: float) -> None:
         """Take note of a run that was done."""
         self.failures_in_row = 0
+        self.hangs_in_row = 0
         self.on_trial = False
         self.suspensions = 0
         ratio = run_s / max(expected_s, 0.001)
@@ -47,9 +57,18 @@
             return True
         return False
 
-    def note_overdue(self, now: float) -> None:
-        """Suspend an upstream that holds a run far beyond its time."""
-        self._suspend(now)
+    def note_overdue(self, now: float) -> bool:
+        """Take note of a run that hangs; tell whether it suspends."""
+        self.hangs_in_row += 1
+        if self.on_trial or self.hangs_in_row >= _HANGS_TO_SUSPEND:
+            self._suspend(now)
+            return True
+        return False
+
+    @property
+    def sickness(self) -> float:
+        """How much longer runs take than on others of its kind, or 1."""
+        return self.slowness if self.slowness >= _SICK_SLOWNESS else 1.0
 
     def may_take(self, running: int, now: float) -> bool:
         """Tell whether the upstream may get one more run."""
@@ -68,6 +87,14 @@
         self.on_trial = True
 
 
-def is_overdue(run_s: float, expected_s: float) -> bool:
-    """Tell whether a run has taken far longer than it should."""
-    return run_s > _OVERDUE_FACTOR * expected_s + _OVERDUE_SLACK_S
+def is_overdue(
+    run_s: float, expected_s: float, sibling_s: float | None
+) -> bool:
+    """Tell whether a run has taken far longer than it should.
+
+    `sibling_s` is the longest run of a task of the same step that is
+    done, or None.
+    """
+    if sibling_s is None:
+        return run_s > _OVERDUE_FACTOR * expected_s + _OVERDUE_SLACK_S
+    return run_s > _OVERDUE_AMONG_SIBLINGS * sibling_s + _OVERDUE_SLACK_S
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -44,6 +44,8 @@
         # Tasks that wait for a start, by step.
         self.waiting_by_step: list[list[TaskState]] = []
         self._left_by_step: list[int] = []
+        # The longest run that was done, by step, seconds.
+        self.longest_done_s: list[float | None] = [None] * len(job.steps)
         self.expected_s: tuple[float, ...] = tuple(
             run_times.expected_s(job.queue, step.estimate_ms)
             for step in job.steps
@@ -115,6 +117,11 @@
         task.last_run = max(task.last_run, run)
         self.has_started = True
 
+    def note_run_time(self, step: int, run_s: float) -> None:
+        """A run of a step was done after so many seconds."""
+        held = self.longest_done_s[step]
+        self.longest_done_s[step] = max(held or 0.0, run_s)
+
     def note_gone(self, task: TaskState) -> None:
         """The task's run is over without being done: it waits again."""
         if task.upstream:
--- a/baobabgap/scheduling/_rooms.py
+++ b/baobabgap/scheduling/_rooms.py
@@ -24,8 +24,15 @@
     # Whether new runs may start: reachable, and not draining.
     is_open: bool = True
     running: int = 0
+    # How long runs take on its kind of upstream; 1 is usual.
+    kind_slowness: float = 1.0
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
 
+    @property
+    def kind(self) -> str:
+        """The kind of upstream: its first label."""
+        return self.labels[0] if self.labels else ''
+
     def occupy(self, demand: Demand) -> None:
         """Take room for a run."""
         self.free = self.free.minus(demand)
@@ -61,7 +68,7 @@
     for room in rooms:
         if not _is_fit(room, step, avoided, used_by_step, now):
             continue
-        slowness = max(1.0, room.health.slowness)
+        slowness = room.kind_slowness * room.health.sickness
         if step.data_rack and step.data_rack not in room.labels:
             slowness *= far_factor
         cost = (round(slowness, 1), -room.free_share)
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -41,7 +41,7 @@
 _CALLERS: Final = 6
 # The longest wait of one look for ends, milliseconds: several looks fit
 # into a lease, so that a lost one does no harm.
-_LOOK_WAIT_MS: Final = 300
+_LOOK_WAIT_MS: Final = 250
 # Seconds between two looks at least, while ends wait to be noted.
 _LOOK_PAUSE_S: Final = 0.012
 # Seconds between tries while the upstream doesn't answer.
@@ -51,7 +51,7 @@
 # Seconds between repetitions of a stop that got no answer.
 _STOP_PAUSE_S: Final = 0.25
 # Seconds between requests for authority.
-_AUTHORITY_PAUSE_S: Final = 0.4
+_AUTHORITY_PAUSE_S: Final = 0.25
 # Milliseconds of lease below which a start isn't worth sending.
 _SHORTEST_LEASE_MS: Final = 200
 
