--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -20,6 +20,9 @@
     # When it was ordered or found, and how long it should take, seconds.
     started_at: float
     expected_s: float
+    # Whether it was found rather than ordered: it began at some earlier
+    # time, so that nothing is learned from how long it takes.
+    was_found: bool = False
     # Whether a stop was ordered.
     is_stopping: bool = False
 
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -376,7 +376,7 @@
                 self._stop_run(view, row.task)
             else:
                 self._remove_run(view, row.task)
-                self._add_run(view, plan, task, row.run)
+                self._add_run(view, plan, task, row.run, was_found=True)
         log_event(
             'job_taken_in',
             job=job_id,
@@ -763,7 +763,7 @@
             plan = self._plan_by_id.get(row.task.job_id)
             task = plan.task_by_id.get(row.task) if plan else None
             if plan is not None and task is not None and not task.upstream:
-                self._add_run(view, plan, task, row.run)
+                self._add_run(view, plan, task, row.run, was_found=True)
                 continue
             self._follow_unwanted(view, row)
             if plan is None and self._is_new_here(row.task.job_id):
@@ -807,7 +807,13 @@
                 self._send_stop(view, (RunRow(run.task, run.number, True),))
 
     def _add_run(
-        self, view: AgentView, plan: JobPlan, task: TaskState, number: int
+        self,
+        view: AgentView,
+        plan: JobPlan,
+        task: TaskState,
+        number: int,
+        *,
+        was_found: bool = False,
     ) -> None:
         demand = plan.job.steps[task.task.step].demand
         plan.note_started(task, view.name, number)
@@ -817,6 +823,7 @@
             demand,
             time.monotonic(),
             plan.expected_s[task.task.step],
+            was_found,
         )
         if view.room is not None:
             view.room.occupy(demand)
@@ -889,6 +896,8 @@
         now = time.monotonic()
         run_s = now - run.started_at
         match row.end:
+            case RunEnd.DONE if run.was_found:
+                room.health.note_done(run.expected_s, run.expected_s)
             case RunEnd.DONE:
                 room.health.note_done(
                     run_s, run.expected_s * room.kind_slowness
--- a/baobabgap/scheduling/_health.py
+++ b/baobabgap/scheduling/_health.py
@@ -53,16 +53,14 @@
         """Take note of a failed run; tell whether it is suspended now."""
         self.failures_in_row += 1
         if self.on_trial or self.failures_in_row >= _FAILURES_TO_SUSPEND:
-            self._suspend(now)
-            return True
+            return self._suspend(now)
         return False
 
     def note_overdue(self, now: float) -> bool:
         """Take note of a run that hangs; tell whether it suspends."""
         self.hangs_in_row += 1
         if self.on_trial or self.hangs_in_row >= _HANGS_TO_SUSPEND:
-            self._suspend(now)
-            return True
+            return self._suspend(now)
         return False
 
     @property
@@ -76,15 +74,27 @@
             return False
         return not self.on_trial or running < _TRIAL_RUNS
 
-    def _suspend(self, now: float) -> None:
-        if now < self.suspended_until:
-            return
+    def pardon(self) -> None:
+        """Take the upstream for sound until it shows otherwise."""
+        self.suspended_until = 0.0
+        self.on_trial = False
+        self.hangs_in_row = 0
+        self.failures_in_row = 0
+
+    def is_suspended(self, now: float) -> bool:
+        """Tell whether the upstream gets nothing for now."""
+        return now < self.suspended_until
+
+    def _suspend(self, now: float) -> bool:
+        if self.is_suspended(now):
+            return False
         pause_s = min(
             _FIRST_SUSPENSION_S * 2**self.suspensions, _LONGEST_SUSPENSION_S
         )
         self.suspensions += 1
         self.suspended_until = now + pause_s
         self.on_trial = True
+        return True
 
 
 def is_overdue(
--- a/baobabgap/scheduling/_planner.py
+++ b/baobabgap/scheduling/_planner.py
@@ -13,6 +13,7 @@
 from baobabgap.scheduling._job_plan import TaskState
 from baobabgap.scheduling._rooms import choose_room
 from baobabgap.scheduling._rooms import Room
+from baobabgap.scheduling._rooms import usable_rooms
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,9 +54,13 @@
     ]
     line.sort(key=lambda item: (item.lateness, item.latest_start))
     full_services: set[str] = set()
+    usable_by_service = {
+        service: usable_rooms(rooms, now)
+        for service, rooms in rooms_by_service.items()
+    }
     for item in line:
         service = item.plan.job.service
-        rooms = rooms_by_service.get(service, [])
+        rooms = usable_by_service.get(service, [])
         if service in full_services:
             continue
         placed = _place_step(item, rooms, far_factor, now)
--- a/baobabgap/scheduling/_rooms.py
+++ b/baobabgap/scheduling/_rooms.py
@@ -49,6 +49,20 @@
         return self.free.cpu_millicores / max(1, self.capacity.cpu_millicores)
 
 
+def usable_rooms(rooms: list[Room], now: float) -> list[Room]:
+    """Leave out suspended rooms, unless most of the rooms are.
+
+    What makes most upstreams look bad at once is hardly their own fault.
+    """
+    opened = [room for room in rooms if room.is_open]
+    sound = [room for room in opened if not room.health.is_suspended(now)]
+    if 2 * len(sound) >= len(opened):
+        return sound
+    for room in opened:
+        room.health.pardon()
+    return opened
+
+
 def choose_room(
     rooms: Iterable[Room],
     step: Step,
@@ -59,7 +73,7 @@
 ) -> Room | None:
     """Return the room where a task of a step ends soonest, or None.
 
-    `avoided` names upstreams that are not to be used, `used_by_step` how
+    `rooms` are those that `usable_rooms` returns. `avoided` names upstreams that are not to be used, `used_by_step` how
     many tasks of the step are on each. Among equally fast rooms the
     emptiest one wins, so that one lost upstream hurts few jobs.
     """
@@ -86,7 +100,9 @@
 ) -> bool:
     if not room.is_open or not step.demand.fits_in(room.free):
         return False
-    if room.name in avoided or not room.health.may_take(room.running, now):
+    if room.name in avoided:
+        return False
+    if not room.health.may_take(room.running, now):
         return False
     if step.required_label and step.required_label not in room.labels:
         return False
