Bound what an unanswered call hides: short looks, stops by all callers

Cause: a worker that leaves calls unanswered also left looks unanswered, each hid all ends for 0.65 s.

--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -407,6 +407,9 @@
 
     def _admit(self, arrived: CallArrived, plan: JobPlan) -> bool:
         job = plan.job
+        if job.job_id in self._begun_before:
+            # A refusal would say that nothing of it has run.
+            return True
         rooms = self._rooms_of(job.service)
         backlog_core_s = self._backlog_core_s(job.service)
         slack_s = LATE_FACTOR * plan.objective_s - max(plan.expected_s)
@@ -444,7 +447,7 @@
             * plan.job.steps[number].demand.cpu_millicores
             / 1000
             for plan in plans
-            if plan.job.service == service
+            if plan.job.service == service and self._may_start(plan)
             for number, waiting in enumerate(plan.waiting_by_step)
         )
 
--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -22,7 +22,8 @@
 Call = SubmitJob | ReadPath | CancelPath
 
 # Seconds between looks for a new leader while a call waits for one.
-_LOOK_PAUSE_S: Final = 0.02
+_LOOK_PAUSE_S: Final = 0.1
+_NO_LEADER_PAUSE_S: Final = 0.02
 # Outcomes that say that nothing of the call has been done.
 _NOT_BEGUN: Final = (CallOutcome.UNAVAILABLE, CallOutcome.OVERLOADED)
 # Seconds for which a job that was sent counts as perhaps begun: longer than
@@ -120,7 +121,7 @@
                 return answer
             if time.monotonic() >= min(give_up_at, answer_by):
                 return answer
-            time.sleep(_LOOK_PAUSE_S)
+            time.sleep(_LOOK_PAUSE_S if self.is_linked else _NO_LEADER_PAUSE_S)
 
     def _ask_once(
         self,
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -38,16 +38,21 @@
 from baobabgap.upstreams._run_table import TrackedRun
 
 # Tasks that send starts and stops; a call that hangs holds one of them.
-_CALLERS: Final = 6
+_CALLERS: Final = 8
 # The longest wait of one look for ends, milliseconds: several looks fit
 # into a lease, so that a lost one does no harm.
 _LOOK_WAIT_MS: Final = 250
+# The same after a look that got no answer: an upstream that leaves calls
+# unanswered hides ends for as long as a look waits.
+_WARY_LOOK_WAIT_MS: Final = 50
+# Seconds for which looks stay short after one got no answer.
+_WARY_S: Final = 5.0
 # Seconds between two looks at least, while ends wait to be noted.
 _LOOK_PAUSE_S: Final = 0.012
 # Seconds between tries while the upstream doesn't answer.
 _SILENT_PAUSE_S: Final = 0.1
 # Looks without an answer after which the upstream counts as unreachable.
-_SILENT_LOOKS: Final = 2
+_SILENT_LOOKS: Final = 3
 # Seconds between repetitions of a stop that got no answer.
 _STOP_PAUSE_S: Final = 0.25
 # Seconds between requests for authority.
@@ -57,7 +62,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Job:
+class _Stop:
+    """One stop that a caller is to send."""
+
+    fence: int
+    instance: str
+    run: TrackedRun
+
+
+@dataclass(frozen=True, slots=True)
+class _Start:
     """One start that a caller is to send."""
 
     link: int
@@ -89,7 +103,7 @@
         self._lock = threading.RLock()
         # Notified when the looking task should not sleep on.
         self._changed = threading.Condition(self._lock)
-        self._starts: SimpleQueue[_Job | None] = SimpleQueue()
+        self._calls: SimpleQueue[_Start | _Stop | None] = SimpleQueue()
         self._stopping = False
         self._is_leaving = False
         self._connection: Connection | None = None
@@ -102,9 +116,8 @@
     def start(self) -> None:
         """Begin to look after the upstream."""
         self._pool.submit(self._run_logged, self._look_until_stopped)
-        self._pool.submit(self._run_logged, self._stop_until_stopped)
         for _ in range(_CALLERS):
-            self._pool.submit(self._run_logged, self._send_starts)
+            self._pool.submit(self._run_logged, self._send_calls)
 
     def leave(self) -> None:
         """Take nothing new; a planned stop follows once nothing runs."""
@@ -124,7 +137,7 @@
             self._stopping = True
             self._changed.notify_all()
         for _ in range(_CALLERS):
-            self._starts.put(None)
+            self._calls.put(None)
 
     def announce(self, upstream: UpstreamState | None) -> None:
         """Take note of what the upstream says of itself; None: it left."""
@@ -190,6 +203,7 @@
         # Ends that were seen and are not noted, by number.
         self._unnoted: dict[int, EndRow] = {}
         self._silent_looks = 0
+        self._silent_at = float('-inf')
         self._owes_report = True
         self._authority_asked_at = float('-inf')
 
@@ -237,8 +251,8 @@
                 self._table.run_by_task[order.task] = TrackedRun(
                     order.task, order.run
                 )
-                self._starts.put(
-                    _Job(self._link, self._fence, message.instance, order)
+                self._calls.put(
+                    _Start(self._link, self._fence, message.instance, order)
                 )
 
     def _take_stops(self, fence: int, rows: tuple[RunRow, ...]) -> None:
@@ -251,7 +265,7 @@
                     self._report_missing(row)
                     continue
                 run.must_stop = True
-            self._changed.notify_all()
+            self._order_stops()
 
     def _report_missing(self, row: RunRow) -> None:
         """Answer for a run that is not here: it never was, or has ended."""
@@ -278,20 +292,26 @@
 
     # Starts.
 
-    def _send_starts(self) -> None:
+    def _send_calls(self) -> None:
         while True:
-            job = self._starts.get()
-            if job is None:
-                return
-            lease_until_ms = self._lease_for_start(job)
-            if lease_until_ms:
-                asked_at = boot_time()
-                outcome, clock_ms = self._client.start(
-                    job.instance, job.order, job.fence, lease_until_ms
-                )
-                self._take_outcome(job, outcome, clock_ms, asked_at)
+            match self._calls.get():
+                case _Start() as start:
+                    self._send_start(start)
+                case _Stop() as stop:
+                    self._send_stop(stop)
+                case None:
+                    return
 
-    def _lease_for_start(self, job: _Job) -> int:
+    def _send_start(self, start: _Start) -> None:
+        lease_until_ms = self._lease_for_start(start)
+        if lease_until_ms:
+            asked_at = boot_time()
+            outcome, clock_ms = self._client.start(
+                start.instance, start.order, start.fence, lease_until_ms
+            )
+            self._take_outcome(start, outcome, clock_ms, asked_at)
+
+    def _lease_for_start(self, job: _Start) -> int:
         """Return the lease for a start, or 0 if it isn't sent."""
         order = job.order
         with self._lock:
@@ -312,7 +332,11 @@
             return until_ms
 
     def _take_outcome(
-        self, job: _Job, outcome: StartOutcome, clock_ms: int, asked_at: float
+        self,
+        job: _Start,
+        outcome: StartOutcome,
+        clock_ms: int,
+        asked_at: float,
     ) -> None:
         order = job.order
         self._metrics.count(f'baobabgap_starts_total{{end="{outcome}"}}')
@@ -331,7 +355,7 @@
                     # comes first.
                     run.must_stop = not run.is_confirmed
                     run.reason = 'unanswered'
-                    self._changed.notify_all()
+                    self._order_stops()
                 case _:
                     self._table.remove(order.task, order.run)
                     self._send_gone((run.row,), str(outcome))
@@ -347,42 +371,24 @@
 
     # Stops.
 
-    def _stop_until_stopped(self) -> None:
-        while True:
-            with self._lock:
-                if self._stopping:
-                    return
-                runs = self._table.to_stop()
-                if not runs:
-                    self._changed.wait(_STOP_PAUSE_S)
-                    runs = self._table.to_stop()
-                upstream = self._upstream
-                fence = self._fence
-                runs = [run for run in runs if not run.is_in_flight]
-            answered = bool(upstream and runs) and self._send_stops(
-                upstream, fence, runs
-            )
-            if runs and not answered:
-                with self._lock:
-                    self._changed.wait(_STOP_PAUSE_S)
-
-    def _send_stops(
-        self,
-        upstream: UpstreamState | None,
-        fence: int,
-        runs: list[TrackedRun],
-    ) -> bool:
-        assert upstream is not None
-        all_answered = True
-        for run in runs:
-            answered = self._client.stop(
-                upstream.instance, run.task, run.run, fence
-            )
-            with self._lock:
-                if answered:
-                    run.stopped_at = boot_time()
-                all_answered = all_answered and answered
-        return all_answered
+    def _order_stops(self) -> None:
+        """Have callers send the stops that are due; the lock is held."""
+        upstream = self._upstream
+        if upstream is None:
+            return
+        now = boot_time()
+        for run in self._table.to_stop(now - _STOP_PAUSE_S):
+            run.stop_sent_at = now
+            self._calls.put(_Stop(self._fence, upstream.instance, run))
+
+    def _send_stop(self, stop: _Stop) -> None:
+        run = stop.run
+        answered = self._client.stop(
+            stop.instance, run.task, run.run, stop.fence
+        )
+        with self._lock:
+            if answered and run.stopped_at is None:
+                run.stopped_at = boot_time()
 
     # Looks.
 
@@ -403,7 +409,7 @@
                 self._pause(_SILENT_PAUSE_S)
                 continue
             asked_at = boot_time()
-            wait_ms = 0 if owes or not lease_ms else _LOOK_WAIT_MS
+            wait_ms = 0 if owes or not lease_ms else self._look_wait_ms()
             try:
                 holding = self._client.hold(
                     upstream.instance if upstream else '',
@@ -418,7 +424,8 @@
                 continue
             if holding is None:
                 self._take_silence()
-                self._pause(_SILENT_PAUSE_S)
+                if self._silent_looks >= _SILENT_LOOKS:
+                    self._pause(_SILENT_PAUSE_S)
                 continue
             self._take_holding(upstream, fence, holding, asked_at)
             if has_unnoted or not lease_ms:
@@ -458,6 +465,7 @@
                 return
             self._clock.note_reading(holding.clock_ms, asked_at)
             self._note_reachable()
+            self._order_stops()
             self._ask_for_authority()
             found, gone = self._table.take_holding(holding, asked_at)
             new_ends = tuple(
@@ -504,10 +512,15 @@
         if gone:
             self._connection.send(RunsGone(*life, tuple(gone), 'stopped'))
 
+    def _look_wait_ms(self) -> int:
+        is_wary = boot_time() - self._silent_at < _WARY_S
+        return _WARY_LOOK_WAIT_MS if is_wary else _LOOK_WAIT_MS
+
     def _take_silence(self) -> None:
         """The upstream doesn't answer: judge by its lease what still runs."""
         with self._lock:
             self._silent_looks += 1
+            self._silent_at = boot_time()
             if self._silent_looks == _SILENT_LOOKS:
                 self._set_reachable(False)
             if not self._clock.is_known or not self._table.run_by_task:
--- a/baobabgap/upstreams/_run_table.py
+++ b/baobabgap/upstreams/_run_table.py
@@ -20,6 +20,8 @@
     is_in_flight: bool = True
     # Whether it is to be stopped; a stop is repeated until answered.
     must_stop: bool = False
+    # When a stop was sent last, in seconds of `boot_time`.
+    stop_sent_at: float = float('-inf')
     # When a stop was answered; the run can't come into being after that.
     stopped_at: float | None = None
     # Why it is reported as gone when the upstream no longer lists it.
@@ -79,12 +81,15 @@
             del self.run_by_task[run.task]
         return found, [run.row for run in gone]
 
-    def to_stop(self) -> list[TrackedRun]:
-        """Return the runs whose stop has not been answered."""
+    def to_stop(self, sent_before: float) -> list[TrackedRun]:
+        """Return the runs to be stopped whose last stop got no answer."""
         return [
             run
             for run in self.run_by_task.values()
-            if run.must_stop and run.stopped_at is None
+            if run.must_stop
+            and not run.is_in_flight
+            and run.stopped_at is None
+            and run.stop_sent_at <= sent_before
         ]
 
     def _confirm(self, held: HeldRun) -> bool:
