--- /dev/null
+++ b/baobabgap/accepted/tests/test_state.py
@@ -0,0 +1,134 @@
+"""The replicated state of accepted jobs, command by command."""
+
+import unittest
+
+from baobabgap.accepted import AcceptedJob
+from baobabgap.accepted import AcceptedState
+from baobabgap.accepted import AcceptJobs
+from baobabgap.accepted import CancelJobs
+from baobabgap.accepted import Demand
+from baobabgap.accepted import DismissMembers
+from baobabgap.accepted import EnrolMembers
+from baobabgap.accepted import JobEnd
+from baobabgap.accepted import JobState
+from baobabgap.accepted import NoteEnds
+from baobabgap.accepted import PutConfiguration
+from baobabgap.accepted import RunEnd
+from baobabgap.accepted import Step
+from baobabgap.accepted import TaskEnd
+from baobabgap.accepted import TaskId
+from baobabgap.messages import encode
+from baobabgap.queues import QueueConfiguration
+
+RETENTION_MS = 1000
+
+
+def make_job(job_id: str = 'a', tasks: int = 2) -> AcceptedJob:
+    return AcceptedJob(
+        job_id,
+        'queue',
+        'service',
+        0,
+        2,
+        1.6,
+        60,
+        'payload',
+        (Step(tasks, Demand(1000, 64, 0), 100),),
+        100,
+        1,
+    )
+
+
+def configuration(version: int) -> QueueConfiguration:
+    return QueueConfiguration(version, b'{}', (), ())
+
+
+class AcceptedStateTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.state = AcceptedState(RETENTION_MS)
+        self.index = 0
+
+    def apply(self, command: object) -> object:
+        self.index += 1
+        return self.state.apply(self.index, encode([command]))
+
+    def end(
+        self, index: int, end: RunEnd, run: int = 1, now_ms: int = 200
+    ) -> object:
+        return self.apply(
+            NoteEnds((TaskEnd(TaskId('a', 0, index), run, end),), now_ms)
+        )
+
+    def test_job_completes_with_its_last_task(self) -> None:
+        self.apply(AcceptJobs((make_job(),)))
+        self.assertEqual([], self.end(0, RunEnd.DONE))
+        self.assertIs(JobState.QUEUED, self.state.state_of('a'))
+        self.assertEqual(
+            [JobEnd('a', JobState.COMPLETED)], self.end(1, RunEnd.DONE)
+        )
+        self.assertIs(JobState.COMPLETED, self.state.state_of('a'))
+
+    def test_second_acceptance_changes_nothing(self) -> None:
+        self.apply(AcceptJobs((make_job(),)))
+        self.end(0, RunEnd.DONE)
+        self.apply(AcceptJobs((make_job(),)))
+        self.assertEqual({(0, 0)}, self.state.unfinished_by_id['a'].done)
+        self.end(1, RunEnd.DONE)
+        self.apply(AcceptJobs((make_job(),)))
+        self.assertIs(JobState.COMPLETED, self.state.state_of('a'))
+
+    def test_same_failed_run_counts_once(self) -> None:
+        self.apply(AcceptJobs((make_job(),)))
+        self.assertEqual([], self.end(0, RunEnd.FAILED, run=1))
+        self.assertEqual([], self.end(0, RunEnd.FAILED, run=1))
+        self.assertEqual(
+            [JobEnd('a', JobState.FAILED)], self.end(0, RunEnd.FAILED, run=2)
+        )
+
+    def test_cancelled_job_stays_cancelled(self) -> None:
+        self.apply(AcceptJobs((make_job(tasks=1),)))
+        self.apply(CancelJobs(('a', 'unknown'), 150))
+        self.assertEqual([], self.end(0, RunEnd.DONE))
+        self.assertIs(JobState.CANCELLED, self.state.state_of('a'))
+        self.assertIsNone(self.state.state_of('unknown'))
+
+    def test_highest_version_stays_in_force(self) -> None:
+        seen: list[int] = []
+        self.state.on_configuration = lambda held: seen.append(held.version)
+        for version in (3, 2, 3, 7, 5):
+            self.apply(PutConfiguration(configuration(version)))
+        self.assertEqual([3, 7], seen)
+
+    def test_ended_job_is_forgotten_after_its_retention(self) -> None:
+        self.apply(AcceptJobs((make_job(tasks=1),)))
+        self.end(0, RunEnd.DONE, now_ms=200)
+        self.apply(NoteEnds((), 200 + RETENTION_MS))
+        self.assertIs(JobState.COMPLETED, self.state.state_of('a'))
+        self.apply(NoteEnds((), 201 + RETENTION_MS))
+        self.assertIsNone(self.state.state_of('a'))
+
+    def test_members_are_kept_until_dismissed(self) -> None:
+        self.apply(EnrolMembers(('agent/a', 'entry/b')))
+        self.apply(DismissMembers(('agent/a',)))
+        self.assertEqual({'entry/b'}, self.state.members)
+
+    def test_snapshot_restores_everything(self) -> None:
+        self.apply(PutConfiguration(configuration(4)))
+        self.apply(EnrolMembers(('agent/a',)))
+        self.apply(AcceptJobs((make_job(), make_job('b', 1))))
+        self.end(0, RunEnd.DONE)
+        self.end(1, RunEnd.FAILED, run=3)
+        self.apply(CancelJobs(('b',), 300))
+        restored = AcceptedState(RETENTION_MS)
+        seen: list[int] = []
+        restored.on_configuration = lambda held: seen.append(held.version)
+        restored.restore(self.index, self.state.snapshot())
+        self.assertEqual(self.state.snapshot(), restored.snapshot())
+        self.assertEqual([4], seen)
+        self.assertEqual(
+            {(0, 1): {3}}, restored.unfinished_by_id['a'].failed_runs_by_task
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/baobabgap/dispatch/__init__.py
+++ b/baobabgap/dispatch/__init__.py
@@ -27,7 +27,7 @@
 from baobabgap.dispatch._roles import AGENT_ROLE
 from baobabgap.dispatch._roles import ENTRY_ROLE
 from baobabgap.dispatch._roles import JOINER_ROLE
-from baobabgap.dispatch._scheduler import boot_time
+from baobabgap.dispatch._timing import boot_time
 from baobabgap.dispatch._timing import CLOCK_DRIFT
 from baobabgap.dispatch._timing import LeaseTiming
 
--- /dev/null
+++ b/baobabgap/dispatch/_agent_desk.py
@@ -0,0 +1,368 @@
+"""Agents and their upstreams: links, reports, authority, ends of runs."""
+
+import time
+from typing import Final
+
+from baobabgap.accepted import AcceptedState
+from baobabgap.accepted import DismissMembers
+from baobabgap.accepted import EnrolMembers
+from baobabgap.accepted import JobEnd
+from baobabgap.accepted import JobState
+from baobabgap.accepted import RunEnd
+from baobabgap.accepted import TaskEnd
+from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch._agent_view import Run
+from baobabgap.dispatch._books import Books
+from baobabgap.dispatch._closing import JobCloser
+from baobabgap.dispatch._committer import Committer
+from baobabgap.dispatch._committer import ignore_result
+from baobabgap.dispatch._events import MembersEnrolled
+from baobabgap.dispatch._events import Tell
+from baobabgap.dispatch._messages import Authority
+from baobabgap.dispatch._messages import AuthorityRequest
+from baobabgap.dispatch._messages import EndRow
+from baobabgap.dispatch._messages import EndsNoted
+from baobabgap.dispatch._messages import FullReport
+from baobabgap.dispatch._messages import RunRow
+from baobabgap.dispatch._messages import RunsEnded
+from baobabgap.dispatch._messages import RunsFound
+from baobabgap.dispatch._messages import RunsGone
+from baobabgap.dispatch._messages import UpstreamChanged
+from baobabgap.dispatch._messages import UpstreamState
+from baobabgap.dispatch._roles import AGENT_ROLE
+from baobabgap.dispatch._run_book import RunBook
+from baobabgap.dispatch._run_book import task_text
+from baobabgap.dispatch._timing import boot_time
+from baobabgap.dispatch._timing import LeaseTiming
+from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import Room
+from baobabgap.scheduling import TaskState
+from baobabgap.telemetry import log_event
+from baobabgap.transport import Connection
+
+
+class AgentDesk:
+    """Takes what agents report, as the leader."""
+
+    def __init__(
+        self,
+        books: Books,
+        runs: RunBook,
+        closer: JobCloser,
+        state: AcceptedState,
+        committer: Committer,
+        timing: LeaseTiming,
+        tell: Tell,
+    ) -> None:
+        self._books: Final = books
+        self._runs: Final = runs
+        self._closer: Final = closer
+        self._state: Final = state
+        self._committer: Final = committer
+        self._timing: Final = timing
+        self._tell: Final = tell
+
+    def take_link(self, connection: Connection) -> None:
+        """An agent has a new link; its full report follows."""
+        name = connection.peer.name
+        view = self._books.view_by_name.get(name)
+        if view is None:
+            view = self._books.view_by_name[name] = AgentView(name)
+        view.connection = connection
+        view.has_reported = False
+        self._enrol(view)
+
+    def take_lost_link(self, connection: Connection) -> None:
+        """A link has ended; the upstream's lease goes on for a while."""
+        view = self._books.view_by_name.get(connection.peer.name)
+        if view is None or view.connection is not connection:
+            return
+        log_event('agent_lost', agent=view.name, runs=len(view.run_by_task))
+        view.connection = None
+        view.has_reported = False
+
+    def take_enrolled(self, event: MembersEnrolled) -> None:
+        """An agent is durably known, and may get runs."""
+        view = self._books.view_by_name.get(event.name)
+        if event.term == self._books.term and view is not None:
+            view.is_enrolled = True
+            view.is_enrolling = False
+
+    def take(
+        self, connection: Connection, message: object, is_confirmed: bool
+    ) -> None:
+        """Take one message of an agent."""
+        view = self._books.view_by_name.get(connection.peer.name)
+        if view is None or view.connection is not connection:
+            return
+        match message:
+            case FullReport():
+                self._take_full_report(view, message)
+            case AuthorityRequest():
+                if is_confirmed and view.is_enrolled:
+                    self._grant(view, connection, message)
+            case UpstreamChanged(upstream=upstream):
+                self._change_upstream(view, upstream)
+            case RunsEnded() | RunsGone() | RunsFound():
+                if view.is_life(message.instance, message.born_ms):
+                    self._take_of_runs(view, message)
+
+    def _take_of_runs(
+        self, view: AgentView, message: RunsEnded | RunsGone | RunsFound
+    ) -> None:
+        match message:
+            case RunsEnded(ended=ended):
+                self._take_ends(view, ended)
+            case RunsGone():
+                self._take_gone(view, message)
+            case RunsFound(runs=rows):
+                self._adopt(view, rows)
+
+    def dismiss(self, view: AgentView) -> None:
+        """Forget durably an agent that certainly holds no run."""
+        if view.is_enrolled and not view.run_by_task:
+            view.is_enrolled = False
+            log_event('agent_dismissed', agent=view.name)
+            self._committer.propose(
+                DismissMembers((f'{AGENT_ROLE}/{view.name}',)), ignore_result
+            )
+
+    def _enrol(self, view: AgentView) -> None:
+        """Have an agent durably known before it gets runs."""
+        if view.is_enrolled or view.is_enrolling:
+            return
+        view.is_enrolling = True
+        name, term = view.name, self._books.term
+        self._committer.propose(
+            EnrolMembers((f'{AGENT_ROLE}/{name}',)),
+            lambda result: self._tell(MembersEnrolled(term, name)),
+        )
+
+    def _grant(
+        self,
+        view: AgentView,
+        connection: Connection,
+        request: AuthorityRequest,
+    ) -> None:
+        """Let an agent renew leases: this host surely still leads."""
+        view.authority_granted_at = boot_time()
+        until_ms = request.clock_ms + int(1000 * self._timing.authority_s)
+        connection.send(
+            Authority(self._books.term, request.instance, until_ms)
+        )
+
+    def _take_full_report(self, view: AgentView, report: FullReport) -> None:
+        if report.fence != self._books.term:
+            return
+        self._change_upstream(view, report.upstream)
+        if report.upstream is None:
+            return
+        self._enrol(view)
+        view.has_reported = True
+        self._books.takeover.hear_agent(view.name)
+        self._take_ends(view, report.ended)
+        held = {row.task for row in report.running}
+        for task_id in list(view.run_by_task):
+            if task_id not in held:
+                self._runs.drop(view, task_id, 'not reported')
+        self._adopt(view, report.running)
+        self._runs.repeat_stops(view)
+        log_event(
+            'agent_reported',
+            agent=view.name,
+            instance=report.upstream.instance,
+            running=len(report.running),
+            ended=len(report.ended),
+        )
+
+    def _change_upstream(
+        self, view: AgentView, upstream: UpstreamState | None
+    ) -> None:
+        held = view.upstream
+        is_same = upstream is not None and view.is_life(
+            upstream.instance, upstream.born_ms
+        )
+        if not is_same:
+            if held is not None:
+                self._runs.drop_all(view, 'upstream is gone')
+            view.last_end_number = 0
+            view.room = None
+        view.upstream = upstream
+        if upstream is None:
+            self.dismiss(view)
+            return
+        if view.room is None:
+            view.room = _room_of(view, upstream)
+        view.room.is_open = upstream.is_reachable and not upstream.is_draining
+        if held != upstream:
+            log_event(
+                'upstream_changed',
+                agent=view.name,
+                instance=upstream.instance,
+                born_ms=upstream.born_ms,
+                service=upstream.service,
+                draining=upstream.is_draining,
+                reachable=upstream.is_reachable,
+            )
+
+    def _adopt(self, view: AgentView, rows: tuple[RunRow, ...]) -> None:
+        """Follow runs that the upstream has; stop what nobody wants."""
+        for row in rows:
+            known = view.run_by_task.get(row.task)
+            if known is not None and known.number >= row.run:
+                continue
+            found = self._books.find(row.task)
+            if found is not None and not found[1].upstream:
+                self._runs.add(view, *found, row.run, was_found=True)
+                continue
+            self._runs.add_unwanted(view, row)
+            if self._may_be_handed_in(row.task.job_id):
+                now = time.monotonic()
+                self._books.orphans.add_run(view.name, row, now)
+            else:
+                self._runs.stop(view, row.task)
+
+    def _may_be_handed_in(self, job_id: str) -> bool:
+        """Tell whether a job may yet be handed in to this leader."""
+        return (
+            job_id not in self._books.plan_by_id
+            and job_id not in self._books.ended_by_id
+            and self._state.state_of(job_id) is None
+        )
+
+    def _take_gone(self, view: AgentView, message: RunsGone) -> None:
+        for row in message.runs:
+            run = view.run_by_task.get(row.task)
+            if run is not None and run.number == row.run:
+                self._runs.drop(view, row.task, message.reason)
+
+    def _take_ends(self, view: AgentView, rows: tuple[EndRow, ...]) -> None:
+        upstream = view.upstream
+        assert upstream is not None
+        for row in rows:
+            if row.number > view.last_end_number:
+                view.last_end_number = row.number
+                self._take_end(view, row)
+        if rows:
+            self._closer.add_noted(
+                view.name,
+                EndsNoted(
+                    upstream.instance, upstream.born_ms, view.last_end_number
+                ),
+            )
+
+    def _take_end(self, view: AgentView, row: EndRow) -> None:
+        run = view.run_by_task.get(row.task)
+        if run is not None and run.number != row.run:
+            run = None
+        self._store_end(row)
+        if run is not None:
+            self._judge(view, row, run)
+            self._runs.remove(view, row.task)
+        found = self._books.find(row.task)
+        if found is not None:
+            self._settle(view, row, *found, is_current=run is not None)
+        elif self._may_be_handed_in(row.task.job_id):
+            self._books.orphans.add_end(row, time.monotonic())
+
+    def _store_end(self, row: EndRow) -> None:
+        if row.end is RunEnd.INTERRUPTED:
+            return
+        if self._state.state_of(row.task.job_id) is not None:
+            self._closer.add_end(TaskEnd(row.task, row.run, row.end))
+
+    def _settle(
+        self,
+        view: AgentView,
+        row: EndRow,
+        plan: JobPlan,
+        task: TaskState,
+        *,
+        is_current: bool,
+    ) -> None:
+        """Bring a task forward by the end of one of its runs."""
+        task.last_run = max(task.last_run, row.run)
+        match row.end:
+            case RunEnd.DONE:
+                self._settle_done(plan, task, is_current)
+            case RunEnd.FAILED:
+                task.failed_runs.add(row.run)
+                task.avoided.add(view.name)
+                self._settle_failed(plan, task, is_current)
+            case RunEnd.INTERRUPTED:
+                if is_current:
+                    plan.note_gone(task)
+
+    def _settle_done(
+        self, plan: JobPlan, task: TaskState, is_current: bool
+    ) -> None:
+        if task.upstream and not is_current:
+            # A later run of the same task is under way elsewhere.
+            other = self._books.view_by_name[task.upstream]
+            self._runs.stop(other, task.task)
+        plan.note_done(task.task)
+        if plan.is_done and plan.job.is_volatile:
+            self._closer.close(JobEnd(plan.job.job_id, JobState.COMPLETED))
+
+    def _settle_failed(
+        self, plan: JobPlan, task: TaskState, is_current: bool
+    ) -> None:
+        """Let a failed task wait again, unless its job fails by it."""
+        if len(task.failed_runs) < plan.job.attempts:
+            if is_current:
+                plan.note_gone(task)
+        elif plan.job.is_volatile:
+            if is_current:
+                task.upstream = ''
+            self._closer.close(JobEnd(plan.job.job_id, JobState.FAILED))
+
+    def _judge(self, view: AgentView, row: EndRow, run: Run) -> None:
+        """Learn from an end about the upstream and the queue."""
+        room = view.room
+        if room is None:
+            return
+        now = time.monotonic()
+        run_s = now - run.started_at
+        match row.end:
+            case RunEnd.DONE:
+                self._learn(room, row, run, run_s)
+            case RunEnd.FAILED:
+                is_suspended = room.health.note_failed(now)
+                log_event(
+                    'run_failed',
+                    job=row.task.job_id,
+                    task=task_text(row.task),
+                    run=row.run,
+                    agent=view.name,
+                    run_ms=round(1000 * run_s),
+                    failures_in_row=room.health.failures_in_row,
+                    suspended=is_suspended,
+                )
+
+    def _learn(self, room: Room, row: EndRow, run: Run, run_s: float) -> None:
+        if run.was_found:
+            # How long it has run in all isn't known.
+            room.health.note_done(run.expected_s, run.expected_s)
+            return
+        room.health.note_done(run_s, run.expected_s * room.kind_slowness)
+        plan = self._books.plan_by_id.get(row.task.job_id)
+        if plan is not None:
+            step = plan.job.steps[row.task.step]
+            plan.note_run_time(row.task.step, run_s)
+            self._books.run_times.observe(
+                plan.job.queue, room.kind, step.estimate_ms, run_s
+            )
+
+
+def _room_of(view: AgentView, upstream: UpstreamState) -> Room:
+    room = Room(
+        view.name,
+        upstream.service,
+        upstream.availability_zone,
+        upstream.labels,
+        upstream.capacity,
+        upstream.capacity,
+    )
+    for run in view.run_by_task.values():
+        room.occupy(run.demand)
+    return room
--- /dev/null
+++ b/baobabgap/dispatch/_call_desk.py
@@ -0,0 +1,310 @@
+"""Calls of clients: submit, read, count, cancel."""
+
+import time
+from typing import Final
+
+from baobabgap.accepted import AcceptedJob
+from baobabgap.accepted import AcceptedState
+from baobabgap.accepted import AcceptJobs
+from baobabgap.accepted import CancelJobs
+from baobabgap.accepted import JobEnd
+from baobabgap.accepted import JobState
+from baobabgap.dispatch._books import Books
+from baobabgap.dispatch._closing import JobCloser
+from baobabgap.dispatch._committer import Committer
+from baobabgap.dispatch._events import CallArrived
+from baobabgap.dispatch._events import CallDropped
+from baobabgap.dispatch._events import CancelStored
+from baobabgap.dispatch._events import JobsStored
+from baobabgap.dispatch._events import Tell
+from baobabgap.dispatch._messages import CallOutcome
+from baobabgap.dispatch._messages import CancelPath
+from baobabgap.dispatch._messages import ReadPath
+from baobabgap.dispatch._messages import SubmitJob
+from baobabgap.dispatch._replies import answer
+from baobabgap.dispatch._replies import answer_unavailable
+from baobabgap.dispatch._run_book import RunBook
+from baobabgap.queues import QueueMatch
+from baobabgap.scheduling import admit
+from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import LATE_FACTOR
+from baobabgap.telemetry import log_event
+from baobabgap.telemetry import Metrics
+
+
+class CallDesk:
+    """Answers calls, as the confirmed leader."""
+
+    def __init__(
+        self,
+        books: Books,
+        runs: RunBook,
+        closer: JobCloser,
+        state: AcceptedState,
+        committer: Committer,
+        tell: Tell,
+        metrics: Metrics,
+    ) -> None:
+        self._books: Final = books
+        self._runs: Final = runs
+        self._closer: Final = closer
+        # Read here by single look-ups only, which don't interleave.
+        self._state: Final = state
+        self._committer: Final = committer
+        self._tell: Final = tell
+        self._metrics: Final = metrics
+
+    def take(self, arrived: CallArrived) -> None:
+        """Answer a call, now or later."""
+        table = self._books.table
+        if table is None:
+            answer_unavailable(arrived, 'no configuration yet')
+            return
+        call = arrived.call
+        match = table.find(call.host, call.path)
+        if match is None:
+            answer(arrived, CallOutcome.NO_SUCH_QUEUE)
+            return
+        match call:
+            case SubmitJob():
+                self._submit(arrived, call, match)
+            case ReadPath():
+                self._read(arrived, match)
+            case CancelPath():
+                self._cancel(arrived, match.rest)
+
+    def take_dropped(self, event: CallDropped) -> None:
+        """Cancel a volatile job that nobody waits for any more."""
+        for job_id, calls in self._books.callers_by_id.items():
+            left = [
+                call
+                for call in calls
+                if call.connection is not event.connection
+                or call.call.call != event.call
+            ]
+            if len(left) == len(calls):
+                continue
+            self._books.callers_by_id[job_id] = left
+            if not left:
+                self._closer.close(JobEnd(job_id, JobState.CANCELLED))
+            return
+
+    def take_stored_jobs(self, event: JobsStored) -> None:
+        """Jobs are durable, or their outcome is unknown."""
+        if event.term != self._books.term:
+            return
+        for job_id in event.job_ids:
+            plan, calls = self._books.storing_by_id.pop(job_id)
+            if event.succeeded:
+                self._begin(plan)
+            for call in calls:
+                if event.succeeded:
+                    answer(call, CallOutcome.ACCEPTED)
+                else:
+                    answer(call, CallOutcome.UNKNOWN, detail='not stored')
+
+    def take_stored_cancel(self, event: CancelStored) -> None:
+        """A cancel is durable, or its outcome is unknown."""
+        if event.term != self._books.term:
+            return
+        calls = self._books.cancelling_by_id.pop(event.job_id, [])
+        state = self._state.state_of(event.job_id)
+        is_cancelled = event.succeeded and state is JobState.CANCELLED
+        for call in calls:
+            if is_cancelled:
+                answer(call, CallOutcome.CANCELLED)
+            elif event.succeeded:
+                answer(call, CallOutcome.NO_SUCH_JOB)
+            else:
+                answer(call, CallOutcome.UNKNOWN, detail='not stored')
+        if is_cancelled:
+            self._closer.close(JobEnd(event.job_id, JobState.CANCELLED))
+
+    def _submit(
+        self, arrived: CallArrived, call: SubmitJob, match: QueueMatch
+    ) -> None:
+        job_id = match.rest
+        if self._join(arrived, job_id):
+            return
+        job = self._job_from(call, match)
+        plan = JobPlan(job, time.monotonic(), self._books.run_times)
+        if not self._admit(arrived, plan):
+            return
+        if job.is_volatile:
+            self._take_in(plan, arrived)
+            return
+        self._books.storing_by_id[job_id] = (plan, [arrived])
+        term = self._books.term
+        self._committer.propose(
+            AcceptJobs((job,)),
+            lambda result: self._tell(
+                JobsStored(term, (job_id,), result is not None)
+            ),
+        )
+
+    def _job_from(self, call: SubmitJob, match: QueueMatch) -> AcceptedJob:
+        queue = match.queue
+        return AcceptedJob(
+            match.rest,
+            queue.name,
+            queue.service,
+            queue.priority,
+            queue.attempts,
+            queue.stretch,
+            queue.latency_allowance_ms,
+            call.payload,
+            call.steps,
+            int(time.time() * 1000),
+            self._books.term,
+            call.is_volatile,
+        )
+
+    def _join(self, arrived: CallArrived, job_id: str) -> bool:
+        """Answer for a job that is known already; tell whether it is."""
+        books = self._books
+        if job_id in books.callers_by_id:
+            books.callers_by_id[job_id].append(arrived)
+        elif job_id in books.ended_by_id:
+            state = books.ended_by_id[job_id].state
+            answer(arrived, CallOutcome.FOUND, state=state)
+        elif job_id in books.storing_by_id:
+            books.storing_by_id[job_id][1].append(arrived)
+        elif self._state.state_of(job_id) is not None:
+            answer(arrived, CallOutcome.ACCEPTED)
+        else:
+            return False
+        return True
+
+    def _admit(self, arrived: CallArrived, plan: JobPlan) -> bool:
+        """Refuse a job that would be worthless; tell whether it is taken."""
+        job = plan.job
+        if self._books.takeover.may_have_begun(job.job_id):
+            # A refusal would say that nothing of it has run.
+            return True
+        rooms = self._books.rooms_of(job.service)
+        backlog_core_s = self._books.backlog_core_s(job.service)
+        patience_s = LATE_FACTOR * plan.objective_s - max(plan.expected_s)
+        refusal = admit(rooms, job.steps, backlog_core_s, patience_s)
+        if refusal is None:
+            return True
+        self._metrics.count('baobabgap_jobs_total{end="refused"}')
+        log_event(
+            'job_refused',
+            job=job.job_id,
+            queue=job.queue,
+            reason=refusal.reason,
+            backlog_core_s=round(backlog_core_s, 2),
+            patience_s=round(patience_s, 3),
+            upstreams=len(rooms),
+            retry_after_ms=refusal.retry_after_ms,
+        )
+        answer(
+            arrived,
+            CallOutcome.OVERLOADED,
+            retry_after_ms=refusal.retry_after_ms,
+            detail=refusal.reason,
+        )
+        return False
+
+    def _take_in(self, plan: JobPlan, arrived: CallArrived) -> None:
+        """Begin with a volatile job, where an earlier leader left off."""
+        job_id = plan.job.job_id
+        self._books.callers_by_id[job_id] = [arrived]
+        orphans = self._books.orphans.take(job_id)
+        for task_id in orphans.done:
+            plan.note_done(task_id)
+        self._begin(plan)
+        for agent, row in orphans.runs:
+            view = self._books.view_by_name.get(agent)
+            run = view.run_by_task.get(row.task) if view else None
+            if view is None or run is None or run.number != row.run:
+                continue
+            found = self._books.find(row.task)
+            if found is None or found[1].upstream:
+                self._runs.stop(view, row.task)
+            else:
+                self._runs.remove(view, row.task)
+                self._runs.add(view, *found, row.run, was_found=True)
+        if plan.is_done:
+            self._closer.close(JobEnd(job_id, JobState.COMPLETED))
+
+    def _begin(self, plan: JobPlan) -> None:
+        """Let a job's tasks wait for their starts."""
+        job = plan.job
+        is_open = job.is_volatile or (
+            self._state.state_of(job.job_id) is JobState.QUEUED
+        )
+        if is_open:
+            self._books.plan_by_id[job.job_id] = plan
+        self._metrics.observe_seconds(
+            'baobabgap_accept_seconds', time.monotonic() - plan.arrived_at
+        )
+        log_event(
+            'job_accepted',
+            job=job.job_id,
+            queue=job.queue,
+            volatile=job.is_volatile,
+            tasks=len(plan.task_by_id),
+            objective_ms=round(1000 * plan.objective_s),
+            term=self._books.term,
+        )
+
+    def _read(self, arrived: CallArrived, match: QueueMatch) -> None:
+        job_id = match.rest
+        plan = self._books.plan_by_id.get(job_id)
+        if not job_id:
+            waiting = self._count_waiting(match.queue.name)
+            answer(arrived, CallOutcome.COUNTED, waiting=waiting)
+        elif plan is None:
+            self._answer_ended(arrived, job_id)
+        elif plan.is_done:
+            self._books.readers_by_id[job_id].append(arrived)
+        else:
+            state = JobState.RUNNING if plan.has_started else JobState.QUEUED
+            answer(arrived, CallOutcome.FOUND, state=state)
+
+    def _answer_ended(self, arrived: CallArrived, job_id: str) -> None:
+        if job_id in self._books.storing_by_id:
+            answer_unavailable(arrived, 'the job is being stored')
+            return
+        state = self._state.state_of(job_id)
+        if state is None:
+            answer(arrived, CallOutcome.NO_SUCH_JOB)
+        else:
+            answer(arrived, CallOutcome.FOUND, state=state)
+
+    def _count_waiting(self, queue: str) -> int:
+        return sum(
+            1
+            for plan in self._books.plan_by_id.values()
+            if plan.job.queue == queue and not plan.has_started
+        )
+
+    def _cancel(self, arrived: CallArrived, job_id: str) -> None:
+        books = self._books
+        if job_id not in books.plan_by_id and (
+            job_id not in books.storing_by_id
+        ):
+            is_cancelled = self._state.state_of(job_id) is JobState.CANCELLED
+            answer(
+                arrived,
+                CallOutcome.CANCELLED
+                if is_cancelled
+                else CallOutcome.NO_SUCH_JOB,
+            )
+            return
+        if job_id in books.callers_by_id:
+            self._closer.close(JobEnd(job_id, JobState.CANCELLED))
+            answer(arrived, CallOutcome.CANCELLED)
+            return
+        waiting = books.cancelling_by_id.setdefault(job_id, [])
+        waiting.append(arrived)
+        if len(waiting) > 1:
+            return
+        term = books.term
+        self._committer.propose(
+            CancelJobs((job_id,), int(time.time() * 1000)),
+            lambda result: self._tell(
+                CancelStored(term, job_id, result is not None)
+            ),
+        )
--- a/baobabgap/dispatch/_committer.py
+++ b/baobabgap/dispatch/_committer.py
@@ -42,3 +42,7 @@
             on_end(STORED if result is None else result)
 
         future.add_done_callback(ended)
+
+
+def ignore_result(result: object) -> None:
+    """Wait for nothing: a command that is lost is proposed again later."""
--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -1,5 +1,6 @@
 """What the scheduler is told, in the order in which it happened."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -125,3 +126,6 @@
     | EntryLinked
     | MembersEnrolled
 )
+
+# Hands an event to the scheduler's task.
+Tell = Callable[[Event], None]
--- a/baobabgap/dispatch/_leadership.py
+++ b/baobabgap/dispatch/_leadership.py
@@ -9,8 +9,8 @@
 from baobabgap.accepted import UnfinishedJob
 from baobabgap.dispatch._events import Led
 from baobabgap.dispatch._events import StoodDown
-from baobabgap.dispatch._scheduler import boot_time
 from baobabgap.dispatch._scheduler import Scheduler
+from baobabgap.dispatch._timing import boot_time
 from baobabgap.replication import ReplicatedLog
 from baobabgap.telemetry import log_event
 
--- /dev/null
+++ b/baobabgap/dispatch/_replies.py
@@ -0,0 +1,38 @@
+"""Answering the calls that entries forward."""
+
+from typing import Final
+
+from baobabgap.dispatch._events import CallArrived
+from baobabgap.dispatch._messages import CallAnswer
+from baobabgap.dispatch._messages import CallOutcome
+
+# Retry-After of a call that found no working leader, milliseconds: about
+# one election.
+_NO_LEADER_RETRY_MS: Final = 1000
+
+
+def answer(
+    arrived: CallArrived,
+    outcome: CallOutcome,
+    *,
+    state: str = '',
+    waiting: int = 0,
+    retry_after_ms: int = 0,
+    detail: str = '',
+) -> None:
+    """Send the answer back on the link that the call came on."""
+    arrived.connection.send(
+        CallAnswer(
+            arrived.call.call, outcome, state, waiting, retry_after_ms, detail
+        )
+    )
+
+
+def answer_unavailable(arrived: CallArrived, detail: str) -> None:
+    """Say that nothing was done, and when to come back."""
+    answer(
+        arrived,
+        CallOutcome.UNAVAILABLE,
+        retry_after_ms=_NO_LEADER_RETRY_MS,
+        detail=detail,
+    )
--- /dev/null
+++ b/baobabgap/dispatch/_run_book.py
@@ -0,0 +1,135 @@
+"""Keeping account of runs: on which upstream each one occupies room."""
+
+import math
+import time
+from typing import Final
+
+from baobabgap.accepted import Demand
+from baobabgap.accepted import TaskId
+from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch._agent_view import Run
+from baobabgap.dispatch._books import Books
+from baobabgap.dispatch._messages import RunRow
+from baobabgap.dispatch._messages import StopRuns
+from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import TaskState
+from baobabgap.telemetry import log_event
+
+# Reasons for a run's absence that speak against its upstream.
+_SUSPICIOUS_REASONS: Final = ('unanswered', 'unhealthy')
+
+
+def task_text(task: TaskId) -> str:
+    """Return a task within its job, as logs write it."""
+    return f'{task.step}.{task.index}'
+
+
+class RunBook:
+    """Adds and removes runs, and orders their stops."""
+
+    def __init__(self, books: Books) -> None:
+        self._books: Final = books
+
+    def add(
+        self,
+        view: AgentView,
+        plan: JobPlan,
+        task: TaskState,
+        number: int,
+        *,
+        was_found: bool = False,
+    ) -> None:
+        """Note a run that is ordered, or was found on an upstream."""
+        plan.note_started(task, view.name, number)
+        step = task.task.step
+        self._occupy(
+            view,
+            Run(
+                task.task,
+                number,
+                plan.job.steps[step].demand,
+                time.monotonic(),
+                plan.expected_s[step],
+                was_found,
+            ),
+        )
+
+    def add_unwanted(self, view: AgentView, row: RunRow) -> None:
+        """Note a run that belongs to no job here; its demand isn't known."""
+        if row.task in view.run_by_task:
+            self.remove(view, row.task)
+        self._occupy(
+            view,
+            Run(
+                row.task,
+                row.run,
+                Demand(),
+                time.monotonic(),
+                math.inf,
+                was_found=True,
+            ),
+        )
+
+    def remove(self, view: AgentView, task_id: TaskId) -> Run:
+        """Take a run that is over out of the account."""
+        run = view.run_by_task.pop(task_id)
+        if view.room is not None:
+            view.room.release(run.demand)
+        return run
+
+    def drop(self, view: AgentView, task_id: TaskId, reason: str) -> None:
+        """A run is over, or never was, and its end is not listed."""
+        run = self.remove(view, task_id)
+        log_event(
+            'run_gone',
+            job=task_id.job_id,
+            task=task_text(task_id),
+            run=run.number,
+            agent=view.name,
+            reason=reason,
+        )
+        found = self._books.find(task_id)
+        if found is not None:
+            plan, task = found
+            if reason in _SUSPICIOUS_REASONS:
+                task.avoided.add(view.name)
+            plan.note_gone(task)
+
+    def drop_all(self, view: AgentView, reason: str) -> None:
+        """All runs of an upstream are over."""
+        for task_id in list(view.run_by_task):
+            self.drop(view, task_id, reason)
+
+    def stop(self, view: AgentView, task_id: TaskId) -> None:
+        """Order a run's stop, once; the account is kept until it is over."""
+        run = view.run_by_task.get(task_id)
+        if run is None or run.is_stopping:
+            return
+        run.is_stopping = True
+        self._send_stop(view, run)
+
+    def repeat_stops(self, view: AgentView) -> None:
+        """Order stops again that may have been lost with an earlier link."""
+        for run in view.run_by_task.values():
+            if self._books.find(run.task) is None:
+                run.is_stopping = True
+            if run.is_stopping:
+                self._send_stop(view, run)
+
+    def _occupy(self, view: AgentView, run: Run) -> None:
+        view.run_by_task[run.task] = run
+        if view.room is not None:
+            view.room.occupy(run.demand)
+
+    def _send_stop(self, view: AgentView, run: Run) -> None:
+        if view.connection is None:
+            return
+        rows = (RunRow(run.task, run.number, True),)
+        view.connection.send(StopRuns(self._books.term, rows))
+        log_event(
+            'run_stop_ordered',
+            job=run.task.job_id,
+            task=task_text(run.task),
+            run=run.number,
+            agent=view.name,
+        )
--- /dev/null
+++ b/baobabgap/dispatch/_starter.py
@@ -0,0 +1,108 @@
+"""Ordering starts of the tasks that wait."""
+
+from collections import defaultdict
+import time
+from typing import Final
+
+from baobabgap.accepted import AcceptedJob
+from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch._books import Books
+from baobabgap.dispatch._messages import RunOrder
+from baobabgap.dispatch._messages import StartRuns
+from baobabgap.dispatch._run_book import RunBook
+from baobabgap.dispatch._run_book import task_text
+from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import Placement
+from baobabgap.scheduling import plan_starts
+from baobabgap.scheduling import Room
+from baobabgap.scheduling import TaskState
+from baobabgap.telemetry import log_event
+from baobabgap.telemetry import Metrics
+
+# Run numbers of a later term begin this far above those of an earlier
+# one, so that a new leader need not know what the earlier one gave out.
+_RUNS_PER_TERM: Final = 1000
+
+
+class TaskStarter:
+    """Has the planner choose, and sends the orders to the agents."""
+
+    def __init__(
+        self,
+        books: Books,
+        runs: RunBook,
+        far_factor: float,
+        metrics: Metrics,
+    ) -> None:
+        self._books: Final = books
+        self._runs: Final = runs
+        self._far_factor: Final = far_factor
+        self._metrics: Final = metrics
+
+    def start(self) -> None:
+        """Start what can start, as the confirmed leader."""
+        books = self._books
+        plans = [
+            plan
+            for job_id, plan in books.plan_by_id.items()
+            if plan.has_waiting
+            and job_id not in books.cancelling_by_id
+            and books.takeover.may_start(plan.job)
+        ]
+        if not plans:
+            return
+        rooms_by_service: dict[str, list[Room]] = defaultdict(list)
+        for view in books.view_by_name.values():
+            if view.may_start and view.room is not None:
+                rooms_by_service[view.room.service].append(view.room)
+        placements = plan_starts(
+            plans, rooms_by_service, self._far_factor, time.monotonic()
+        )
+        if placements:
+            self._order(placements)
+
+    def _order(self, placements: list[Placement]) -> None:
+        orders_by_agent: dict[str, list[RunOrder]] = defaultdict(list)
+        runs_by_job: dict[str, list[str]] = defaultdict(list)
+        for placement in placements:
+            plan, task, room = placement.plan, placement.task, placement.room
+            view = self._books.view_by_name[room.name]
+            number = self._next_run(plan.job, task)
+            self._runs.add(view, plan, task, number)
+            orders_by_agent[room.name].append(
+                RunOrder(task.task, number, plan.job.payload)
+            )
+            runs_by_job[plan.job.job_id].append(
+                f'{task_text(task.task)}#{number}@{room.name}'
+            )
+        for name, orders in orders_by_agent.items():
+            self._send(self._books.view_by_name[name], tuple(orders))
+        for job_id, runs in runs_by_job.items():
+            self._log(self._books.plan_by_id[job_id], runs)
+
+    def _send(self, view: AgentView, orders: tuple[RunOrder, ...]) -> None:
+        assert view.connection is not None and view.upstream is not None
+        self._metrics.count('baobabgap_starts_total', len(orders))
+        view.connection.send(
+            StartRuns(
+                self._books.term,
+                view.upstream.instance,
+                view.upstream.born_ms,
+                orders,
+            )
+        )
+
+    def _log(self, plan: JobPlan, runs: list[str]) -> None:
+        waited_s = time.monotonic() - plan.arrived_at
+        self._metrics.observe_seconds('baobabgap_wait_seconds', waited_s)
+        log_event(
+            'job_placed',
+            job=plan.job.job_id,
+            runs=runs,
+            waited_ms=round(1000 * waited_s),
+            term=self._books.term,
+        )
+
+    def _next_run(self, job: AcceptedJob, task: TaskState) -> int:
+        terms = max(0, self._books.term - job.term)
+        return max(1 + _RUNS_PER_TERM * terms, task.last_run + 1)
--- a/baobabgap/dispatch/_timing.py
+++ b/baobabgap/dispatch/_timing.py
@@ -1,12 +1,18 @@
 """Durations that the leader and the agents must agree on."""
 
 from dataclasses import dataclass
+import time
 from typing import Final
 
 # How much slower than real time an upstream's clock may go.
 CLOCK_DRIFT: Final = 0.02
 
 
+def boot_time() -> float:
+    """Return seconds on a clock that counts suspended time too."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseTiming:
     """How long permissions last, in seconds."""
--- /dev/null
+++ b/baobabgap/dispatch/tests/deployment.py
@@ -0,0 +1,194 @@
+"""Control nodes, agents and an entry in one process, over real links."""
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+import socket
+import time
+import uuid
+
+from baobabgap.accepted import Demand
+from baobabgap.accepted import Step
+from baobabgap.dispatch import AGENT_ROLE
+from baobabgap.dispatch import CallAnswer
+from baobabgap.dispatch import CancelPath
+from baobabgap.dispatch import ControlNode
+from baobabgap.dispatch import ControlNodeOptions
+from baobabgap.dispatch import ENTRY_ROLE
+from baobabgap.dispatch import LeaseTiming
+from baobabgap.dispatch import ReadPath
+from baobabgap.dispatch import SubmitJob
+from baobabgap.dispatch import UpstreamState
+from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
+from baobabgap.leaderlink import LeaderCalls
+from baobabgap.leaderlink import LeaderLink
+from baobabgap.messages import Hello
+from baobabgap.queues import JobQueue
+from baobabgap.queues import QueueConfiguration
+from baobabgap.queues import Service
+from baobabgap.settings import ControlHost
+from baobabgap.settings import ControlSettings
+from baobabgap.settings import Links
+from baobabgap.settings import Listen
+from baobabgap.settings import Role
+from baobabgap.settings import Settings
+from baobabgap.telemetry import Metrics
+from baobabgap.transport import LinkTiming
+from baobabgap.upstreams import RunAgent
+
+HOST = '127.0.0.1'
+QUEUE_HOST = 'desk.example'
+PREFIX = '/entries/'
+SERVICE = 'desk'
+WAIT_S = 20.0
+CORES = 4
+LINKS = Links(0.2, 1.0)
+TIMING = LinkTiming(LINKS.heartbeat_s, LINKS.silence_s)
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Wait, within a limit, until a condition holds."""
+    give_up_at = time.monotonic() + WAIT_S
+    while not condition():
+        if time.monotonic() > give_up_at:
+            raise AssertionError(f'not within {WAIT_S} s: {what}')
+        time.sleep(0.01)
+
+
+def configuration(version: int = 1) -> QueueConfiguration:
+    queue = JobQueue('q', QUEUE_HOST, PREFIX, SERVICE, 0, 2, 1.6, 60, 1500)
+    return QueueConfiguration(
+        version, b'{}', (queue,), (Service(SERVICE, True),)
+    )
+
+
+def step(tasks: int = 1, estimate_ms: int = 100) -> Step:
+    return Step(tasks, Demand(1000, 10, 0), estimate_ms)
+
+
+class Deployment:
+    """Starts everything; `close` stops what still runs."""
+
+    def __init__(self, folder: Path, controls: int, agents: int) -> None:
+        self.pool = ThreadPoolExecutor(512)
+        self._hosts = tuple(
+            ControlHost(f'control-{number}', HOST, _free_port())
+            for number in range(controls)
+        )
+        self.nodes = [self._node(folder, host) for host in self._hosts]
+        self.upstreams = [FakeUpstream() for _ in range(agents)]
+        self.agents = [
+            RunAgent(upstream, LeaseTiming(), self.pool, Metrics())
+            for upstream in self.upstreams
+        ]
+        self.calls = LeaderCalls()
+        self._links = [self._link('entry-1', ENTRY_ROLE, self.calls.session)]
+        for number, agent in enumerate(self.agents):
+            self._links.append(
+                self._link(f'agent-{number}', AGENT_ROLE, agent.session)
+            )
+            agent.announce(self.described(number))
+
+    def start(self) -> None:
+        """Start all and put a first configuration in force."""
+        for node in self.nodes:
+            node.start()
+        for agent in self.agents:
+            agent.start()
+        for link in self._links:
+            link.start()
+        self.put(1)
+        wait_until(lambda: self.calls.is_linked, 'a link to the leader')
+
+    def close(self) -> None:
+        """Stop everything."""
+        for link in self._links:
+            link.stop()
+        for agent in self.agents:
+            agent.stop()
+        for node in self.nodes:
+            node.stop()
+        self.pool.shutdown(wait=False, cancel_futures=True)
+
+    @property
+    def leader(self) -> ControlNode | None:
+        """The node that leads, if one does."""
+        for node in self.nodes:
+            if node.is_leading:
+                return node
+        return None
+
+    def put(self, version: int) -> None:
+        """Put a configuration in force."""
+        wait_until(lambda: self.leader is not None, 'a leader')
+        assert self.leader is not None
+        self.leader.put_configuration(configuration(version)).result(WAIT_S)
+
+    def described(self, number: int) -> UpstreamState:
+        """Return what an upstream says of itself."""
+        return UpstreamState(
+            f'upstream-{number}',
+            self.upstreams[number].born_ms,
+            SERVICE,
+            'zone',
+            ('kind', 'rack'),
+            Demand(1000 * CORES, 1000, 0),
+            is_draining=False,
+            is_reachable=True,
+        )
+
+    def submit(
+        self, job_id: str, *steps: Step, volatile: bool
+    ) -> Future[CallAnswer]:
+        """Hand a job in; the future brings the answer."""
+        call = SubmitJob(
+            0, QUEUE_HOST, PREFIX + job_id, 'payload', steps, volatile
+        )
+        return self.pool.submit(
+            self.calls.ask, call, WAIT_S, WAIT_S, lambda: False
+        )
+
+    def read(self, job_id: str) -> CallAnswer:
+        """Read a job's state, or the queue's length with an empty id."""
+        call = ReadPath(0, QUEUE_HOST, PREFIX + job_id)
+        return self.calls.ask(call, WAIT_S, WAIT_S, lambda: False)
+
+    def cancel(self, job_id: str) -> CallAnswer:
+        """Cancel a job."""
+        call = CancelPath(0, QUEUE_HOST, PREFIX + job_id)
+        return self.calls.ask(call, WAIT_S, WAIT_S, lambda: False)
+
+    def _node(self, folder: Path, host: ControlHost) -> ControlNode:
+        settings = Settings(
+            role=Role.CONTROL,
+            name=host.name,
+            listen=Listen(HOST, host.port),
+            control_hosts=self._hosts,
+            links=LINKS,
+            control=ControlSettings(
+                data_folder=str(folder / host.name), election_timeout_s=0.4
+            ),
+        )
+        return ControlNode.from_settings(
+            settings,
+            ControlNodeOptions(LeaseTiming(), 60_000, 1.5, 3, 4.0),
+        )
+
+    def _link(
+        self, name: str, role: str, session: Callable[..., None]
+    ) -> LeaderLink:
+        hello = Hello(name, role, uuid.uuid4().hex[:16])
+        return LeaderLink(
+            lambda: hello,
+            TIMING,
+            self.pool,
+            lambda: tuple(host.address for host in self._hosts),
+            session,
+        )
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
--- /dev/null
+++ b/baobabgap/dispatch/tests/fake_upstream.py
@@ -0,0 +1,147 @@
+"""An upstream in memory that runs tasks by waiting, with faults."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+import threading
+import time
+
+from baobabgap.accepted import RunEnd
+from baobabgap.accepted import TaskId
+from baobabgap.dispatch import EndRow
+from baobabgap.dispatch import RunOrder
+from baobabgap.upstreams import HeldRun
+from baobabgap.upstreams import Holding
+from baobabgap.upstreams import StartOutcome
+from baobabgap.upstreams import UpstreamSuperseded
+
+LONGEST_LEASE_MS = 1000
+
+
+@dataclass(slots=True)
+class FakeRun:
+    """A run, and when it is done by the upstream's clock."""
+
+    run: int
+    done_at_ms: int
+
+
+class FakeUpstream:
+    """Implements `UpstreamClient`; `starts` lists all that ever began."""
+
+    def __init__(self, born_ms: int = 1, run_ms: int = 30) -> None:
+        self.born_ms = born_ms
+        self.run_ms = run_ms
+        # Called for each start; what it returns is not answered if true.
+        self.leaves_unanswered: Callable[[RunOrder], bool] = lambda _: False
+        # Whether runs end as failed.
+        self.fails = False
+        self.starts: list[tuple[TaskId, int]] = []
+        # Tasks that ran twice at the same time on this upstream.
+        self._lock = threading.Condition()
+        self._began_at = time.monotonic()
+        self._fence = 0
+        self._lease_ms = 0
+        self._running: dict[TaskId, FakeRun] = {}
+        self._ended: list[EndRow] = []
+        self._last_number = 0
+        self._highest_ended: dict[TaskId, int] = {}
+
+    @property
+    def clock_ms(self) -> int:
+        """The upstream's own steady clock."""
+        return 1 + int(1000 * (time.monotonic() - self._began_at))
+
+    @property
+    def running(self) -> set[TaskId]:
+        """What runs now."""
+        with self._lock:
+            self._advance()
+            return set(self._running)
+
+    def start(
+        self, instance: str, order: RunOrder, fence: int, lease_until_ms: int
+    ) -> tuple[StartOutcome, int]:
+        if self.leaves_unanswered(order):
+            return StartOutcome.UNANSWERED, 0
+        return self.carry_out(order, fence, lease_until_ms), self.clock_ms
+
+    def carry_out(
+        self, order: RunOrder, fence: int, lease_until_ms: int
+    ) -> StartOutcome:
+        with self._lock:
+            self._advance()
+            if fence < self._fence:
+                return StartOutcome.SUPERSEDED
+            self._fence = fence
+            self._renew(lease_until_ms)
+            if order.run <= self._highest_ended.get(order.task, 0):
+                return StartOutcome.OLD
+            if lease_until_ms <= self.clock_ms:
+                return StartOutcome.LATE
+            if order.task in self._running:
+                return StartOutcome.STARTED
+            self._running[order.task] = FakeRun(
+                order.run, self.clock_ms + self.run_ms
+            )
+            self.starts.append((order.task, order.run))
+            return StartOutcome.STARTED
+
+    def stop(self, instance: str, task: TaskId, run: int, fence: int) -> bool:
+        with self._lock:
+            self._advance()
+            if fence < self._fence:
+                return False
+            held = self._running.get(task)
+            if held is not None and held.run <= run:
+                self._end(task, RunEnd.INTERRUPTED)
+            highest = self._highest_ended.get(task, 0)
+            self._highest_ended[task] = max(highest, run)
+            return True
+
+    def hold(
+        self,
+        instance: str,
+        fence: int,
+        noted: int,
+        lease_until_ms: int,
+        wait_ms: int,
+    ) -> Holding | None:
+        give_up_at = time.monotonic() + wait_ms / 1000
+        with self._lock:
+            if fence < self._fence:
+                raise UpstreamSuperseded
+            self._fence = fence
+            self._advance()
+            self._renew(lease_until_ms)
+            self._ended = [row for row in self._ended if row.number > noted]
+            while not self._ended and time.monotonic() < give_up_at:
+                self._lock.wait(0.005)
+                self._advance()
+            return Holding(
+                self.clock_ms,
+                self.born_ms,
+                tuple(
+                    HeldRun(task, run.run)
+                    for task, run in self._running.items()
+                ),
+                tuple(self._ended),
+            )
+
+    def _renew(self, until_ms: int) -> None:
+        longest = self.clock_ms + LONGEST_LEASE_MS
+        self._lease_ms = max(self._lease_ms, min(until_ms, longest))
+
+    def _advance(self) -> None:
+        now_ms = self.clock_ms
+        for task, run in list(self._running.items()):
+            if run.done_at_ms <= min(now_ms, self._lease_ms):
+                self._end(task, RunEnd.FAILED if self.fails else RunEnd.DONE)
+            elif self._lease_ms < now_ms:
+                self._end(task, RunEnd.INTERRUPTED)
+
+    def _end(self, task: TaskId, end: RunEnd) -> None:
+        run = self._running.pop(task)
+        self._last_number += 1
+        self._ended.append(EndRow(self._last_number, task, run.run, end))
+        self._highest_ended[task] = run.run
+        self._lock.notify_all()
--- /dev/null
+++ b/baobabgap/dispatch/tests/test_takeover.py
@@ -0,0 +1,96 @@
+"""Which jobs may start after an election."""
+
+import unittest
+
+from baobabgap.accepted import AcceptedJob
+from baobabgap.accepted import RunEnd
+from baobabgap.accepted import TaskId
+from baobabgap.dispatch._messages import EndRow
+from baobabgap.dispatch._messages import RunRow
+from baobabgap.dispatch._orphans import Orphans
+from baobabgap.dispatch._takeover import Takeover
+from baobabgap.dispatch._timing import LeaseTiming
+
+TERM = 5
+MEMBERS = ('agent/a', 'agent/b', 'entry/e')
+
+
+def make_job(job_id: str, *, volatile: bool, term: int = TERM) -> AcceptedJob:
+    return AcceptedJob(
+        job_id, 'q', 's', 0, 1, 1.0, 0, '', (), 0, term, volatile
+    )
+
+
+class TakeoverTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.takeover = Takeover(TERM, MEMBERS, ends_at=10.0)
+        self.fresh = make_job('fresh', volatile=True)
+        self.begun = make_job('begun', volatile=True)
+        self.inherited = make_job('inherited', volatile=False, term=4)
+        self.stored = make_job('stored', volatile=False)
+
+    def may_start(self) -> list[str]:
+        jobs = (self.fresh, self.begun, self.inherited, self.stored)
+        return [job.job_id for job in jobs if self.takeover.may_start(job)]
+
+    def test_nothing_volatile_starts_before_the_entries_are_heard(
+        self,
+    ) -> None:
+        self.assertEqual(['stored'], self.may_start())
+
+    def test_what_is_certainly_new_starts_then(self) -> None:
+        self.takeover.hear_entry('e', ('begun',))
+        self.assertEqual(['fresh', 'stored'], self.may_start())
+
+    def test_all_starts_once_every_agent_is_heard(self) -> None:
+        self.takeover.hear_entry('e', ('begun',))
+        self.takeover.hear_agent('a')
+        self.takeover.look(0.0)
+        self.assertEqual(['fresh', 'stored'], self.may_start())
+        self.takeover.hear_agent('b')
+        self.takeover.look(0.0)
+        self.assertEqual(
+            ['fresh', 'begun', 'inherited', 'stored'], self.may_start()
+        )
+
+    def test_all_starts_once_every_lease_has_lapsed(self) -> None:
+        self.takeover.look(9.9)
+        self.assertEqual(['stored'], self.may_start())
+        self.takeover.look(10.0)
+        self.assertEqual(4, len(self.may_start()))
+
+    def test_no_grant_of_an_earlier_leader_outlives_the_takeover(
+        self,
+    ) -> None:
+        """The last grant comes `confirmation_s` after the election."""
+        timing = LeaseTiming()
+        slowest_clock = 0.98
+        real_s = timing.authority_s / slowest_clock + timing.stop_s
+        self.assertGreaterEqual(
+            timing.takeover_s, timing.confirmation_s + real_s
+        )
+
+
+class OrphansTest(unittest.TestCase):
+    def test_job_takes_what_is_left_of_it(self) -> None:
+        orphans = Orphans()
+        task, other = TaskId('a', 0, 0), TaskId('a', 0, 1)
+        row = RunRow(task, 1, True)
+        orphans.add_run('agent', row, 0.0)
+        orphans.add_end(EndRow(1, other, 1, RunEnd.DONE), 0.0)
+        orphans.add_end(EndRow(2, task, 1, RunEnd.FAILED), 0.0)
+        taken = orphans.take('a')
+        self.assertEqual([('agent', row)], taken.runs)
+        self.assertEqual([other], taken.done)
+        self.assertEqual([], orphans.take('a').runs)
+
+    def test_runs_that_nobody_wants_are_stopped(self) -> None:
+        orphans = Orphans()
+        row = RunRow(TaskId('a', 0, 0), 1, True)
+        orphans.add_run('agent', row, 0.0)
+        self.assertEqual([], orphans.expire(1.0))
+        self.assertEqual([('agent', row)], orphans.expire(3.0))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/baobabgap/leaderlink/tests/test_calls.py
@@ -0,0 +1,149 @@
+"""Calls to leaders that come and go."""
+
+from collections.abc import Iterator
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+from queue import SimpleQueue
+import time
+from typing import Any
+from typing import cast
+import unittest
+
+from baobabgap._exceptions import ConnectionLost
+from baobabgap.dispatch import CallAnswer
+from baobabgap.dispatch import CallOutcome
+from baobabgap.dispatch import DropCall
+from baobabgap.dispatch import EntryReport
+from baobabgap.dispatch import LeaderReady
+from baobabgap.dispatch import ReadPath
+from baobabgap.dispatch import SubmitJob
+from baobabgap.leaderlink import LeaderCalls
+from baobabgap.transport import Connection
+
+WAIT_S = 5.0
+READY = LeaderReady(1, (), 1000)
+VOLATILE = SubmitJob(0, 'h', '/q/0123456789abcdef', '', (), True)
+STORED = SubmitJob(0, 'h', '/q/0123456789abcdef', '', ())
+
+
+class FakeLink:
+    """The entry's end of a link; the test plays the leader."""
+
+    def __init__(self) -> None:
+        self.sent: SimpleQueue[Any] = SimpleQueue()
+        self._incoming: SimpleQueue[Any] = SimpleQueue()
+
+    def send(self, *messages: object) -> None:
+        for message in messages:
+            self.sent.put(message)
+
+    def messages(self) -> Iterator[Any]:
+        while True:
+            message = self._incoming.get(timeout=WAIT_S)
+            if message is None:
+                raise ConnectionLost('cut', step='receive')
+            yield message
+
+    def answer(self, call: int, outcome: CallOutcome) -> None:
+        self._incoming.put(CallAnswer(call, outcome))
+
+    def cut(self) -> None:
+        self._incoming.put(None)
+
+    def next_sent(self) -> Any:
+        return self.sent.get(timeout=WAIT_S)
+
+
+class LeaderCallsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.pool = ThreadPoolExecutor(8)
+        self.addCleanup(self.pool.shutdown, wait=False, cancel_futures=True)
+        self.calls = LeaderCalls()
+
+    def link(self) -> FakeLink:
+        link = FakeLink()
+        self.pool.submit(
+            self.calls.session, cast(Connection, link), READY, link.messages()
+        )
+        return link
+
+    def ask(
+        self,
+        call: SubmitJob | ReadPath,
+        *,
+        leader_s: float = 0.3,
+        answer_s: float = WAIT_S,
+        left: bool = False,
+    ) -> Future[CallAnswer]:
+        return self.pool.submit(
+            self.calls.ask, call, leader_s, answer_s, lambda: left
+        )
+
+    def test_call_without_a_leader_was_not_done(self) -> None:
+        answer = self.ask(VOLATILE).result(WAIT_S)
+        self.assertIs(CallOutcome.UNAVAILABLE, answer.outcome)
+
+    def test_job_that_was_sent_is_never_said_not_to_have_run(self) -> None:
+        """Regression: a lost leader, and none after it, gave a refusal."""
+        link = self.link()
+        self.assertIsInstance(link.next_sent(), EntryReport)
+        asked = self.ask(VOLATILE)
+        self.assertIsInstance(link.next_sent(), SubmitJob)
+        link.cut()
+        self.assertIs(CallOutcome.UNKNOWN, asked.result(WAIT_S).outcome)
+
+    def test_refusal_by_the_next_leader_is_not_passed_on(self) -> None:
+        link = self.link()
+        link.next_sent()
+        asked = self.ask(VOLATILE, leader_s=1.0)
+        link.next_sent()
+        link.cut()
+        second = self.link()
+        second.next_sent()
+        call = second.next_sent().call
+        second.answer(call, CallOutcome.OVERLOADED)
+        third = second.next_sent().call
+        second.answer(third, CallOutcome.FOUND)
+        self.assertIs(CallOutcome.FOUND, asked.result(WAIT_S).outcome)
+
+    def test_next_leader_hears_which_jobs_may_have_begun(self) -> None:
+        link = self.link()
+        self.assertEqual(EntryReport(()), link.next_sent())
+        self.ask(VOLATILE, leader_s=2.0)
+        link.next_sent()
+        link.cut()
+        second = self.link()
+        self.assertEqual(
+            EntryReport(('0123456789abcdef',)), second.next_sent()
+        )
+
+    def test_stored_job_is_not_sent_twice(self) -> None:
+        link = self.link()
+        link.next_sent()
+        asked = self.ask(STORED, leader_s=1.0)
+        link.next_sent()
+        link.cut()
+        self.assertIs(CallOutcome.UNKNOWN, asked.result(WAIT_S).outcome)
+
+    def test_job_is_dropped_when_its_caller_has_left(self) -> None:
+        link = self.link()
+        link.next_sent()
+        asked = self.ask(VOLATILE, left=True)
+        call = link.next_sent().call
+        self.assertEqual(DropCall(call), link.next_sent())
+        self.assertIs(CallOutcome.UNKNOWN, asked.result(WAIT_S).outcome)
+
+    def test_planned_stop_answers_at_once_and_drops_nothing(self) -> None:
+        link = self.link()
+        link.next_sent()
+        asked = self.ask(VOLATILE)
+        link.next_sent()
+        began_at = time.monotonic()
+        self.calls.give_up()
+        self.assertIs(CallOutcome.UNKNOWN, asked.result(WAIT_S).outcome)
+        self.assertLess(time.monotonic() - began_at, WAIT_S)
+        self.assertTrue(link.sent.empty())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/baobabgap/queues/tests/test_table.py
@@ -0,0 +1,43 @@
+"""Finding the queue of a request."""
+
+import unittest
+
+from baobabgap.queues import JobQueue
+from baobabgap.queues import QueueConfiguration
+from baobabgap.queues import QueueTable
+
+
+def make_queue(name: str, host: str, prefix: str) -> JobQueue:
+    return JobQueue(name, host, prefix, 's', 0, 1, 1.0, 0, 1000)
+
+
+class QueueTableTest(unittest.TestCase):
+    def test_longest_prefix_of_the_host_wins(self) -> None:
+        table = QueueTable.from_configuration(
+            QueueConfiguration(
+                1,
+                b'',
+                (
+                    make_queue('short', 'One.example', '/a/'),
+                    make_queue('long', 'one.example', '/a/b/'),
+                    make_queue('other', 'two.example', '/a/b/'),
+                ),
+                (),
+            )
+        )
+        cases = [
+            ('one.example', '/a/x', ('short', 'x')),
+            ('ONE.example:8080', '/a/b/x', ('long', 'x')),
+            ('two.example', '/a/b/', ('other', '')),
+            ('two.example', '/a/x', None),
+            ('three.example', '/a/x', None),
+        ]
+        for host, path, expected in cases:
+            with self.subTest(host=host, path=path):
+                match = table.find(host, path)
+                found = match and (match.queue.name, match.rest)
+                self.assertEqual(expected, found)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -117,6 +117,16 @@
         task.last_run = max(task.last_run, run)
         self.has_started = True
 
+    def waiting_core_s(self) -> float:
+        """Return the work of the tasks that wait, in core-seconds."""
+        return sum(
+            len(waiting)
+            * self.expected_s[number]
+            * self.job.steps[number].demand.cpu_millicores
+            / 1000
+            for number, waiting in enumerate(self.waiting_by_step)
+        )
+
     def note_run_time(self, step: int, run_s: float) -> None:
         """A run of a step was done after so many seconds."""
         held = self.longest_done_s[step]
--- a/baobabgap/scheduling/_planner.py
+++ b/baobabgap/scheduling/_planner.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from baobabgap.accepted import Demand
 from baobabgap.scheduling._job_plan import JobPlan
 from baobabgap.scheduling._job_plan import TaskState
 from baobabgap.scheduling._rooms import choose_room
@@ -24,6 +25,11 @@
     task: TaskState
     room: Room
 
+    @property
+    def demand(self) -> Demand:
+        """What the task occupies."""
+        return self.plan.job.steps[self.task.task.step].demand
+
 
 @dataclass(frozen=True, slots=True)
 class _StepInLine:
@@ -44,7 +50,8 @@
 ) -> list[Placement]:
     """Choose rooms for as many waiting tasks as fit, the most urgent first.
 
-    The rooms are occupied; the tasks are left to the caller to mark.
+    Rooms and tasks are left as they were; the caller puts the placements
+    into effect.
     """
     placements: list[Placement] = []
     line = [
@@ -69,6 +76,8 @@
         if len(placed) < len(waiting) and _is_plain(item):
             # Whoever is more urgent gets the next room that is free.
             full_services.add(service)
+    for placement in placements:
+        placement.room.release(placement.demand)
     return placements
 
 
--- a/baobabgap/scheduling/_rooms.py
+++ b/baobabgap/scheduling/_rooms.py
@@ -73,9 +73,10 @@
 ) -> Room | None:
     """Return the room where a task of a step ends soonest, or None.
 
-    `rooms` are those that `usable_rooms` returns. `avoided` names upstreams that are not to be used, `used_by_step` how
-    many tasks of the step are on each. Among equally fast rooms the
-    emptiest one wins, so that one lost upstream hurts few jobs.
+    `rooms` are those that `usable_rooms` returns. `avoided` names
+    upstreams that are not to be used, `used_by_step` how many tasks of
+    the step are on each. Among equally fast rooms the emptiest one wins,
+    so that one lost upstream hurts few jobs.
     """
     best: Room | None = None
     best_cost = (0.0, 0.0)
--- /dev/null
+++ b/baobabgap/upstreams/tests/test_run_table.py
@@ -0,0 +1,95 @@
+"""What an agent concludes from its upstream's lists and clock."""
+
+import unittest
+
+from baobabgap.accepted import RunEnd
+from baobabgap.accepted import TaskId
+from baobabgap.dispatch import EndRow
+from baobabgap.dispatch import RunRow
+from baobabgap.upstreams import HeldRun
+from baobabgap.upstreams import Holding
+from baobabgap.upstreams._clock import LeaseClock
+from baobabgap.upstreams._run_table import RunTable
+from baobabgap.upstreams._run_table import TrackedRun
+
+TASK = TaskId('a', 0, 0)
+OTHER = TaskId('b', 0, 0)
+
+
+def holding(*running: HeldRun, ended: tuple[EndRow, ...] = ()) -> Holding:
+    return Holding(1000, 1, running, ended)
+
+
+class RunTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = RunTable()
+        self.run = TrackedRun(TASK, 2, is_in_flight=False)
+        self.table.run_by_task[TASK] = self.run
+
+    def test_listed_run_is_confirmed(self) -> None:
+        found, gone = self.table.take_holding(holding(HeldRun(TASK, 2)), 1.0)
+        self.assertEqual(([], []), (found, gone))
+        self.assertTrue(self.run.is_confirmed)
+
+    def test_unanswered_start_may_come_into_being(self) -> None:
+        """A run that is not listed yet is not gone for that."""
+        _, gone = self.table.take_holding(holding(), 1.0)
+        self.assertEqual([], gone)
+        self.assertEqual(1, len(self.table.rows()))
+
+    def test_stopped_run_is_gone_only_after_a_later_look(self) -> None:
+        self.run.must_stop = True
+        self.run.stopped_at = 5.0
+        _, gone = self.table.take_holding(holding(), 4.9)
+        self.assertEqual([], gone)
+        _, gone = self.table.take_holding(holding(HeldRun(TASK, 2)), 5.1)
+        self.assertEqual([], gone)
+        _, gone = self.table.take_holding(holding(), 5.2)
+        self.assertEqual([RunRow(TASK, 2, True)], gone)
+        self.assertEqual((), self.table.rows())
+
+    def test_stopped_run_that_had_ended_is_not_gone(self) -> None:
+        """Or its task would run again though it is done."""
+        self.run.must_stop = True
+        self.run.stopped_at = 5.0
+        end = EndRow(1, TASK, 2, RunEnd.DONE)
+        _, gone = self.table.take_holding(holding(ended=(end,)), 5.1)
+        self.assertEqual([], gone)
+        self.assertEqual((), self.table.rows())
+
+    def test_run_that_nobody_ordered_is_found(self) -> None:
+        found, _ = self.table.take_holding(holding(HeldRun(OTHER, 1)), 1.0)
+        self.assertEqual([RunRow(OTHER, 1, True)], found)
+
+    def test_stop_waits_for_the_start_and_is_repeated(self) -> None:
+        self.run.must_stop = True
+        self.run.is_in_flight = True
+        self.assertEqual([], self.table.to_stop(1.0))
+        self.run.is_in_flight = False
+        self.assertEqual([self.run], self.table.to_stop(1.0))
+        self.run.stop_sent_at = 1.5
+        self.assertEqual([], self.table.to_stop(1.4))
+        self.assertEqual([self.run], self.table.to_stop(1.5))
+        self.run.stopped_at = 1.6
+        self.assertEqual([], self.table.to_stop(9.0))
+
+
+class LeaseClockTest(unittest.TestCase):
+    def test_lapses_on_the_slowest_clock(self) -> None:
+        clock = LeaseClock()
+        clock.note_reading(10_000, asked_at=100.0)
+        clock.note_lease(11_000)
+        self.assertFalse(clock.has_lapsed(101.0))
+        # A clock that is 2% slow shows 10,980 now.
+        self.assertFalse(clock.has_lapsed(101.1))
+        self.assertTrue(clock.has_lapsed(101.2))
+
+    def test_late_answers_do_not_set_it_back(self) -> None:
+        clock = LeaseClock()
+        clock.note_reading(10_000, asked_at=100.0)
+        clock.note_reading(9_000, asked_at=99.0)
+        self.assertEqual(10_500, clock.estimate_ms(100.5))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/baobabgap/web/_server.py
+++ b/baobabgap/web/_server.py
@@ -24,9 +24,9 @@
 class _Gateway(Gateway_10):
     """Lets the application ask whether its client still waits."""
 
-    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+    def get_environ(self) -> Any:
         """Return the environment of one request."""
-        environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
+        environ = super().get_environ()  # type: ignore[no-untyped-call]
         environ[CLIENT_HAS_LEFT] = _closed_check(self.req.conn.socket)
         return environ
 
