--- a/baobabgap/dispatch/_agent_desk.py
+++ b/baobabgap/dispatch/_agent_desk.py
@@ -40,6 +40,9 @@
 from baobabgap.telemetry import log_event
 from baobabgap.transport import Connection
 
+# Reasons for which an upstream or its agent has refused a start.
+_REFUSALS: Final = ('room', 'unhealthy', 'late', 'no authority', 'not sent')
+
 
 class AgentDesk:
     """Takes what agents report, as the leader."""
@@ -231,6 +234,8 @@
         )
 
     def _take_gone(self, view: AgentView, message: RunsGone) -> None:
+        if message.reason in _REFUSALS and view.room is not None:
+            view.room.health.note_refused(time.monotonic())
         for row in message.runs:
             run = view.run_by_task.get(row.task)
             if run is not None and run.number == row.run:
--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -6,6 +6,7 @@
 from baobabgap.accepted import Demand
 from baobabgap.accepted import TaskId
 from baobabgap.dispatch._messages import UpstreamState
+from baobabgap.dispatch._timing import boot_time
 from baobabgap.scheduling import Room
 from baobabgap.transport import Connection
 
@@ -51,14 +52,17 @@
     # a clock that goes on while the host is suspended.
     authority_granted_at: float = float('-inf')
 
-    @property
-    def may_start(self) -> bool:
-        """Tell whether runs may be ordered."""
+    def may_start(self, authority_s: float) -> bool:
+        """Tell whether runs may be ordered.
+
+        The agent must have been granted authority within `authority_s`.
+        """
         return (
             self.connection is not None
             and self.has_reported
             and self.is_enrolled
             and self.upstream is not None
+            and boot_time() - self.authority_granted_at < authority_s
         )
 
     def is_life(self, instance: str, born_ms: int) -> bool:
--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -6,6 +6,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 import threading
+import traceback
 from typing import Any
 from typing import Final
 import uuid
@@ -102,6 +103,7 @@
             options.lease_timing,
             options.far_factor,
             self._leadership.is_confirmed,
+            self._leadership.begin_again,
             self.metrics,
         )
         self._state.on_configuration = self._put_in_force
@@ -257,10 +259,14 @@
             try:
                 run()
             except Exception as error:
-                # Without this task the host is useless as a leader.
-                log_event('task_failed', task=name, error=repr(error))
+                # Without this task the host is useless: others take over.
+                log_event(
+                    'task_failed',
+                    task=name,
+                    error=repr(error),
+                    trace=traceback.format_exc(limit=-6),
+                )
                 self._log.stop()
-                raise
 
         self._pool.submit(run_logged)
 
--- a/baobabgap/dispatch/_leadership.py
+++ b/baobabgap/dispatch/_leadership.py
@@ -50,9 +50,17 @@
         """Tell whether this host has surely led a moment ago."""
         return boot_time() - self._confirmed_at <= self._confirmation_s
 
+    def begin_again(self) -> None:
+        """Have the scheduler begin anew in the present term."""
+        self.term = 0
+        self._asked_term = 0
+        self._on_stand_down()
+
     def stop(self) -> None:
-        """End the task."""
+        """End the task; this host leads no more."""
         self._stopping.set()
+        self.term = 0
+        self._confirmed_at = float('-inf')
 
     def run(self, scheduler: Scheduler) -> None:
         """Watch until stopped."""
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -9,6 +9,7 @@
 from queue import SimpleQueue
 import threading
 import time
+import traceback
 from typing import Final
 
 from baobabgap.accepted import AcceptedState
@@ -67,6 +68,7 @@
         timing: LeaseTiming,
         far_factor: float,
         is_confirmed: Callable[[], bool],
+        on_failure: Callable[[], None],
         metrics: Metrics,
     ) -> None:
         self._state: Final = state
@@ -74,6 +76,9 @@
         self._timing: Final = timing
         # Whether a majority has confirmed lately that this host leads.
         self._is_confirmed: Final = is_confirmed
+        # Called when this host must begin to lead anew.
+        self._on_failure: Final = on_failure
+        self._look_at = 0.0
         self._events: SimpleQueue[Event] = SimpleQueue()
         self._stopping = threading.Event()
         self._books = books = Books()
@@ -86,7 +91,7 @@
             books, runs, self._closer, state, committer, timing, self.tell
         )
         self._watch = Watch(books, runs, self._agents, timing)
-        self._starter = TaskStarter(books, runs, far_factor, metrics)
+        self._starter = TaskStarter(books, runs, far_factor, timing, metrics)
 
     def tell(self, event: Event) -> None:
         """Hand over what has happened."""
@@ -102,19 +107,32 @@
 
     def run(self) -> None:
         """Work until stopped."""
-        look_at = 0.0
         while not self._stopping.is_set():
-            self._take_events()
-            if not self._books.term:
-                continue
-            self._closer.store()
-            if not self._is_confirmed():
-                continue
-            now = time.monotonic()
-            if now >= look_at:
-                look_at = now + _TICK_S
-                self._watch.look(now)
-            self._starter.start()
+            try:
+                self._work()
+            except Exception as error:
+                # What is in memory may be wrong now; a leader that begins
+                # anew learns it from the log and the agents.
+                log_event(
+                    'scheduler:failed',
+                    error=repr(error),
+                    trace=traceback.format_exc(limit=-6),
+                )
+                self._stand_down()
+                self._on_failure()
+
+    def _work(self) -> None:
+        self._take_events()
+        if not self._books.term:
+            return
+        self._closer.store()
+        if not self._is_confirmed():
+            return
+        now = time.monotonic()
+        if now >= self._look_at:
+            self._look_at = now + _TICK_S
+            self._watch.look(now)
+        self._starter.start()
 
     def _take_events(self) -> None:
         try:
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -11,6 +11,7 @@
 from baobabgap.dispatch._messages import StartRuns
 from baobabgap.dispatch._run_book import RunBook
 from baobabgap.dispatch._run_book import task_text
+from baobabgap.dispatch._timing import LeaseTiming
 from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import Placement
 from baobabgap.scheduling import plan_starts
@@ -32,11 +33,16 @@
         books: Books,
         runs: RunBook,
         far_factor: float,
+        timing: LeaseTiming,
         metrics: Metrics,
     ) -> None:
         self._books: Final = books
         self._runs: Final = runs
         self._far_factor: Final = far_factor
+        # What is left of an older authority is too short for a lease.
+        self._authority_s: Final = (
+            timing.authority_s - timing.longest_lease_s / 2
+        )
         self._metrics: Final = metrics
 
     def start(self) -> None:
@@ -53,7 +59,7 @@
             return
         rooms_by_service: dict[str, list[Room]] = defaultdict(list)
         for view in books.view_by_name.values():
-            if view.may_start and view.room is not None:
+            if view.room and view.may_start(self._authority_s):
                 rooms_by_service[view.room.service].append(view.room)
         placements = plan_starts(
             plans, rooms_by_service, self._far_factor, time.monotonic()
--- a/baobabgap/dispatch/tests/fake_upstream.py
+++ b/baobabgap/dispatch/tests/fake_upstream.py
@@ -36,8 +36,18 @@
         # Whether runs end as failed.
         self.fails = False
         self.starts: list[tuple[TaskId, int]] = []
-        # Tasks that ran twice at the same time on this upstream.
         self._lock = threading.Condition()
+        self._begin_life()
+
+    def restart(self, born_ms: int) -> None:
+        """Begin another life, which knows nothing of the earlier one."""
+        with self._lock:
+            self.born_ms = born_ms
+            self.starts = []
+            self._begin_life()
+            self._lock.notify_all()
+
+    def _begin_life(self) -> None:
         self._began_at = time.monotonic()
         self._fence = 0
         self._lease_ms = 0
--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -9,8 +9,8 @@
 from baobabgap.dispatch import RunOrder
 from baobabgap.dispatch.tests.deployment import Deployment
 from baobabgap.dispatch.tests.deployment import step
-from baobabgap.dispatch.tests.deployment import wait_until
 from baobabgap.dispatch.tests.deployment import WAIT_S
+from baobabgap.dispatch.tests.deployment import wait_until
 
 
 class DispatchTest(unittest.TestCase):
@@ -144,7 +144,7 @@
         for upstream in deployment.upstreams:
             upstream.run_ms = 30
         crashed = deployment.upstreams[0]
-        crashed.__init__(born_ms=2)  # type: ignore[misc]
+        crashed.restart(born_ms=2)
         deployment.agents[0].announce(deployment.described(0))
         wait_until(lambda: len(crashed.starts) >= 4, 'starts anew')
         deployment.cancel('a')
--- a/baobabgap/scheduling/_health.py
+++ b/baobabgap/scheduling/_health.py
@@ -16,6 +16,8 @@
 # Seconds of the first suspension; each further one is twice as long.
 _FIRST_SUSPENSION_S: Final = 1.0
 _LONGEST_SUSPENSION_S: Final = 8.0
+# Seconds for which an upstream that has refused a start gets none.
+_REFUSED_PAUSE_S: Final = 0.1
 # Runs that a suspended upstream gets at a time when it is tried again.
 _TRIAL_RUNS: Final = 1
 # Multiples of the expected run time from which a run counts as overdue:
@@ -37,6 +39,7 @@
     hangs_in_row: int = 0
     suspensions: int = 0
     suspended_until: float = 0.0
+    refused_until: float = 0.0
     # Whether it has not succeeded since its last suspension.
     on_trial: bool = False
 
@@ -56,6 +59,10 @@
             return self._suspend(now)
         return False
 
+    def note_refused(self, now: float) -> None:
+        """The upstream has refused a start: ask it again a little later."""
+        self.refused_until = now + _REFUSED_PAUSE_S
+
     def note_overdue(self, now: float) -> bool:
         """Take note of a run that hangs; tell whether it suspends."""
         self.hangs_in_row += 1
@@ -70,7 +77,7 @@
 
     def may_take(self, running: int, now: float) -> bool:
         """Tell whether the upstream may get one more run."""
-        if now < self.suspended_until:
+        if now < max(self.suspended_until, self.refused_until):
             return False
         return not self.on_trial or running < _TRIAL_RUNS
 
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from queue import SimpleQueue
 import threading
+import traceback
 from typing import Final
 
 from baobabgap.dispatch import Authority
@@ -57,6 +58,8 @@
 _STOP_PAUSE_S: Final = 0.25
 # Seconds between requests for authority.
 _AUTHORITY_PAUSE_S: Final = 0.25
+# Seconds after which a task that has failed runs again.
+_FAILED_TASK_PAUSE_S: Final = 0.2
 # Milliseconds of lease below which a start isn't worth sending.
 _SHORTEST_LEASE_MS: Final = 200
 
@@ -593,8 +596,14 @@
                 self._changed.wait(seconds)
 
     def _run_logged(self, run: Callable[[], None]) -> None:
-        try:
-            run()
-        except Exception as error:
-            log_event('task_failed', error=repr(error))
-            raise
+        """Run a task again should it fail: the upstream needs its agent."""
+        while not self._stopping:
+            try:
+                run()
+            except Exception as error:
+                log_event(
+                    'task_failed',
+                    error=repr(error),
+                    trace=traceback.format_exc(limit=-4),
+                )
+                self._pause(_FAILED_TASK_PAUSE_S)
--- a/baobabgap/upstreams/tests/test_run_table.py
+++ b/baobabgap/upstreams/tests/test_run_table.py
@@ -23,13 +23,13 @@
 class RunTableTest(unittest.TestCase):
     def setUp(self) -> None:
         self.table = RunTable()
-        self.run = TrackedRun(TASK, 2, is_in_flight=False)
-        self.table.run_by_task[TASK] = self.run
+        self.tracked = TrackedRun(TASK, 2, is_in_flight=False)
+        self.table.run_by_task[TASK] = self.tracked
 
     def test_listed_run_is_confirmed(self) -> None:
         found, gone = self.table.take_holding(holding(HeldRun(TASK, 2)), 1.0)
         self.assertEqual(([], []), (found, gone))
-        self.assertTrue(self.run.is_confirmed)
+        self.assertTrue(self.tracked.is_confirmed)
 
     def test_unanswered_start_may_come_into_being(self) -> None:
         """A run that is not listed yet is not gone for that."""
@@ -38,8 +38,8 @@
         self.assertEqual(1, len(self.table.rows()))
 
     def test_stopped_run_is_gone_only_after_a_later_look(self) -> None:
-        self.run.must_stop = True
-        self.run.stopped_at = 5.0
+        self.tracked.must_stop = True
+        self.tracked.stopped_at = 5.0
         _, gone = self.table.take_holding(holding(), 4.9)
         self.assertEqual([], gone)
         _, gone = self.table.take_holding(holding(HeldRun(TASK, 2)), 5.1)
@@ -50,8 +50,8 @@
 
     def test_stopped_run_that_had_ended_is_not_gone(self) -> None:
         """Or its task would run again though it is done."""
-        self.run.must_stop = True
-        self.run.stopped_at = 5.0
+        self.tracked.must_stop = True
+        self.tracked.stopped_at = 5.0
         end = EndRow(1, TASK, 2, RunEnd.DONE)
         _, gone = self.table.take_holding(holding(ended=(end,)), 5.1)
         self.assertEqual([], gone)
@@ -62,15 +62,15 @@
         self.assertEqual([RunRow(OTHER, 1, True)], found)
 
     def test_stop_waits_for_the_start_and_is_repeated(self) -> None:
-        self.run.must_stop = True
-        self.run.is_in_flight = True
+        self.tracked.must_stop = True
+        self.tracked.is_in_flight = True
         self.assertEqual([], self.table.to_stop(1.0))
-        self.run.is_in_flight = False
-        self.assertEqual([self.run], self.table.to_stop(1.0))
-        self.run.stop_sent_at = 1.5
+        self.tracked.is_in_flight = False
+        self.assertEqual([self.tracked], self.table.to_stop(1.0))
+        self.tracked.stop_sent_at = 1.5
         self.assertEqual([], self.table.to_stop(1.4))
-        self.assertEqual([self.run], self.table.to_stop(1.5))
-        self.run.stopped_at = 1.6
+        self.assertEqual([self.tracked], self.table.to_stop(1.5))
+        self.tracked.stopped_at = 1.6
         self.assertEqual([], self.table.to_stop(9.0))
 
 
