--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -39,10 +39,8 @@
         self._books: Final = books
         self._runs: Final = runs
         self._far_factor: Final = far_factor
-        # What is left of an older authority is too short for a lease.
-        self._authority_s: Final = (
-            timing.authority_s - timing.longest_lease_s / 2
-        )
+        # What is left of an older authority may be too short for a lease.
+        self._authority_s: Final = timing.authority_s - timing.longest_lease_s
         self._metrics: Final = metrics
 
     def start(self) -> None:
--- a/baobabgap/dispatch/_timing.py
+++ b/baobabgap/dispatch/_timing.py
@@ -20,9 +20,9 @@
     # The longest lease that an upstream takes.
     longest_lease_s: float = 1.0
     # An agent may renew its upstream's lease for this long without a word
-    # from a leader: longer than an election, so that a change of leader
-    # interrupts no task.
-    authority_s: float = 1.8
+    # from a leader: longer than a restart of the whole control group, so
+    # that no change of leader interrupts a task.
+    authority_s: float = 4.0
     # A leader may grant authority for this long after a majority has
     # confirmed it.
     confirmation_s: float = 0.4
--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -24,6 +24,11 @@
 # Seconds between looks for a new leader while a call waits for one.
 _LOOK_PAUSE_S: Final = 0.1
 _NO_LEADER_PAUSE_S: Final = 0.02
+# Seconds after the loss of a leader within which calls wait for the next:
+# somewhat more than an election takes.
+_OUTAGE_PATIENCE_S: Final = 1.2
+# Seconds for which a call waits whose job may have begun.
+_BEGUN_PATIENCE_S: Final = 5.0
 # Outcomes that say that nothing of the call has been done.
 _NOT_BEGUN: Final = (CallOutcome.UNAVAILABLE, CallOutcome.OVERLOADED)
 # Seconds for which a job that was sent counts as perhaps begun: longer than
@@ -47,6 +52,8 @@
         self._future_by_call: dict[int, Future[CallAnswer]] = {}
         self._connection: Connection | None = None
         self._has_given_up = False
+        # When the last link to a leader ended, or the process began.
+        self._unlinked_at = time.monotonic()
         # Volatile jobs by when they were last sent to a leader.
         self._begun_at_by_id: dict[str, float] = {}
         self._forget_at = 0.0
@@ -108,15 +115,23 @@
         may have taken effect. A volatile job is dropped when its caller
         has left or the time is over.
         """
-        give_up_at = time.monotonic() + wait_for_leader_s
-        answer_by = time.monotonic() + wait_for_answer_s
+        now = time.monotonic()
+        answer_by = now + wait_for_answer_s
+        # After a longer outage a further wait is likely in vain.
+        outage_since = now if self.is_linked else self._unlinked_at
+        give_up_at = min(
+            now + wait_for_leader_s, outage_since + _OUTAGE_PATIENCE_S
+        )
         may_have_begun = False
         while True:
             answer = self._ask_once(call, answer_by, caller_has_left)
             if may_have_begun and answer.outcome in _NOT_BEGUN:
                 # That is true of this try alone.
                 answer = replace(answer, outcome=CallOutcome.UNKNOWN)
-            may_have_begun |= answer.outcome is CallOutcome.UNKNOWN
+            if answer.outcome is CallOutcome.UNKNOWN and not may_have_begun:
+                # Its runs go on without a leader, and may be found again.
+                may_have_begun = True
+                give_up_at = time.monotonic() + _BEGUN_PATIENCE_S
             if self._has_given_up or not _may_repeat(call, answer):
                 return answer
             if time.monotonic() >= min(give_up_at, answer_by):
@@ -182,6 +197,7 @@
     def _fail_all(self, detail: str) -> None:
         with self._lock:
             self._connection = None
+            self._unlinked_at = time.monotonic()
             future_by_call = self._future_by_call
             self._future_by_call = {}
         for number, future in future_by_call.items():
--- a/baobabgap/replication/_session.py
+++ b/baobabgap/replication/_session.py
@@ -50,8 +50,19 @@
 
     def run(self) -> None:
         """Answer until the link ends."""
-        for message in self._connection.messages():
-            self._take(message)
+        try:
+            for message in self._connection.messages():
+                self._take(message)
+        finally:
+            self._note_end()
+
+    def _note_end(self) -> None:
+        state = self._state
+        with state.lock:
+            if state.leader == self._connection.peer.name and (
+                not state.is_leader and not state.stopping
+            ):
+                state.lose_leader()
 
     def _take(self, message: Any) -> None:
         match message:
--- a/baobabgap/replication/_state.py
+++ b/baobabgap/replication/_state.py
@@ -141,6 +141,13 @@
         self.leader_heard_at = time.monotonic()
         self.postpone_election()
 
+    def lose_leader(self) -> None:
+        """The leader's link has closed: it is gone, or about to be."""
+        self.leader_heard_at = float('-inf')
+        pause_s = self.election_timeout_s * random.uniform(0.05, 0.4)
+        due_at = time.monotonic() + pause_s
+        self.election_due_at = min(self.election_due_at, due_at)
+
     def stand_down(self, reason: str) -> None:
         """Become a follower; what is not committed has no known outcome."""
         was_leader = self.is_leader
