--- a/baobabgap/leaderlink/_link.py
+++ b/baobabgap/leaderlink/_link.py
@@ -21,6 +21,10 @@
 # Seconds between rounds over all known control hosts: a few rounds fit
 # into the shortest election.
 _ROUND_PAUSE_S: Final = 0.06
+# Seconds after which a failed dial has hung, rather than been refused.
+_HANGS_S: Final = 0.2
+# Seconds for which a host that hung is left out of the search.
+_SHUNNED_S: Final = 1.0
 # Seconds for opening a link: a host that takes longer is no use as leader.
 _DIAL_LIMIT_S: Final = 0.4
 
@@ -54,7 +58,9 @@
         self._hint = ''
         self._stopping = threading.Event()
         self._current: Connection | None = None
+        # Hosts that could not be linked to, so that it is logged once.
         self._unreachable: set[str] = set()
+        self._shunned_until: dict[str, float] = {}
 
     def start(self) -> None:
         """Begin to search in a task of the pool."""
@@ -76,21 +82,36 @@
 
     def _candidates(self) -> list[str]:
         known = dict.fromkeys((*self._learned, *self._configured()))
-        others = [address for address in known if address != self._hint]
+        now = time.monotonic()
+        others = [
+            address
+            for address in known
+            if address != self._hint and not self._is_shunned(address, now)
+        ]
         random.shuffle(others)
-        # What did not answer lately comes last: it may hang.
-        others.sort(key=lambda address: address in self._unreachable)
-        return [self._hint, *others] if self._hint else others
+        if self._hint and not self._is_shunned(self._hint, now):
+            return [self._hint, *others]
+        return others
+
+    def _is_shunned(self, address: str, now: float) -> bool:
+        """Tell whether a host hung a moment ago, so that it may again."""
+        return now < self._shunned_until.get(address, 0.0)
+
+    def _shun(self, address: str) -> None:
+        self._shunned_until[address] = time.monotonic() + _SHUNNED_S
 
     def _try(self, address: str) -> bool:
         """Use one control host; tell whether it led."""
         self._hint = ''
+        dialled_at = time.monotonic()
         try:
             connection = dial(
                 address, self._own(), self._dial_timing, self._pool
             )
             connection.use_timing(self._timing)
         except BaobabgapError as error:
+            if time.monotonic() - dialled_at > _HANGS_S:
+                self._shun(address)
             if address not in self._unreachable:
                 self._unreachable.add(address)
                 log_event(
@@ -102,8 +123,7 @@
         try:
             return self._use(address, connection)
         except BaobabgapError as error:
-            # Perhaps it hangs: the others are asked first.
-            self._unreachable.add(address)
+            self._shun(address)
             log_event('leader_link_lost', address=address, error=str(error))
             return True
         finally:
