--- a/baobabgap/dispatch/_call_desk.py
+++ b/baobabgap/dispatch/_call_desk.py
@@ -127,7 +127,8 @@
         if self._join(arrived, job_id):
             return
         job = self._job_from(call, match)
-        plan = JobPlan(job, time.monotonic(), self._books.run_times)
+        arrived_at = time.monotonic() - call.waited_ms / 1000
+        plan = JobPlan(job, arrived_at, self._books.run_times)
         if not self._admit(arrived, plan):
             return
         if job.is_volatile:
@@ -183,7 +184,10 @@
             return True
         rooms = self._books.rooms_of(job.service)
         backlog_core_s = self._books.backlog_core_s(job.service)
-        patience_s = LATE_FACTOR * plan.objective_s - max(plan.expected_s)
+        waited_s = time.monotonic() - plan.arrived_at
+        patience_s = (
+            LATE_FACTOR * plan.objective_s - max(plan.expected_s) - waited_s
+        )
         refusal = admit(rooms, job.steps, backlog_core_s, patience_s)
         if refusal is None:
             return True
--- a/baobabgap/dispatch/_messages.py
+++ b/baobabgap/dispatch/_messages.py
@@ -48,6 +48,8 @@
     # Whether the answer is to come when the job has ended, and nothing
     # need be stored.
     is_volatile: bool = False
+    # Milliseconds since the entry got it: its caller has waited as long.
+    waited_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -124,6 +124,9 @@
         )
         may_have_begun = False
         while True:
+            if isinstance(call, SubmitJob):
+                waited_ms = int(1000 * (time.monotonic() - now))
+                call = replace(call, waited_ms=waited_ms)
             answer = self._ask_once(call, answer_by, caller_has_left)
             if may_have_begun and answer.outcome in _NOT_BEGUN:
                 # That is true of this try alone.
--- a/baobabgap/scheduling/_planner.py
+++ b/baobabgap/scheduling/_planner.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Final
 
 from baobabgap.accepted import Demand
 from baobabgap.scheduling._job_plan import JobPlan
@@ -16,6 +17,12 @@
 from baobabgap.scheduling._rooms import Room
 from baobabgap.scheduling._rooms import usable_rooms
 
+# What a job needs on top of its run time, seconds: messages and wakes from
+# the order of the start to the answer.
+_MARGIN_S: Final = 0.02
+# The share of the expected run time by which it is often exceeded.
+_MARGIN_SHARE: Final = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
@@ -83,7 +90,8 @@
 
 def _in_line(plan: JobPlan, step: int, now: float) -> _StepInLine:
     latest_start = plan.latest_start(step)
-    if now <= latest_start:
+    margin_s = _MARGIN_S + _MARGIN_SHARE * plan.expected_s[step]
+    if now <= latest_start - margin_s:
         lateness = 0
     elif now <= plan.late_limit(step):
         lateness = 1
