--- a/baobabgap/dispatch/_call_desk.py
+++ b/baobabgap/dispatch/_call_desk.py
@@ -28,6 +28,7 @@
 from baobabgap.scheduling import admit
 from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import LATE_FACTOR
+from baobabgap.scheduling import retry_after
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 
@@ -120,6 +121,42 @@
         if is_cancelled:
             self._closer.close(JobEnd(event.job_id, JobState.CANCELLED))
 
+    def give_up_worthless(self, now: float) -> None:
+        """Refuse volatile jobs that wait and can't be served in time.
+
+        None of their tasks has been started, so that is what they are told.
+        """
+        books = self._books
+        for job_id, calls in list(books.callers_by_id.items()):
+            plan = books.plan_by_id[job_id]
+            if plan.has_started or not books.takeover.may_start(plan.job):
+                continue
+            if now <= plan.late_limit(0):
+                continue
+            backlog_core_s = books.backlog_core_s(plan.job.service)
+            retry_after_ms = retry_after(
+                books.rooms_of(plan.job.service), backlog_core_s
+            )
+            del books.callers_by_id[job_id]
+            del books.plan_by_id[job_id]
+            log_event(
+                'job_given_up',
+                job=job_id,
+                queue=plan.job.queue,
+                waited_ms=round(1000 * (now - plan.arrived_at)),
+                objective_ms=round(1000 * plan.objective_s),
+                backlog_core_s=round(backlog_core_s, 2),
+                retry_after_ms=retry_after_ms,
+            )
+            self._metrics.count('baobabgap_jobs_total{end="given_up"}')
+            for call in calls:
+                answer(
+                    call,
+                    CallOutcome.OVERLOADED,
+                    retry_after_ms=retry_after_ms,
+                    detail='waited in vain',
+                )
+
     def _submit(
         self, arrived: CallArrived, call: SubmitJob, match: QueueMatch
     ) -> None:
--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -283,7 +283,7 @@
             self._log.serve(connection)
             return
         if not self.is_leading:
-            leader = self.leader
+            leader = self._log.recent_leader
             connection.send(
                 LeaderHint(
                     leader.name if leader else '',
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -132,6 +132,7 @@
         if now >= self._look_at:
             self._look_at = now + _TICK_S
             self._watch.look(now)
+            self._calls.give_up_worthless(now)
         self._starter.start()
 
     def _take_events(self) -> None:
--- a/baobabgap/leaderlink/_link.py
+++ b/baobabgap/leaderlink/_link.py
@@ -78,7 +78,8 @@
             for address in self._candidates():
                 if self._stopping.is_set() or self._try(address):
                     break
-            self._stopping.wait(_ROUND_PAUSE_S * random.uniform(0.5, 1.0))
+            if not self._hint:
+                self._stopping.wait(_ROUND_PAUSE_S * random.uniform(0.5, 1.0))
 
     def _candidates(self) -> list[str]:
         known = dict.fromkeys((*self._learned, *self._configured()))
@@ -148,7 +149,10 @@
                     )
                 return True
             case LeaderHint(address=hint):
-                if hint and hint != address:
+                is_usable = hint and not self._is_shunned(
+                    hint, time.monotonic()
+                )
+                if is_usable and hint != address:
                     self._hint = hint
                     return True
         return False
--- a/baobabgap/replication/_log.py
+++ b/baobabgap/replication/_log.py
@@ -190,6 +190,14 @@
         with self._state.lock:
             return self._state.leader_host
 
+    @property
+    def recent_leader(self) -> ControlHost | None:
+        """The leader, if it was heard of within an election timeout."""
+        with self._state.lock:
+            if not self._state.leader_is_recent():
+                return None
+            return self._state.leader_host
+
     def status(self) -> LogStatus:
         """Describe this moment."""
         return read_status(self._state, self._peers, self._storage)
--- a/baobabgap/scheduling/__init__.py
+++ b/baobabgap/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from baobabgap.scheduling._admission import admit
 from baobabgap.scheduling._admission import core_seconds
 from baobabgap.scheduling._admission import Refusal
+from baobabgap.scheduling._admission import retry_after
 from baobabgap.scheduling._health import is_overdue
 from baobabgap.scheduling._health import UpstreamHealth
 from baobabgap.scheduling._job_plan import JobPlan
@@ -24,6 +25,7 @@
     'Placement',
     'plan_starts',
     'Refusal',
+    'retry_after',
     'Room',
     'RunTimes',
     'TaskState',
--- a/baobabgap/scheduling/_admission.py
+++ b/baobabgap/scheduling/_admission.py
@@ -11,6 +11,8 @@
 from baobabgap.accepted import Step
 from baobabgap.scheduling._rooms import Room
 
+# The shortest pause that a refused caller is told, milliseconds.
+_SHORTEST_RETRY_AFTER_MS: Final = 100
 # The longest pause that a refused caller is told, milliseconds.
 _LONGEST_RETRY_AFTER_MS: Final = 10_000
 
@@ -46,21 +48,41 @@
     if rooms and not _could_ever_fit(rooms, steps):
         # Another upstream may come; the caller decides whether to wait.
         return Refusal(_LONGEST_RETRY_AFTER_MS, 'no upstream is large enough')
-    cores = sum(
-        room.capacity.cpu_millicores / 1000 for room in rooms if room.is_open
-    )
+    cores = _open_cores(rooms)
     if not cores:
         return None
     wait_s = backlog_core_s / cores
     if wait_s <= patience_s:
         return None
-    retry_after_ms = int(1000 * (wait_s - patience_s)) + 100
     return Refusal(
-        min(retry_after_ms, _LONGEST_RETRY_AFTER_MS),
+        retry_after(rooms, backlog_core_s, patience_s),
         f'{wait_s:.1f} s of work wait',
     )
 
 
+def retry_after(
+    rooms: list[Room], backlog_core_s: float, patience_s: float = 0.0
+) -> int:
+    """Return the milliseconds after which a caller should come again.
+
+    By then the backlog should have shrunk to what the job can bear.
+    """
+    cores = _open_cores(rooms)
+    if not cores:
+        return _LONGEST_RETRY_AFTER_MS
+    excess_s = max(0.0, backlog_core_s / cores - patience_s)
+    return min(
+        int(1000 * excess_s) + _SHORTEST_RETRY_AFTER_MS,
+        _LONGEST_RETRY_AFTER_MS,
+    )
+
+
+def _open_cores(rooms: list[Room]) -> float:
+    return sum(
+        room.capacity.cpu_millicores / 1000 for room in rooms if room.is_open
+    )
+
+
 def _could_ever_fit(rooms: list[Room], steps: tuple[Step, ...]) -> bool:
     return all(
         any(step.demand.fits_in(room.capacity) for room in rooms)
