Hear quiet upstreams and entries' lives in a takeover

An entry that was started anew has forgotten which jobs its former life had handed in: it is enrolled by its incarnation, and only a later takeover forgets it.

--- a/baobabgap/accepted/_commands.py
+++ b/baobabgap/accepted/_commands.py
@@ -44,7 +44,7 @@
 class EnrolMembers:
     """Remember agents that may hold runs, and entries that may hold calls.
 
-    Names are `role/name`, such as `agent/upstream-7`.
+    Names are `agent/name` and `entry/name/incarnation`.
     """
 
     names: tuple[str, ...]
--- a/baobabgap/dispatch/__init__.py
+++ b/baobabgap/dispatch/__init__.py
@@ -23,6 +23,7 @@
 from baobabgap.dispatch._messages import StopRuns
 from baobabgap.dispatch._messages import SubmitJob
 from baobabgap.dispatch._messages import UpstreamChanged
+from baobabgap.dispatch._messages import UpstreamQuiet
 from baobabgap.dispatch._messages import UpstreamState
 from baobabgap.dispatch._roles import AGENT_ROLE
 from baobabgap.dispatch._roles import ENTRY_ROLE
@@ -61,5 +62,6 @@
     'StopRuns',
     'SubmitJob',
     'UpstreamChanged',
+    'UpstreamQuiet',
     'UpstreamState',
 ]
--- a/baobabgap/dispatch/_agent_desk.py
+++ b/baobabgap/dispatch/_agent_desk.py
@@ -28,6 +28,7 @@
 from baobabgap.dispatch._messages import RunsFound
 from baobabgap.dispatch._messages import RunsGone
 from baobabgap.dispatch._messages import UpstreamChanged
+from baobabgap.dispatch._messages import UpstreamQuiet
 from baobabgap.dispatch._messages import UpstreamState
 from baobabgap.dispatch._roles import AGENT_ROLE
 from baobabgap.dispatch._run_book import RunBook
@@ -104,6 +105,9 @@
             case AuthorityRequest():
                 if is_confirmed and view.is_enrolled:
                     self._grant(view, connection, message)
+            case UpstreamQuiet(fence=fence):
+                if fence == self._books.term:
+                    self._books.takeover.hear_agent(view.name)
             case UpstreamChanged(upstream=upstream):
                 self._change_upstream(view, upstream)
             case RunsEnded() | RunsGone() | RunsFound():
--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -327,7 +327,11 @@
                     self._scheduler.tell(CallArrived(message, connection))
                 case EntryReport(begun_job_ids=job_ids):
                     self._scheduler.tell(
-                        EntryLinked(connection.peer.name, job_ids)
+                        EntryLinked(
+                            connection.peer.name,
+                            connection.peer.incarnation,
+                            job_ids,
+                        )
                     )
                 case DropCall(call=call):
                     self._scheduler.tell(CallDropped(call, connection))
--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -100,7 +100,8 @@
     """An entry has a new link, and says what it has under way."""
 
     name: str
-    # Volatile jobs that it has sent to an earlier leader.
+    incarnation: str
+    # Volatile jobs that this incarnation has sent to an earlier leader.
     begun_job_ids: tuple[str, ...]
 
 
--- a/baobabgap/dispatch/_messages.py
+++ b/baobabgap/dispatch/_messages.py
@@ -162,6 +162,16 @@
     ended: tuple[EndRow, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamQuiet:
+    """An upstream that has not announced itself yet runs nothing.
+
+    It has seen the fence, so that no earlier order can start anything.
+    """
+
+    fence: int
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamChanged:
     """The upstream has come, changed or gone.
@@ -285,4 +295,5 @@
     StopRuns,
     SubmitJob,
     UpstreamChanged,
+    UpstreamQuiet,
 )
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from baobabgap.accepted import AcceptedState
+from baobabgap.accepted import DismissMembers
 from baobabgap.accepted import EnrolMembers
 from baobabgap.dispatch._agent_desk import AgentDesk
 from baobabgap.dispatch._agent_view import AgentView
@@ -132,6 +133,8 @@
         if now >= self._look_at:
             self._look_at = now + _TICK_S
             self._watch.look(now)
+            if self._books.takeover.look(now):
+                self._dismiss_earlier_lives()
             self._calls.give_up_worthless(now)
         self._starter.start()
 
@@ -188,10 +191,27 @@
             answer_unavailable(event, 'this host does not lead')
 
     def _take_entry(self, event: EntryLinked) -> None:
-        self._books.takeover.hear_entry(event.name, event.begun_job_ids)
-        member = f'{ENTRY_ROLE}/{event.name}'
+        # An entry that has been started anew has forgotten what it sent.
+        life = f'{event.name}/{event.incarnation}'
+        self._books.takeover.hear_entry(life, event.begun_job_ids)
+        member = f'{ENTRY_ROLE}/{life}'
+        self._books.member_by_entry[event.name] = member
         if member not in self._state.members:
             self._committer.propose(EnrolMembers((member,)), ignore_result)
+        if self._books.takeover.is_over:
+            self._dismiss_earlier_lives()
+
+    def _dismiss_earlier_lives(self) -> None:
+        """Forget entries' lives whose jobs can't have runs any more."""
+        member_by_entry = self._books.member_by_entry
+        earlier = tuple(
+            member
+            for member in tuple(self._state.members)
+            if member.startswith(f'{ENTRY_ROLE}/')
+            and member_by_entry.get(member.split('/')[1], member) != member
+        )
+        if earlier:
+            self._committer.propose(DismissMembers(earlier), ignore_result)
 
     def _lead(self, event: Led) -> None:
         now = time.monotonic()
--- a/baobabgap/dispatch/_takeover.py
+++ b/baobabgap/dispatch/_takeover.py
@@ -37,9 +37,9 @@
         """An agent has reported, or its lease has certainly lapsed."""
         self._unheard_agents.discard(name)
 
-    def hear_entry(self, name: str, begun_job_ids: Iterable[str]) -> None:
-        """An entry has said what it had handed in before."""
-        self._unheard_entries.discard(name)
+    def hear_entry(self, life: str, begun_job_ids: Iterable[str]) -> None:
+        """A life of an entry has said what it had handed in before."""
+        self._unheard_entries.discard(life)
         if not self._is_over:
             self._begun_before.update(begun_job_ids)
 
@@ -57,10 +57,15 @@
             )
         return job.term == self._term
 
-    def look(self, now: float) -> None:
-        """End the takeover if it is time."""
+    @property
+    def is_over(self) -> bool:
+        """Tell whether all jobs may start."""
+        return self._is_over
+
+    def look(self, now: float) -> bool:
+        """End the takeover if it is time; tell whether it has just ended."""
         if self._is_over or (self._unheard_agents and now < self._ends_at):
-            return
+            return False
         self._is_over = True
         self._begun_before = set()
         log_event(
@@ -68,6 +73,7 @@
             term=self._term,
             unheard=sorted(self._unheard_agents),
         )
+        return True
 
 
 def _named(role: str, members: Iterable[str]) -> set[str]:
--- a/baobabgap/dispatch/_watch.py
+++ b/baobabgap/dispatch/_watch.py
@@ -41,7 +41,6 @@
     def look(self, now: float) -> None:
         """Look once, as the confirmed leader."""
         books = self._books
-        books.takeover.look(now)
         for agent, row in books.orphans.expire(now):
             view = books.view_by_name.get(agent)
             if view is not None:
--- a/baobabgap/dispatch/tests/test_takeover.py
+++ b/baobabgap/dispatch/tests/test_takeover.py
@@ -12,7 +12,7 @@
 from baobabgap.dispatch._timing import LeaseTiming
 
 TERM = 5
-MEMBERS = ('agent/a', 'agent/b', 'entry/e')
+MEMBERS = ('agent/a', 'agent/b', 'entry/e/1')
 
 
 def make_job(job_id: str, *, volatile: bool, term: int = TERM) -> AcceptedJob:
@@ -39,11 +39,11 @@
         self.assertEqual(['stored'], self.may_start())
 
     def test_what_is_certainly_new_starts_then(self) -> None:
-        self.takeover.hear_entry('e', ('begun',))
+        self.takeover.hear_entry('e/1', ('begun',))
         self.assertEqual(['fresh', 'stored'], self.may_start())
 
     def test_all_starts_once_every_agent_is_heard(self) -> None:
-        self.takeover.hear_entry('e', ('begun',))
+        self.takeover.hear_entry('e/1', ('begun',))
         self.takeover.hear_agent('a')
         self.takeover.look(0.0)
         self.assertEqual(['fresh', 'stored'], self.may_start())
@@ -53,6 +53,11 @@
             ['fresh', 'begun', 'inherited', 'stored'], self.may_start()
         )
 
+    def test_entry_that_was_started_anew_knows_nothing(self) -> None:
+        """Its clients may hand jobs in again that its former life had."""
+        self.takeover.hear_entry('e/2', ())
+        self.assertEqual(['stored'], self.may_start())
+
     def test_all_starts_once_every_lease_has_lapsed(self) -> None:
         self.takeover.look(9.9)
         self.assertEqual(['stored'], self.may_start())
--- a/baobabgap/leaderlink/_link.py
+++ b/baobabgap/leaderlink/_link.py
@@ -24,7 +24,7 @@
 # Seconds after which a failed dial has hung, rather than been refused.
 _HANGS_S: Final = 0.2
 # Seconds for which a host that hung is left out of the search.
-_SHUNNED_S: Final = 1.0
+_SHUNNED_S: Final = 0.4
 # Seconds for opening a link: a host that takes longer is no use as leader.
 _DIAL_LIMIT_S: Final = 0.4
 
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -26,6 +26,7 @@
 from baobabgap.dispatch import StartRuns
 from baobabgap.dispatch import StopRuns
 from baobabgap.dispatch import UpstreamChanged
+from baobabgap.dispatch import UpstreamQuiet
 from baobabgap.dispatch import UpstreamState
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
@@ -486,6 +487,8 @@
         if self._connection is None or fence != self._fence:
             return
         if self._upstream is None:
+            if not self._table.run_by_task:
+                self._connection.send(UpstreamQuiet(self._fence))
             return
         self._owes_report = False
         self._connection.send(
