Let the end of an old link not take the new one down

Cause: the end of a session cleared the link and failed the calls of whichever session was there. Jobs that come again are taken in without asking admission.

--- a/baobabgap/dispatch/_call_desk.py
+++ b/baobabgap/dispatch/_call_desk.py
@@ -166,7 +166,11 @@
         job = self._job_from(call, match)
         arrived_at = time.monotonic() - call.waited_ms / 1000
         plan = JobPlan(job, arrived_at, self._books.run_times)
-        if not self._admit(arrived, plan):
+        # A refusal would say that nothing of it has run.
+        may_have_begun = call.is_repeat or (
+            self._books.takeover.may_have_begun(job_id)
+        )
+        if not may_have_begun and not self._admit(arrived, plan):
             return
         if job.is_volatile:
             self._take_in(plan, arrived)
@@ -216,9 +220,6 @@
     def _admit(self, arrived: CallArrived, plan: JobPlan) -> bool:
         """Refuse a job that would be worthless; tell whether it is taken."""
         job = plan.job
-        if self._books.takeover.may_have_begun(job.job_id):
-            # A refusal would say that nothing of it has run.
-            return True
         rooms = self._books.rooms_of(job.service)
         backlog_core_s = self._books.backlog_core_s(job.service)
         waited_s = time.monotonic() - plan.arrived_at
--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from concurrent.futures import Future
+from dataclasses import dataclass
 from dataclasses import replace
 import itertools
 import threading
@@ -38,6 +39,15 @@
 _CALLER_LOOK_S: Final = 0.25
 
 
+@dataclass(frozen=True, slots=True)
+class _PendingCall:
+    """A call that waits for its answer."""
+
+    # The link that it went over.
+    connection: Connection
+    future: Future[CallAnswer]
+
+
 class LeaderCalls:
     """Matches answers of the leader with the calls that wait for them.
 
@@ -49,7 +59,7 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._numbers = itertools.count(1)
-        self._future_by_call: dict[int, Future[CallAnswer]] = {}
+        self._pending_by_call: dict[int, _PendingCall] = {}
         self._connection: Connection | None = None
         self._has_given_up = False
         # When the last link to a leader ended, or the process began.
@@ -87,7 +97,7 @@
                     case LeaderReady():
                         self.largest_body_bytes = message.largest_body_bytes
         finally:
-            self._fail_all('leader link lost')
+            self._lose(connection)
 
     def give_up(self) -> None:
         """Answer all calls with `UNKNOWN`, now and from now on.
@@ -95,12 +105,15 @@
         Volatile jobs go on: their callers come back to them elsewhere.
         """
         self._has_given_up = True
-        self._fail_all('this entry stops')
+        with self._lock:
+            self._connection = None
+            pending = self._take_pending(None)
+        _fail(pending, 'this entry stops')
 
     @property
     def waiting(self) -> int:
         """The number of calls that wait for an answer."""
-        return len(self._future_by_call)
+        return len(self._pending_by_call)
 
     def ask(
         self,
@@ -125,8 +138,11 @@
         may_have_begun = False
         while True:
             if isinstance(call, SubmitJob):
-                waited_ms = int(1000 * (time.monotonic() - now))
-                call = replace(call, waited_ms=waited_ms)
+                call = replace(
+                    call,
+                    waited_ms=int(1000 * (time.monotonic() - now)),
+                    is_repeat=may_have_begun,
+                )
             answer = self._ask_once(call, answer_by, caller_has_left)
             if may_have_begun and answer.outcome in _NOT_BEGUN:
                 # That is true of this try alone.
@@ -155,7 +171,7 @@
                 return CallAnswer(
                     number, CallOutcome.UNAVAILABLE, detail='no leader'
                 )
-            self._future_by_call[number] = future
+            self._pending_by_call[number] = _PendingCall(connection, future)
             if isinstance(call, SubmitJob) and call.is_volatile:
                 self._begun_at_by_id[_job_id(call)] = time.monotonic()
         connection.send(replace(call, call=number))
@@ -168,7 +184,7 @@
                     continue
             break
         with self._lock:
-            self._future_by_call.pop(number, None)
+            self._pending_by_call.pop(number, None)
         if isinstance(call, SubmitJob) and call.is_volatile:
             connection.send(DropCall(number))
         return CallAnswer(
@@ -193,20 +209,38 @@
     def _resolve(self, answer: CallAnswer) -> None:
         with self._lock:
             self._forget_old()
-            future = self._future_by_call.pop(answer.call, None)
-        if future is not None:
-            future.set_result(answer)
+            pending = self._pending_by_call.pop(answer.call, None)
+        if pending is not None:
+            pending.future.set_result(answer)
 
-    def _fail_all(self, detail: str) -> None:
+    def _lose(self, connection: Connection) -> None:
+        """A link has ended, and with it the calls that went over it."""
         with self._lock:
-            self._connection = None
-            self._unlinked_at = time.monotonic()
-            future_by_call = self._future_by_call
-            self._future_by_call = {}
-        for number, future in future_by_call.items():
-            future.set_result(
-                CallAnswer(number, CallOutcome.UNKNOWN, detail=detail)
-            )
+            if self._connection is connection:
+                self._connection = None
+                self._unlinked_at = time.monotonic()
+            pending = self._take_pending(connection)
+        _fail(pending, 'leader link lost')
+
+    def _take_pending(
+        self, connection: Connection | None
+    ) -> dict[int, Future[CallAnswer]]:
+        """Take the calls of one link, or all; the lock is held."""
+        taken = {
+            number: call.future
+            for number, call in self._pending_by_call.items()
+            if connection is None or call.connection is connection
+        }
+        for number in taken:
+            del self._pending_by_call[number]
+        return taken
+
+
+def _fail(pending: dict[int, Future[CallAnswer]], detail: str) -> None:
+    for number, future in pending.items():
+        future.set_result(
+            CallAnswer(number, CallOutcome.UNKNOWN, detail=detail)
+        )
 
 
 def _job_id(call: SubmitJob) -> str:
--- a/baobabgap/leaderlink/tests/test_calls.py
+++ b/baobabgap/leaderlink/tests/test_calls.py
@@ -100,8 +100,9 @@
         link.cut()
         second = self.link()
         second.next_sent()
-        call = second.next_sent().call
-        second.answer(call, CallOutcome.OVERLOADED)
+        repeated = second.next_sent()
+        self.assertTrue(repeated.is_repeat)
+        second.answer(repeated.call, CallOutcome.OVERLOADED)
         third = second.next_sent().call
         second.answer(third, CallOutcome.FOUND)
         self.assertIs(CallOutcome.FOUND, asked.result(WAIT_S).outcome)
