--- a/baobabgap/dispatch/_call_desk.py
+++ b/baobabgap/dispatch/_call_desk.py
@@ -129,7 +129,9 @@
         books = self._books
         for job_id, calls in list(books.callers_by_id.items()):
             plan = books.plan_by_id[job_id]
-            if plan.has_started or not books.takeover.may_start(plan.job):
+            if plan.has_started or plan.may_have_begun:
+                continue
+            if not books.takeover.may_start(plan.job):
                 continue
             if now <= plan.late_limit(0):
                 continue
@@ -166,11 +168,11 @@
         job = self._job_from(call, match)
         arrived_at = time.monotonic() - call.waited_ms / 1000
         plan = JobPlan(job, arrived_at, self._books.run_times)
-        # A refusal would say that nothing of it has run.
-        may_have_begun = call.is_repeat or (
+        # Then a refusal, which says that nothing has run, may be untrue.
+        plan.may_have_begun = call.is_repeat or (
             self._books.takeover.may_have_begun(job_id)
         )
-        if not may_have_begun and not self._admit(arrived, plan):
+        if not plan.may_have_begun and not self._admit(arrived, plan):
             return
         if job.is_volatile:
             self._take_in(plan, arrived)
--- a/baobabgap/scheduling/_admission.py
+++ b/baobabgap/scheduling/_admission.py
@@ -11,6 +11,8 @@
 from baobabgap.accepted import Step
 from baobabgap.scheduling._rooms import Room
 
+# Seconds of waiting work that keep no job from being served.
+_NO_WAIT_S: Final = 0.05
 # The shortest pause that a refused caller is told, milliseconds.
 _SHORTEST_RETRY_AFTER_MS: Final = 100
 # The longest pause that a refused caller is told, milliseconds.
@@ -52,7 +54,8 @@
     if not cores:
         return None
     wait_s = backlog_core_s / cores
-    if wait_s <= patience_s:
+    if wait_s <= max(patience_s, _NO_WAIT_S):
+        # Late already, perhaps, but nothing keeps it from being served.
         return None
     return Refusal(
         retry_after(rooms, backlog_core_s, patience_s),
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -40,6 +40,8 @@
         self.job: Final = job
         self.arrived_at: Final = arrived_at
         self.has_started = False
+        # Whether an earlier leader may have started tasks of it.
+        self.may_have_begun = False
         self.task_by_id: dict[TaskId, TaskState] = {}
         # Tasks that wait for a start, by step.
         self.waiting_by_step: list[list[TaskState]] = []
--- a/baobabgap/scheduling/tests/test_decisions.py
+++ b/baobabgap/scheduling/tests/test_decisions.py
@@ -202,6 +202,9 @@
         # When the caller comes back the wait is bearable.
         self.assertGreaterEqual(refusal.retry_after_ms, 2000)
 
+    def test_late_job_is_served_while_nothing_waits(self) -> None:
+        self.assertIsNone(admit([make_room('r')], self.STEPS, 0.0, -1.0))
+
     def test_job_that_fits_nowhere_is_refused(self) -> None:
         huge = (Step(1, Demand(99_000, 1, 0), 100),)
         self.assertIsNotNone(admit([make_room('r')], huge, 0.0, 1.0))
