Hold no takeover up for upstreams that can't be asked and run nothing

An agent now says that its upstream runs nothing once no lease can hold, also one that an earlier process gave; entries that are gone are dismissed.

--- a/baobabgap/dispatch/_books.py
+++ b/baobabgap/dispatch/_books.py
@@ -54,8 +54,6 @@
         # yet: its predecessor may have had them.
         self.orphans = Orphans()
         self.view_by_name: dict[str, AgentView] = {}
-        # The present life of each entry, as it is enrolled.
-        self.member_by_entry: dict[str, str] = {}
 
     def waiting_calls(self) -> list[CallArrived]:
         """Return all calls that have not been answered."""
--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -22,6 +22,7 @@
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._events import CallDropped
 from baobabgap.dispatch._events import EntryLinked
+from baobabgap.dispatch._events import EntryUnlinked
 from baobabgap.dispatch._group_keeper import GroupKeeper
 from baobabgap.dispatch._leadership import Leadership
 from baobabgap.dispatch._messages import CancelPath
@@ -321,6 +322,13 @@
             self._scheduler.tell(AgentUnlinked(connection))
 
     def _serve_entry(self, connection: Connection) -> None:
+        try:
+            self._take_calls(connection)
+        finally:
+            peer = connection.peer
+            self._scheduler.tell(EntryUnlinked(peer.name, peer.incarnation))
+
+    def _take_calls(self, connection: Connection) -> None:
         for message in connection.messages():
             match message:
                 case SubmitJob() | ReadPath() | CancelPath():
--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -105,6 +105,14 @@
     begun_job_ids: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class EntryUnlinked:
+    """A link of an entry has ended."""
+
+    name: str
+    incarnation: str
+
+
 @dataclass(frozen=True, slots=True)
 class MembersEnrolled:
     """An agent is durably known, and may get runs."""
@@ -125,6 +133,7 @@
     | EndsStored
     | CancelStored
     | EntryLinked
+    | EntryUnlinked
     | MembersEnrolled
 )
 
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -13,15 +13,13 @@
 from typing import Final
 
 from baobabgap.accepted import AcceptedState
-from baobabgap.accepted import DismissMembers
-from baobabgap.accepted import EnrolMembers
 from baobabgap.dispatch._agent_desk import AgentDesk
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._books import Books
 from baobabgap.dispatch._call_desk import CallDesk
 from baobabgap.dispatch._closing import JobCloser
 from baobabgap.dispatch._committer import Committer
-from baobabgap.dispatch._committer import ignore_result
+from baobabgap.dispatch._entry_desk import EntryDesk
 from baobabgap.dispatch._events import AgentLinked
 from baobabgap.dispatch._events import AgentReported
 from baobabgap.dispatch._events import AgentUnlinked
@@ -30,6 +28,7 @@
 from baobabgap.dispatch._events import CancelStored
 from baobabgap.dispatch._events import EndsStored
 from baobabgap.dispatch._events import EntryLinked
+from baobabgap.dispatch._events import EntryUnlinked
 from baobabgap.dispatch._events import Event
 from baobabgap.dispatch._events import JobsStored
 from baobabgap.dispatch._events import Led
@@ -39,7 +38,6 @@
 from baobabgap.dispatch._replies import answer
 from baobabgap.dispatch._replies import answer_unavailable
 from baobabgap.dispatch._roles import AGENT_ROLE
-from baobabgap.dispatch._roles import ENTRY_ROLE
 from baobabgap.dispatch._run_book import RunBook
 from baobabgap.dispatch._starter import TaskStarter
 from baobabgap.dispatch._takeover import Takeover
@@ -72,8 +70,6 @@
         on_failure: Callable[[], None],
         metrics: Metrics,
     ) -> None:
-        self._state: Final = state
-        self._committer: Final = committer
         self._timing: Final = timing
         # Whether a majority has confirmed lately that this host leads.
         self._is_confirmed: Final = is_confirmed
@@ -91,6 +87,7 @@
         self._agents = AgentDesk(
             books, runs, self._closer, state, committer, timing, self.tell
         )
+        self._entries = EntryDesk(books, state, committer)
         self._watch = Watch(books, runs, self._agents, timing)
         self._starter = TaskStarter(books, runs, far_factor, timing, metrics)
 
@@ -133,8 +130,7 @@
         if now >= self._look_at:
             self._look_at = now + _TICK_S
             self._watch.look(now)
-            if self._books.takeover.look(now):
-                self._dismiss_earlier_lives()
+            self._entries.look(now)
             self._calls.give_up_worthless(now)
         self._starter.start()
 
@@ -169,7 +165,9 @@
             case EndsStored():
                 self._closer.take_stored(event)
             case EntryLinked():
-                self._take_entry(event)
+                self._entries.take_link(event)
+            case EntryUnlinked():
+                self._entries.take_lost_link(event)
             case _:
                 self._take_of_agent(event)
 
@@ -190,29 +188,6 @@
         else:
             answer_unavailable(event, 'this host does not lead')
 
-    def _take_entry(self, event: EntryLinked) -> None:
-        # An entry that has been started anew has forgotten what it sent.
-        life = f'{event.name}/{event.incarnation}'
-        self._books.takeover.hear_entry(life, event.begun_job_ids)
-        member = f'{ENTRY_ROLE}/{life}'
-        self._books.member_by_entry[event.name] = member
-        if member not in self._state.members:
-            self._committer.propose(EnrolMembers((member,)), ignore_result)
-        if self._books.takeover.is_over:
-            self._dismiss_earlier_lives()
-
-    def _dismiss_earlier_lives(self) -> None:
-        """Forget entries' lives whose jobs can't have runs any more."""
-        member_by_entry = self._books.member_by_entry
-        earlier = tuple(
-            member
-            for member in tuple(self._state.members)
-            if member.startswith(f'{ENTRY_ROLE}/')
-            and member_by_entry.get(member.split('/')[1], member) != member
-        )
-        if earlier:
-            self._committer.propose(DismissMembers(earlier), ignore_result)
-
     def _lead(self, event: Led) -> None:
         now = time.monotonic()
         books = self._books
@@ -221,6 +196,7 @@
             event.term, Takeover(event.term, event.members, ends_at)
         )
         self._closer.reset()
+        self._entries.reset()
         prefix = f'{AGENT_ROLE}/'
         for member in event.members:
             if member.startswith(prefix):
--- a/baobabgap/dispatch/_watch.py
+++ b/baobabgap/dispatch/_watch.py
@@ -18,9 +18,6 @@
 # Seconds for which the end of a volatile job is kept: its caller hands it
 # in again within a few seconds if the answer was lost.
 _KEPT_ENDED_S: Final = 10.0
-# Seconds of silence after which an agent is forgotten: far longer than its
-# upstream can hold a lease.
-_DISMISSED_AFTER_S: Final = 8.0
 
 
 class Watch:
@@ -64,7 +61,7 @@
         if silent_s > self._timing.lapse_s:
             self._runs.drop_all(view, 'lease lapsed')
             self._books.takeover.hear_agent(view.name)
-        if silent_s > _DISMISSED_AFTER_S:
+            # So that no later takeover waits for it.
             self._agents.dismiss(view)
             del self._books.view_by_name[view.name]
 
--- a/baobabgap/upstreams/_clock.py
+++ b/baobabgap/upstreams/_clock.py
@@ -15,16 +15,19 @@
     suspended.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, began_at: float, longest_lease_s: float) -> None:
         self._clock_ms = 0
-        self._read_at = 0.0
+        # Before any reading, leases count from the beginning: an earlier
+        # process of this agent may have given one just before.
+        self._read_at = began_at
         # The latest end of a lease that was sent, answered or not.
-        self._horizon_ms = 0
+        self._horizon_ms = int(1000 * longest_lease_s)
+        self._is_known = False
 
     @property
     def is_known(self) -> bool:
         """Tell whether the clock was ever read."""
-        return self._clock_ms > 0
+        return self._is_known
 
     @property
     def last_read_ms(self) -> int:
@@ -36,6 +39,10 @@
 
         The clock stood there no earlier than `asked_at`.
         """
+        if not self._is_known:
+            # An earlier process may have renewed the lease until now.
+            self._horizon_ms += clock_ms
+            self._is_known = True
         if clock_ms >= self._clock_ms:
             self._clock_ms = clock_ms
             self._read_at = asked_at
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -200,7 +200,7 @@
     def _begin_life(self) -> None:
         """Forget what belongs to an earlier life of the upstream."""
         self._table = RunTable()
-        self._clock = LeaseClock()
+        self._clock = LeaseClock(boot_time(), self._timing.longest_lease_s)
         self._authority_until_ms = 0
         # The highest end that the leader has made durable.
         self._noted = 0
@@ -529,13 +529,16 @@
             self._silent_at = boot_time()
             if self._silent_looks == _SILENT_LOOKS:
                 self._set_reachable(False)
-            if not self._clock.is_known or not self._table.run_by_task:
+            if not self._clock.has_lapsed(boot_time()):
                 return
-            if self._clock.has_lapsed(boot_time()):
-                rows = self._table.rows()
+            rows = self._table.rows()
+            if rows:
                 log_event('lease_lapsed', runs=len(rows))
                 self._table = RunTable()
                 self._send_gone(rows, 'lapsed')
+            if self._owes_report and self._connection is not None:
+                # It can't be asked, but it certainly runs nothing.
+                self._connection.send(UpstreamQuiet(self._fence))
 
     def _note_reachable(self) -> None:
         if self._silent_looks >= _SILENT_LOOKS:
--- a/baobabgap/upstreams/tests/test_run_table.py
+++ b/baobabgap/upstreams/tests/test_run_table.py
@@ -76,7 +76,7 @@
 
 class LeaseClockTest(unittest.TestCase):
     def test_lapses_on_the_slowest_clock(self) -> None:
-        clock = LeaseClock()
+        clock = LeaseClock(99.0, 1.0)
         clock.note_reading(10_000, asked_at=100.0)
         clock.note_lease(11_000)
         self.assertFalse(clock.has_lapsed(101.0))
@@ -84,8 +84,19 @@
         self.assertFalse(clock.has_lapsed(101.1))
         self.assertTrue(clock.has_lapsed(101.2))
 
+    def test_lease_of_an_earlier_process_lapses_too(self) -> None:
+        clock = LeaseClock(100.0, 1.0)
+        self.assertFalse(clock.has_lapsed(101.1))
+        self.assertTrue(clock.has_lapsed(101.2))
+
+    def test_first_reading_tells_nothing_of_earlier_leases(self) -> None:
+        clock = LeaseClock(100.0, 1.0)
+        clock.note_reading(50_000, asked_at=100.5)
+        self.assertFalse(clock.has_lapsed(101.6))
+        self.assertTrue(clock.has_lapsed(101.7))
+
     def test_late_answers_do_not_set_it_back(self) -> None:
-        clock = LeaseClock()
+        clock = LeaseClock(99.0, 1.0)
         clock.note_reading(10_000, asked_at=100.0)
         clock.note_reading(9_000, asked_at=99.0)
         self.assertEqual(10_500, clock.estimate_ms(100.5))
