--- a/baobabgap/dispatch/_agent_desk.py
+++ b/baobabgap/dispatch/_agent_desk.py
@@ -36,8 +36,8 @@
 from baobabgap.dispatch._timing import boot_time
 from baobabgap.dispatch._timing import LeaseTiming
 from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import PlannedTask
 from baobabgap.scheduling import Room
-from baobabgap.scheduling import TaskState
 from baobabgap.telemetry import log_event
 from baobabgap.transport import Connection
 
@@ -285,7 +285,7 @@
         view: AgentView,
         row: EndRow,
         plan: JobPlan,
-        task: TaskState,
+        task: PlannedTask,
         *,
         is_current: bool,
     ) -> None:
@@ -303,7 +303,7 @@
                     plan.note_gone(task)
 
     def _settle_done(
-        self, plan: JobPlan, task: TaskState, is_current: bool
+        self, plan: JobPlan, task: PlannedTask, is_current: bool
     ) -> None:
         if task.upstream and not is_current:
             # A later run of the same task is under way elsewhere.
@@ -314,7 +314,7 @@
             self._closer.close(JobEnd(plan.job.job_id, JobState.COMPLETED))
 
     def _settle_failed(
-        self, plan: JobPlan, task: TaskState, is_current: bool
+        self, plan: JobPlan, task: PlannedTask, is_current: bool
     ) -> None:
         """Let a failed task wait again, unless its job fails by it."""
         if len(task.failed_runs) < plan.job.attempts:
--- a/baobabgap/dispatch/_books.py
+++ b/baobabgap/dispatch/_books.py
@@ -11,9 +11,9 @@
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.queues import QueueTable
 from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import PlannedTask
 from baobabgap.scheduling import Room
 from baobabgap.scheduling import RunTimes
-from baobabgap.scheduling import TaskState
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +65,7 @@
         ]
         return [call for calls in groups for call in calls]
 
-    def find(self, task_id: TaskId) -> tuple[JobPlan, TaskState] | None:
+    def find(self, task_id: TaskId) -> tuple[JobPlan, PlannedTask] | None:
         """Return a task that is still to be done, with its job."""
         plan = self.plan_by_id.get(task_id.job_id)
         task = plan.task_by_id.get(task_id) if plan else None
--- a/baobabgap/dispatch/_messages.py
+++ b/baobabgap/dispatch/_messages.py
@@ -122,6 +122,8 @@
     run: int
     # Whether it's certain that the upstream has it.
     is_confirmed: bool
+    # What it occupies; nothing if an earlier process of the agent knew.
+    demand: Demand = Demand()
 
 
 @dataclass(frozen=True, slots=True)
@@ -240,6 +242,7 @@
     task: TaskId
     run: int
     payload: str
+    demand: Demand
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/dispatch/_run_book.py
+++ b/baobabgap/dispatch/_run_book.py
@@ -4,7 +4,6 @@
 import time
 from typing import Final
 
-from baobabgap.accepted import Demand
 from baobabgap.accepted import TaskId
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._agent_view import Run
@@ -12,7 +11,7 @@
 from baobabgap.dispatch._messages import RunRow
 from baobabgap.dispatch._messages import StopRuns
 from baobabgap.scheduling import JobPlan
-from baobabgap.scheduling import TaskState
+from baobabgap.scheduling import PlannedTask
 from baobabgap.telemetry import log_event
 
 # Reasons for a run's absence that speak against its upstream.
@@ -34,7 +33,7 @@
         self,
         view: AgentView,
         plan: JobPlan,
-        task: TaskState,
+        task: PlannedTask,
         number: int,
         *,
         was_found: bool = False,
@@ -55,7 +54,7 @@
         )
 
     def add_unwanted(self, view: AgentView, row: RunRow) -> None:
-        """Note a run that belongs to no job here; its demand isn't known."""
+        """Note a run that belongs to no job here."""
         if row.task in view.run_by_task:
             self.remove(view, row.task)
         self._occupy(
@@ -63,7 +62,7 @@
             Run(
                 row.task,
                 row.run,
-                Demand(),
+                row.demand,
                 time.monotonic(),
                 math.inf,
                 was_found=True,
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -15,8 +15,8 @@
 from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import Placement
 from baobabgap.scheduling import plan_starts
+from baobabgap.scheduling import PlannedTask
 from baobabgap.scheduling import Room
-from baobabgap.scheduling import TaskState
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 
@@ -74,7 +74,7 @@
             number = self._next_run(plan.job, task)
             self._runs.add(view, plan, task, number)
             orders_by_agent[room.name].append(
-                RunOrder(task.task, number, plan.job.payload)
+                RunOrder(task.task, number, plan.job.payload, placement.demand)
             )
             runs_by_job[plan.job.job_id].append(
                 f'{task_text(task.task)}#{number}@{room.name}'
@@ -107,6 +107,6 @@
             term=self._books.term,
         )
 
-    def _next_run(self, job: AcceptedJob, task: TaskState) -> int:
+    def _next_run(self, job: AcceptedJob, task: PlannedTask) -> int:
         terms = max(0, self._books.term - job.term)
         return max(1 + _RUNS_PER_TERM * terms, task.last_run + 1)
--- a/baobabgap/dispatch/tests/fake_upstream.py
+++ b/baobabgap/dispatch/tests/fake_upstream.py
@@ -35,6 +35,8 @@
         self.leaves_unanswered: Callable[[RunOrder], bool] = lambda _: False
         # Whether runs end as failed.
         self.fails = False
+        # Whether no call gets an answer.
+        self.is_silent = False
         self.starts: list[tuple[TaskId, int]] = []
         self._lock = threading.Condition()
         self._begin_life()
@@ -116,6 +118,8 @@
         lease_until_ms: int,
         wait_ms: int,
     ) -> Holding | None:
+        if self.is_silent:
+            return None
         give_up_at = time.monotonic() + wait_ms / 1000
         with self._lock:
             if fence < self._fence:
--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -175,6 +175,21 @@
         self.assertEqual('completed', asked.result(WAIT_S).state)
         self.assertEqual(8, len(self.starts()))
 
+    def test_silent_upstream_holds_no_new_leader_up(self) -> None:
+        """Regression: its agent had nothing to report for seconds."""
+        deployment = self.deployment
+        deployment.submit('a', step(1), volatile=True).result(WAIT_S)
+        deployment.upstreams[0].is_silent = True
+        leader = deployment.leader
+        assert leader is not None
+        leader.stop()
+        wait_until(lambda: deployment.leader not in (None, leader), 'a leader')
+        asked = deployment.submit('b', step(4), volatile=True)
+        self.assertEqual('completed', asked.result(WAIT_S).state)
+        self.assertEqual(
+            {'a', 'b'}, {task.job_id for task, _ in self.starts()}
+        )
+
     def test_stored_job_and_configuration_survive_it(self) -> None:
         deployment = self.deployment
         deployment.put(5)
--- a/baobabgap/scheduling/__init__.py
+++ b/baobabgap/scheduling/__init__.py
@@ -1,14 +1,13 @@
 """Decisions on load: admission, order, placing, health. No I/O, no clock."""
 
 from baobabgap.scheduling._admission import admit
-from baobabgap.scheduling._admission import core_seconds
 from baobabgap.scheduling._admission import Refusal
 from baobabgap.scheduling._admission import retry_after
 from baobabgap.scheduling._health import is_overdue
-from baobabgap.scheduling._health import UpstreamHealth
+from baobabgap.scheduling._health import RoomHealth
 from baobabgap.scheduling._job_plan import JobPlan
 from baobabgap.scheduling._job_plan import LATE_FACTOR
-from baobabgap.scheduling._job_plan import TaskState
+from baobabgap.scheduling._job_plan import PlannedTask
 from baobabgap.scheduling._planner import Placement
 from baobabgap.scheduling._planner import plan_starts
 from baobabgap.scheduling._rooms import choose_room
@@ -18,7 +17,6 @@
 __all__ = [
     'admit',
     'choose_room',
-    'core_seconds',
     'is_overdue',
     'JobPlan',
     'LATE_FACTOR',
@@ -28,6 +26,6 @@
     'retry_after',
     'Room',
     'RunTimes',
-    'TaskState',
-    'UpstreamHealth',
+    'PlannedTask',
+    'RoomHealth',
 ]
--- a/baobabgap/scheduling/_admission.py
+++ b/baobabgap/scheduling/_admission.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 from typing import Final
 
-from baobabgap.accepted import AcceptedJob
 from baobabgap.accepted import Step
 from baobabgap.scheduling._rooms import Room
 
@@ -28,14 +27,6 @@
     reason: str
 
 
-def core_seconds(job: AcceptedJob, expected_s: tuple[float, ...]) -> float:
-    """Return the work of a job."""
-    return sum(
-        step.tasks * expected * step.demand.cpu_millicores / 1000
-        for step, expected in zip(job.steps, expected_s, strict=True)
-    )
-
-
 def admit(
     rooms: list[Room],
     steps: tuple[Step, ...],
--- a/baobabgap/scheduling/_health.py
+++ b/baobabgap/scheduling/_health.py
@@ -30,7 +30,7 @@
 
 
 @dataclass(slots=True)
-class UpstreamHealth:
+class RoomHealth:
     """How one life of an upstream has done so far."""
 
     # Observed over expected run time; 1.0 is sound.
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(slots=True)
-class TaskState:
+class PlannedTask:
     """One task that is not known to be done."""
 
     task: TaskId
@@ -42,9 +42,9 @@
         self.has_started = False
         # Whether an earlier leader may have started tasks of it.
         self.may_have_begun = False
-        self.task_by_id: dict[TaskId, TaskState] = {}
+        self.task_by_id: dict[TaskId, PlannedTask] = {}
         # Tasks that wait for a start, by step.
-        self.waiting_by_step: list[list[TaskState]] = []
+        self.waiting_by_step: list[list[PlannedTask]] = []
         self._left_by_step: list[int] = []
         # The longest run that was done, by step, seconds.
         self.longest_done_s: list[float | None] = [None] * len(job.steps)
@@ -54,7 +54,7 @@
         )
         for number, step in enumerate(job.steps):
             tasks = [
-                TaskState(TaskId(job.job_id, number, index))
+                PlannedTask(TaskId(job.job_id, number, index))
                 for index in range(step.tasks)
             ]
             self.task_by_id.update({task.task: task for task in tasks})
@@ -93,7 +93,7 @@
         """Tell whether a task waits for a start, now or later."""
         return any(self.waiting_by_step)
 
-    def startable(self) -> Iterator[tuple[int, list[TaskState]]]:
+    def startable(self) -> Iterator[tuple[int, list[PlannedTask]]]:
         """Yield the steps that may start, with the tasks that wait."""
         for number, waiting in enumerate(self.waiting_by_step):
             after = self.job.steps[number].after
@@ -110,7 +110,7 @@
         rest_s = self.expected_s[step] + self._after_s[step]
         return self.arrived_at + LATE_FACTOR * self.objective_s - rest_s
 
-    def note_started(self, task: TaskState, upstream: str, run: int) -> None:
+    def note_started(self, task: PlannedTask, upstream: str, run: int) -> None:
         """A run was ordered, or was found on an upstream."""
         waiting = self.waiting_by_step[task.task.step]
         if task in waiting:
@@ -134,7 +134,7 @@
         held = self.longest_done_s[step]
         self.longest_done_s[step] = max(held or 0.0, run_s)
 
-    def note_gone(self, task: TaskState) -> None:
+    def note_gone(self, task: PlannedTask) -> None:
         """The task's run is over without being done: it waits again."""
         if task.upstream:
             task.upstream = ''
--- a/baobabgap/scheduling/_planner.py
+++ b/baobabgap/scheduling/_planner.py
@@ -12,7 +12,7 @@
 
 from baobabgap.accepted import Demand
 from baobabgap.scheduling._job_plan import JobPlan
-from baobabgap.scheduling._job_plan import TaskState
+from baobabgap.scheduling._job_plan import PlannedTask
 from baobabgap.scheduling._rooms import choose_room
 from baobabgap.scheduling._rooms import Room
 from baobabgap.scheduling._rooms import usable_rooms
@@ -29,7 +29,7 @@
     """One task is to start in one room."""
 
     plan: JobPlan
-    task: TaskState
+    task: PlannedTask
     room: Room
 
     @property
--- a/baobabgap/scheduling/_rooms.py
+++ b/baobabgap/scheduling/_rooms.py
@@ -7,7 +7,7 @@
 
 from baobabgap.accepted import Demand
 from baobabgap.accepted import Step
-from baobabgap.scheduling._health import UpstreamHealth
+from baobabgap.scheduling._health import RoomHealth
 
 
 @dataclass(slots=True)
@@ -26,7 +26,7 @@
     running: int = 0
     # How long runs take on its kind of upstream; 1 is usual.
     kind_slowness: float = 1.0
-    health: UpstreamHealth = field(default_factory=UpstreamHealth)
+    health: RoomHealth = field(default_factory=RoomHealth)
 
     @property
     def kind(self) -> str:
--- a/baobabgap/scheduling/tests/test_decisions.py
+++ b/baobabgap/scheduling/tests/test_decisions.py
@@ -12,8 +12,8 @@
 from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import plan_starts
 from baobabgap.scheduling import Room
+from baobabgap.scheduling import RoomHealth
 from baobabgap.scheduling import RunTimes
-from baobabgap.scheduling import UpstreamHealth
 
 TASK = Demand(1000, 64, 0)
 SERVICE = 'service'
@@ -142,7 +142,7 @@
 
 class HealthTest(unittest.TestCase):
     def test_two_failures_in_a_row_suspend(self) -> None:
-        health = UpstreamHealth()
+        health = RoomHealth()
         self.assertFalse(health.note_failed(0.0))
         self.assertTrue(health.note_failed(0.0))
         self.assertFalse(health.may_take(0, 0.5))
@@ -153,14 +153,14 @@
         self.assertTrue(health.may_take(5, 1.2))
 
     def test_success_between_failures_keeps_it_in_use(self) -> None:
-        health = UpstreamHealth()
+        health = RoomHealth()
         for _ in range(5):
             health.note_failed(0.0)
             health.note_done(0.1, 0.1)
         self.assertTrue(health.may_take(5, 0.0))
 
     def test_one_hanging_run_does_not_suspend(self) -> None:
-        health = UpstreamHealth()
+        health = RoomHealth()
         self.assertFalse(health.note_overdue(0.0))
         self.assertFalse(health.note_overdue(0.0))
         self.assertTrue(health.note_overdue(0.0))
@@ -168,7 +168,7 @@
         self.assertFalse(health.note_overdue(0.1))
 
     def test_slowness_of_the_kind_is_no_sickness(self) -> None:
-        health = UpstreamHealth()
+        health = RoomHealth()
         for _ in range(100):
             health.note_done(0.15, 0.1)
         self.assertEqual(1.0, health.sickness)
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -253,7 +253,7 @@
                 return
             for order in message.orders:
                 self._table.run_by_task[order.task] = TrackedRun(
-                    order.task, order.run
+                    order.task, order.run, order.demand
                 )
                 self._calls.put(
                     _Start(self._link, self._fence, message.instance, order)
--- a/baobabgap/upstreams/_run_table.py
+++ b/baobabgap/upstreams/_run_table.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from baobabgap.accepted import Demand
 from baobabgap.accepted import TaskId
 from baobabgap.dispatch import RunRow
 from baobabgap.upstreams._client import HeldRun
@@ -14,6 +15,7 @@
 
     task: TaskId
     run: int
+    demand: Demand = Demand()
     # Whether the upstream has listed it or has acknowledged its start.
     is_confirmed: bool = False
     # Whether a start is under way whose answer has not come.
@@ -30,7 +32,7 @@
     @property
     def row(self) -> RunRow:
         """The run as the leader is told of it."""
-        return RunRow(self.task, self.run, self.is_confirmed)
+        return RunRow(self.task, self.run, self.is_confirmed, self.demand)
 
 
 class RunTable:
@@ -102,6 +104,8 @@
         return True
 
     def _find(self, held: HeldRun) -> RunRow:
-        run = TrackedRun(held.task, held.run, True, False)
+        run = TrackedRun(
+            held.task, held.run, is_confirmed=True, is_in_flight=False
+        )
         self.run_by_task[held.task] = run
         return run.row
