Refuse two messages of one name; leave a leader time to dial again

A follower took any closed link for the loss of its leader and sought election after 5 to 40% of the timeout, less than a busy leader needs to dial again.

--- a/baobabgap/accepted/__init__.py
+++ b/baobabgap/accepted/__init__.py
@@ -1,7 +1,7 @@
 """Durably accepted jobs and the configuration, as replicated state."""
 
 from baobabgap.accepted._commands import AcceptJobs
-from baobabgap.accepted._commands import CancelJobs
+from baobabgap.accepted._commands import CancelAccepted
 from baobabgap.accepted._commands import DismissMembers
 from baobabgap.accepted._commands import EnrolMembers
 from baobabgap.accepted._commands import NoteEnds
@@ -21,7 +21,7 @@
     'AcceptedJob',
     'AcceptedState',
     'AcceptJobs',
-    'CancelJobs',
+    'CancelAccepted',
     'Demand',
     'DismissMembers',
     'EnrolMembers',
--- a/baobabgap/accepted/_commands.py
+++ b/baobabgap/accepted/_commands.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CancelJobs:
+class CancelAccepted:
     """Cancel jobs that have not ended."""
 
     job_ids: tuple[str, ...]
@@ -93,7 +93,7 @@
 register(
     AcceptedSnapshot,
     AcceptJobs,
-    CancelJobs,
+    CancelAccepted,
     DismissMembers,
     EnrolMembers,
     NoteEnds,
--- a/baobabgap/accepted/_state.py
+++ b/baobabgap/accepted/_state.py
@@ -8,7 +8,7 @@
 
 from baobabgap.accepted._commands import AcceptedSnapshot
 from baobabgap.accepted._commands import AcceptJobs
-from baobabgap.accepted._commands import CancelJobs
+from baobabgap.accepted._commands import CancelAccepted
 from baobabgap.accepted._commands import DismissMembers
 from baobabgap.accepted._commands import EnrolMembers
 from baobabgap.accepted._commands import NoteEnds
@@ -89,7 +89,7 @@
             case NoteEnds(ends=ends, now_ms=now_ms):
                 self._forget_old(now_ms)
                 return self._note_ends(ends)
-            case CancelJobs(job_ids=job_ids, now_ms=now_ms):
+            case CancelAccepted(job_ids=job_ids, now_ms=now_ms):
                 self._forget_old(now_ms)
                 for job_id in job_ids:
                     self._end(job_id, JobState.CANCELLED)
--- a/baobabgap/accepted/tests/test_state.py
+++ b/baobabgap/accepted/tests/test_state.py
@@ -5,7 +5,7 @@
 from baobabgap.accepted import AcceptedJob
 from baobabgap.accepted import AcceptedState
 from baobabgap.accepted import AcceptJobs
-from baobabgap.accepted import CancelJobs
+from baobabgap.accepted import CancelAccepted
 from baobabgap.accepted import Demand
 from baobabgap.accepted import DismissMembers
 from baobabgap.accepted import EnrolMembers
@@ -87,7 +87,7 @@
 
     def test_cancelled_job_stays_cancelled(self) -> None:
         self.apply(AcceptJobs((make_job(tasks=1),)))
-        self.apply(CancelJobs(('a', 'unknown'), 150))
+        self.apply(CancelAccepted(('a', 'unknown'), 150))
         self.assertEqual([], self.end(0, RunEnd.DONE))
         self.assertIs(JobState.CANCELLED, self.state.state_of('a'))
         self.assertIsNone(self.state.state_of('unknown'))
@@ -118,7 +118,7 @@
         self.apply(AcceptJobs((make_job(), make_job('b', 1))))
         self.end(0, RunEnd.DONE)
         self.end(1, RunEnd.FAILED, run=3)
-        self.apply(CancelJobs(('b',), 300))
+        self.apply(CancelAccepted(('b',), 300))
         restored = AcceptedState(RETENTION_MS)
         seen: list[int] = []
         restored.on_configuration = lambda held: seen.append(held.version)
--- a/baobabgap/dispatch/_call_desk.py
+++ b/baobabgap/dispatch/_call_desk.py
@@ -6,7 +6,7 @@
 from baobabgap.accepted import AcceptedJob
 from baobabgap.accepted import AcceptedState
 from baobabgap.accepted import AcceptJobs
-from baobabgap.accepted import CancelJobs
+from baobabgap.accepted import CancelAccepted
 from baobabgap.accepted import JobEnd
 from baobabgap.accepted import JobState
 from baobabgap.dispatch._books import Books
@@ -347,7 +347,7 @@
             return
         term = books.term
         self._committer.propose(
-            CancelJobs((job_id,), int(time.time() * 1000)),
+            CancelAccepted((job_id,), int(time.time() * 1000)),
             lambda result: self._tell(
                 CancelStored(term, job_id, result is not None)
             ),
--- a/baobabgap/messages/_codec.py
+++ b/baobabgap/messages/_codec.py
@@ -23,9 +23,18 @@
 
 
 def register(*message_classes: type) -> None:
-    """Make data classes known to the codec under their own names."""
+    """Make data classes known to the codec under their own names.
+
+    Raises `ValueError` for a second class of the same name.
+    """
     for message_class in message_classes:
-        _class_by_name[message_class.__name__] = message_class
+        name = message_class.__name__
+        held = _class_by_name.setdefault(name, message_class)
+        if held is not message_class:
+            raise ValueError(
+                f'{name} is registered by {held.__module__} already; '
+                f'{message_class.__module__} needs another name'
+            )
 
 
 def _adapter(message_class: type) -> TypeAdapter[Any]:
--- a/baobabgap/messages/tests/test_codec.py
+++ b/baobabgap/messages/tests/test_codec.py
@@ -9,6 +9,7 @@
 from baobabgap.messages import decode
 from baobabgap.messages import encode
 from baobabgap.messages import PlaceTasks
+from baobabgap.messages import register
 from baobabgap.messages import SlotGrant
 from baobabgap.messages import TaskPlacement
 
@@ -48,3 +49,12 @@
                     decode(frame, peer='agent-7')
                 self.assertEqual('agent-7', caught.exception.peer)
                 self.assertEqual('decode', caught.exception.step)
+
+    def test_two_classes_of_one_name_are_refused(self) -> None:
+        """Regression: the later one took the earlier one's messages."""
+        other = type('SlotGrant', (), {})
+        with self.assertRaisesRegex(ValueError, 'registered by'):
+            register(other)
+        self.assertIsInstance(
+            decode(encode([SlotGrant(1, 2)]), peer='a')[0], SlotGrant
+        )
--- a/baobabgap/replication/_state.py
+++ b/baobabgap/replication/_state.py
@@ -25,6 +25,10 @@
 from baobabgap.settings import ControlHost
 from baobabgap.telemetry import log_event
 
+# The share of an election timeout that is left to a leader whose link has
+# closed: enough to dial again.
+_REST_AFTER_LOST_LINK: Final = 0.5
+
 
 class GroupState:
     """One host's term, vote, part in the group, log and futures.
@@ -142,10 +146,17 @@
         self.postpone_election()
 
     def lose_leader(self) -> None:
-        """The leader's link has closed: it is gone, or about to be."""
-        self.leader_heard_at = float('-inf')
-        pause_s = self.election_timeout_s * random.uniform(0.05, 0.4)
-        due_at = time.monotonic() + pause_s
+        """The leader's link has closed: wait less for it from now on.
+
+        A leader that is alive dials again at once, and is heard of before
+        the shorter time is over.
+        """
+        now = time.monotonic()
+        rest_s = self.election_timeout_s * _REST_AFTER_LOST_LINK
+        self.leader_heard_at = min(
+            self.leader_heard_at, now - self.election_timeout_s + rest_s
+        )
+        due_at = now + rest_s * random.uniform(1.0, 2.0)
         self.election_due_at = min(self.election_due_at, due_at)
 
     def stand_down(self, reason: str) -> None:
