Do not call a team unknown before the configuration is heard

Cause: an entry that the control group had not reached yet decided by the defaults, which have no team, and answered unknown_team (403), a lasting refusal. Seen once in test_planned_stops beside a load average of 38. Before: the new test gets unknown_team. After: control_unavailable, ran no, come back in a second, and the entry is not ready until it has heard.

--- a/baobabgap/entry/_dispatcher.py
+++ b/baobabgap/entry/_dispatcher.py
@@ -66,6 +66,7 @@
         self._metrics = metrics
         self._on_end = on_end
         self._configuration = Configuration.from_state(0, {})
+        self._has_heard_configuration = False
         self._queue = WaitingQueue()
         self._job_by_identifier: dict[str, ActiveJob] = {}
         self._deadlines = Deadlines()
@@ -79,13 +80,19 @@
 
     @property
     def configuration(self) -> Configuration:
-        """The configuration in force."""
+        """The configuration in force; the defaults until one is heard."""
         return self._configuration
 
+    @property
+    def has_heard_configuration(self) -> bool:
+        """Whether the control group has told what is in force."""
+        return self._has_heard_configuration
+
     def set_configuration(self, configuration: Configuration) -> None:
         """Put a new configuration in force."""
         with self.lock:
             self._configuration = configuration
+            self._has_heard_configuration = True
             self._dispatch()
 
     def active_jobs(self) -> int:
--- a/baobabgap/entry/_entry.py
+++ b/baobabgap/entry/_entry.py
@@ -192,6 +192,7 @@
             self.is_accepting()
             and not self._control.is_superseded
             and self._control.is_connected
+            and self._dispatcher.has_heard_configuration
             and self._dispatcher.pool.accepting_slots() > 0
         )
 
--- a/baobabgap/entry/_failures.py
+++ b/baobabgap/entry/_failures.py
@@ -116,6 +116,22 @@
     )
 
 
+def configuration_unknown() -> JobFailure:
+    """Return the refusal of an entry that control hasn't reached yet.
+
+    Whether the job's team has a quota can't be told, so this must not
+    read like the lasting refusal of an unknown team.
+    """
+    return JobFailure(
+        code=FailureCode.CONTROL_UNAVAILABLE,
+        message='this entry does not know the configuration yet',
+        step='admit',
+        peer='',
+        ran=Ran.NO,
+        retry_after_s=_SHORT_PAUSE_S,
+    )
+
+
 def draining() -> JobFailure:
     """Return the refusal of an entry that is about to stop."""
     return JobFailure(
--- a/baobabgap/entry/_submissions.py
+++ b/baobabgap/entry/_submissions.py
@@ -21,6 +21,7 @@
 from baobabgap.entry._admission import Workload
 from baobabgap.entry._dispatcher import Dispatcher
 from baobabgap.entry._failures import cancelled
+from baobabgap.entry._failures import configuration_unknown
 from baobabgap.entry._failures import conflict
 from baobabgap.entry._failures import control_unavailable
 from baobabgap.entry._failures import draining
@@ -198,6 +199,8 @@
     ) -> JobFailure | None:
         if self.is_draining or self._control.is_superseded:
             return draining()
+        if not self._dispatcher.has_heard_configuration:
+            return configuration_unknown()
         decision = self._admission.decide(
             submission,
             self._workload(submission, expected_ms),
--- a/baobabgap/entry/tests/fakes.py
+++ b/baobabgap/entry/tests/fakes.py
@@ -3,6 +3,7 @@
 from concurrent.futures import Future
 from typing import Any
 from typing import cast
+from typing import Final
 from typing import TypeVar
 
 from baobabgap.configuration import Configuration
@@ -100,10 +101,20 @@
         future.set_result(ClaimOutcome(claim.job, status, owner, 'i1', 'x:1'))
 
 
+GENEROUS_CONFIGURATION: Final = Configuration.from_state(
+    1, {'policy': {'default_quota': {'tasks_per_second': 1000}}}
+)
+
+
 class FakeEntry:
     """The parts of an entry, wired without sockets."""
 
-    def __init__(self, configuration: Configuration | None = None) -> None:
+    def __init__(
+        self,
+        configuration: Configuration | None = None,
+        *,
+        hears_configuration: bool = True,
+    ) -> None:
         settings = EntrySettings(kept_answers=4)
         self.metrics = Metrics()
         self.control = FakeControl()
@@ -119,12 +130,10 @@
             self.control,
             self.metrics,
         )
-        self.dispatcher.set_configuration(
-            configuration
-            or Configuration.from_state(
-                1, {'policy': {'default_quota': {'tasks_per_second': 1000}}}
+        if hears_configuration:
+            self.dispatcher.set_configuration(
+                configuration or GENEROUS_CONFIGURATION
             )
-        )
 
     def _end(self, job: ActiveJob, answer: JobAnswer) -> None:
         self.submissions.end(job, answer)
--- a/baobabgap/entry/tests/test_submissions.py
+++ b/baobabgap/entry/tests/test_submissions.py
@@ -8,6 +8,7 @@
 from baobabgap.control import ControlUnavailableError
 from baobabgap.entry.tests.fakes import FakeEntry
 from baobabgap.entry.tests.fakes import FakeLink
+from baobabgap.entry.tests.fakes import GENEROUS_CONFIGURATION
 from baobabgap.entry.tests.fakes import job
 from baobabgap.jobs import FailureCode
 from baobabgap.jobs import JobAnswer
@@ -166,6 +167,22 @@
                 self.assertEqual((code, Ran.NO), (failure.code, failure.ran))
                 self.assertEqual([], entry.control.claims)
 
+    def test_without_a_configuration_no_team_is_unknown(self) -> None:
+        entry = FakeEntry(hears_configuration=False)
+        entry.add_agent('a', 1)
+        early = entry.submissions.submit(job(), '')
+        entry.control.settle_lookup()
+        failure = early.result(1).failure
+        assert failure is not None
+        self.assertEqual(
+            (FailureCode.CONTROL_UNAVAILABLE, Ran.NO),
+            (failure.code, failure.ran),
+        )
+        self.assertGreater(failure.retry_after_s, 0)
+        entry.dispatcher.set_configuration(GENEROUS_CONFIGURATION)
+        entry.submissions.submit(job(), '')
+        self.assertEqual(1, len(entry.control.claims))
+
     def test_overloaded_has_a_time_to_come_back(self) -> None:
         entry = FakeEntry()
         entry.add_agent('a', 1)
