Follow a leader's hint once its address is trusted again

Cause: a control host names the leader once per session and change. An entry that had just failed to reach the leader's address ignored the hint, and so stayed with a follower until the next election. In test_frozen_leader this showed as 'no leader within the deadline', seen once beside a load average of 38: a dial that is slow at the start is enough. Before: both new tests fail.

--- a/baobabgap/control/_client.py
+++ b/baobabgap/control/_client.py
@@ -209,6 +209,9 @@
         while not self._stopping.wait(_TICK_S):
             self._pending.expire()
             self._send_waiting()
+            connection = self._connection
+            if connection is not None:
+                self._follow_leader(connection)
 
     def _run(self) -> None:
         while not self._stopping.is_set() and not self._is_superseded:
@@ -240,6 +243,7 @@
         finally:
             self._last_contact = time.monotonic()
             self._connection = None
+            self._choice.forget_leader()
             connection.close()
             self._pending.link_lost()
 
@@ -251,7 +255,8 @@
             case Changes():
                 self._apply(connection, message)
             case LeaderHint():
-                self._follow(connection, message)
+                self._choice.note_leader(message.leader, message.address)
+                self._follow_leader(connection)
             case Superseded():
                 self._is_superseded = True
                 log_event(
@@ -271,12 +276,13 @@
         self._version = changes.to_version
         connection.send(MemberReport(self._version))
 
-    def _follow(self, connection: Connection, hint: LeaderHint) -> None:
+    def _follow_leader(self, connection: Connection) -> None:
         """Move an entry's link to the leader."""
-        if self._own.role != 'entry' or not hint.address:
+        if self._own.role != 'entry':
             return
-        if not self._choice.trusts(hint.address, time.monotonic()):
-            return
-        if connection.peer.name != hint.leader:
-            self._choice.prefer(hint.address)
+        address = self._choice.leader_to_move_to(
+            connection.peer.name, time.monotonic()
+        )
+        if address:
+            self._choice.prefer(address)
             connection.close()
--- a/baobabgap/control/_host_choice.py
+++ b/baobabgap/control/_host_choice.py
@@ -32,6 +32,8 @@
         self._longest_pause_s = longest_pause_s
         self._pause_s = first_pause_s
         self._preferred = ''
+        self._leader = ''
+        self._leader_address = ''
         self._lost_at_by_address: dict[str, float] = {}
 
     @classmethod
@@ -50,6 +52,30 @@
         """Have this address dialled next, once."""
         self._preferred = address
 
+    def note_leader(self, name: str, address: str) -> None:
+        """Remember where the host at the other end sees the leader.
+
+        It says so once; who distrusts the address then moves later.
+        """
+        self._leader = name
+        self._leader_address = address
+
+    def forget_leader(self) -> None:
+        """Drop what the host at the other end of an old link has said."""
+        self._leader = self._leader_address = ''
+
+    def leader_to_move_to(self, peer: str, now: float) -> str:
+        """Return the leader's address if a link to `peer` should move.
+
+        Empty if `peer` leads, if no leader is known, or while a link to
+        the leader has failed of late.
+        """
+        if not self._leader_address or self._leader == peer:
+            return ''
+        if not self.trusts(self._leader_address, now):
+            return ''
+        return self._leader_address
+
     def note_lost(self, address: str, now: float) -> None:
         """Remember that a link to this address failed just now."""
         self._lost_at_by_address[address] = now
--- a/baobabgap/control/tests/test_client.py
+++ b/baobabgap/control/tests/test_client.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any
 import unittest
+from unittest.mock import patch
 
 from baobabgap.control import ControlClient
 from baobabgap.control import ControlUnavailableError
@@ -22,6 +23,7 @@
 from baobabgap.messages import ClaimStatus
 from baobabgap.messages import ControlUnavailable
 from baobabgap.messages import Hello
+from baobabgap.messages import LeaderHint
 from baobabgap.messages import Subscribe
 from baobabgap.settings import ControlHost
 from baobabgap.settings import ControlSettings
@@ -38,14 +40,19 @@
 class ScriptedHost:
     """Accepts links, keeps what it is sent, and answers claims."""
 
-    def __init__(self, pool: ThreadPoolExecutor, answer: Answer) -> None:
+    def __init__(
+        self,
+        pool: ThreadPoolExecutor,
+        answer: Answer,
+        name: str = 'control-1',
+    ) -> None:
         self._answer = answer
         self.links: queue.Queue[Connection] = queue.Queue()
         self.subscriptions: queue.Queue[Subscribe] = queue.Queue()
         self.listener = Listener(
             '127.0.0.1',
             0,
-            lambda: Hello('control-1', 'control', 'a'),
+            lambda: Hello(name, 'control', 'a'),
             LinkTiming(0.1, 2.0),
             pool,
             self._serve,
@@ -68,6 +75,7 @@
     ) -> None:
         pool = ThreadPoolExecutor(64)
         self.addCleanup(pool.shutdown, wait=False)
+        self.pool = pool
         self.host = ScriptedHost(pool, answer)
         self.addCleanup(self.host.listener.stop)
         self.versions: list[int] = []
@@ -126,6 +134,17 @@
         asked = self.host.subscriptions.get(timeout=LONGEST_WAIT_S)
         self.assertEqual(asked.version, 5)
 
+    def test_leader_that_was_distrusted_is_moved_to_later(self) -> None:
+        self.start()
+        leader = ScriptedHost(self.pool, lambda _: [], 'control-2')
+        self.addCleanup(leader.listener.stop)
+        address = f'127.0.0.1:{leader.listener.port}'
+        with patch('baobabgap.control._host_choice._DISTRUST_S', 0.3):
+            self.client._choice.note_lost(address, time.monotonic())
+            self.link.send(LeaderHint('control-2', address))
+            # The host says so only once.
+            leader.links.get(timeout=LONGEST_WAIT_S)
+
     def test_lookup_never_changes_anything(self) -> None:
         self.start()
         error: Any = self.client.lookup(claim('kurek.5.n')).exception(
--- a/baobabgap/control/tests/test_reports.py
+++ b/baobabgap/control/tests/test_reports.py
@@ -29,3 +29,14 @@
         self.assertFalse(choice.trusts('a:1', 101.0))
         self.assertTrue(choice.trusts('b:1', 101.0))
         self.assertTrue(choice.trusts('a:1', 106.0))
+
+    def test_hint_is_followed_once_trust_returns(self) -> None:
+        choice = HostChoice(['a:1', 'b:1'], 'entry-1', 0.1, 1.0)
+        self.assertEqual('', choice.leader_to_move_to('b', 100.0))
+        choice.note_lost('a:1', 100.0)
+        choice.note_leader('a', 'a:1')
+        self.assertEqual('', choice.leader_to_move_to('b', 101.0))
+        self.assertEqual('a:1', choice.leader_to_move_to('b', 106.0))
+        self.assertEqual('', choice.leader_to_move_to('a', 106.0))
+        choice.forget_leader()
+        self.assertEqual('', choice.leader_to_move_to('b', 106.0))
