Admit by the work that goes before a job

Cause: admission took all waiting work as if a new job had to wait for it, but the order of starts puts late jobs behind those that can be on time; after an outage new jobs were refused for a backlog that they would have passed.

--- a/baobabgap/dispatch/_books.py
+++ b/baobabgap/dispatch/_books.py
@@ -1,7 +1,10 @@
 """What the leader knows and keeps in memory only, for one term."""
 
 from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass
+import time
+from typing import Final
 
 from baobabgap.accepted import JobState
 from baobabgap.accepted import TaskId
@@ -10,11 +13,21 @@
 from baobabgap.dispatch._orphans import Orphans
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.queues import QueueTable
+from baobabgap.scheduling import Backlog
 from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import PlannedTask
 from baobabgap.scheduling import Room
 from baobabgap.scheduling import RunTimes
 
+# Seconds after an election in which agents that an earlier leader knew, and
+# their upstreams, are expected back: a start of the process, a dial, a report.
+_RETURN_S: Final = 1.0
+
+
+# Seconds for which a look at the waiting work is good for decisions: a small
+# part of the shortest objectives.
+_BACKLOG_AGE_S: Final = 0.02
+
 
 @dataclass(frozen=True, slots=True)
 class EndedJob:
@@ -40,6 +53,8 @@
         """Begin anew; term 0 means that this host doesn't lead."""
         self.term = term
         self.takeover = takeover
+        self._opened_at = time.monotonic()
+        self._backlog_by_service: dict[str, Backlog] = {}
         self.plan_by_id: dict[str, JobPlan] = {}
         # Jobs whose acceptance is not durable yet, with who waits for it.
         self.storing_by_id: dict[str, tuple[JobPlan, list[CallArrived]]] = {}
@@ -79,15 +94,38 @@
             if view.room is not None and view.room.service == service
         ]
 
-    def backlog_core_s(self, service: str) -> float:
+    def returning_upstreams(self, service: str, now: float) -> int:
+        """Return how many upstreams of a service should be back at once.
+
+        An earlier leader knew their agents; of which service they are is
+        only guessed, from those that are back.
+        """
+        if now - self._opened_at > _RETURN_S:
+            return 0
+        rooms = [
+            view.room
+            for view in self.view_by_name.values()
+            if view.room is not None
+        ]
+        missing = len(self.view_by_name) - len(rooms)
+        own = sum(1 for room in rooms if room.service == service)
+        return missing * own // max(1, len(rooms))
+
+    def backlog(self, service: str, now: float) -> Backlog:
         """Return the work that waits in a service and could start."""
+        held = self._backlog_by_service.get(service)
+        if held is None or now - held.looked_at > _BACKLOG_AGE_S:
+            held = Backlog.from_plans(self._waiting_plans(service), now)
+            self._backlog_by_service[service] = held
+        return held
+
+    def _waiting_plans(self, service: str) -> Iterator[JobPlan]:
         plans = [
             *self.plan_by_id.values(),
             *(plan for plan, _ in self.storing_by_id.values()),
         ]
-        return sum(
-            plan.waiting_core_s()
-            for plan in plans
-            if plan.job.service == service
-            and self.takeover.may_start(plan.job)
-        )
+        for plan in plans:
+            if plan.job.service == service and self.takeover.may_start(
+                plan.job
+            ):
+                yield plan
--- a/baobabgap/dispatch/_call_desk.py
+++ b/baobabgap/dispatch/_call_desk.py
@@ -27,7 +27,7 @@
 from baobabgap.queues import QueueMatch
 from baobabgap.scheduling import admit
 from baobabgap.scheduling import JobPlan
-from baobabgap.scheduling import LATE_FACTOR
+from baobabgap.scheduling import Prospect
 from baobabgap.scheduling import retry_after
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
@@ -135,9 +135,11 @@
                 continue
             if now <= plan.late_limit(0):
                 continue
-            backlog_core_s = books.backlog_core_s(plan.job.service)
+            backlog_core_s = books.backlog(plan.job.service, now).total_core_s
             retry_after_ms = retry_after(
-                books.rooms_of(plan.job.service), backlog_core_s
+                books.rooms_of(plan.job.service),
+                backlog_core_s,
+                returning=books.returning_upstreams(plan.job.service, now),
             )
             del books.callers_by_id[job_id]
             del books.plan_by_id[job_id]
@@ -222,14 +224,14 @@
     def _admit(self, arrived: CallArrived, plan: JobPlan) -> bool:
         """Refuse a job that would be worthless; tell whether it is taken."""
         job = plan.job
+        now = time.monotonic()
         rooms = self._books.rooms_of(job.service)
-        backlog_core_s = self._books.backlog_core_s(job.service)
-        waited_s = time.monotonic() - plan.arrived_at
-        patience_s = (
-            LATE_FACTOR * plan.objective_s - max(plan.expected_s) - waited_s
-        )
-        refusal = admit(rooms, job.steps, backlog_core_s, patience_s)
+        backlog = self._books.backlog(job.service, now)
+        prospect = Prospect.from_backlog(backlog, plan, now)
+        returning = self._books.returning_upstreams(job.service, now)
+        refusal = admit(rooms, job.steps, prospect, returning)
         if refusal is None:
+            backlog.add(plan)
             return True
         self._metrics.count('baobabgap_jobs_total{end="refused"}')
         log_event(
@@ -237,9 +239,13 @@
             job=job.job_id,
             queue=job.queue,
             reason=refusal.reason,
-            backlog_core_s=round(backlog_core_s, 2),
-            patience_s=round(patience_s, 3),
+            ahead_core_s=round(prospect.ahead_core_s, 2),
+            backlog_core_s=round(prospect.total_core_s, 2),
+            backlog_age_ms=round(1000 * (now - backlog.looked_at)),
+            on_time_patience_s=round(prospect.on_time_patience_s, 3),
+            patience_s=round(prospect.late_patience_s, 3),
             upstreams=len(rooms),
+            returning_upstreams=returning,
             retry_after_ms=refusal.retry_after_ms,
         )
         answer(
--- a/baobabgap/scheduling/__init__.py
+++ b/baobabgap/scheduling/__init__.py
@@ -1,8 +1,10 @@
 """Decisions on load: admission, order, placing, health. No I/O, no clock."""
 
 from baobabgap.scheduling._admission import admit
+from baobabgap.scheduling._admission import Prospect
 from baobabgap.scheduling._admission import Refusal
 from baobabgap.scheduling._admission import retry_after
+from baobabgap.scheduling._backlog import Backlog
 from baobabgap.scheduling._health import is_overdue
 from baobabgap.scheduling._health import RoomHealth
 from baobabgap.scheduling._job_plan import JobPlan
@@ -16,16 +18,18 @@
 
 __all__ = [
     'admit',
+    'Backlog',
     'choose_room',
     'is_overdue',
     'JobPlan',
     'LATE_FACTOR',
     'Placement',
     'plan_starts',
+    'PlannedTask',
+    'Prospect',
     'Refusal',
     'retry_after',
     'Room',
-    'RunTimes',
-    'PlannedTask',
     'RoomHealth',
+    'RunTimes',
 ]
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -119,15 +119,10 @@
         task.last_run = max(task.last_run, run)
         self.has_started = True
 
-    def waiting_core_s(self) -> float:
-        """Return the work of the tasks that wait, in core-seconds."""
-        return sum(
-            len(waiting)
-            * self.expected_s[number]
-            * self.job.steps[number].demand.cpu_millicores
-            / 1000
-            for number, waiting in enumerate(self.waiting_by_step)
-        )
+    def task_core_s(self, step: int) -> float:
+        """Return the expected work of one task of a step, core-seconds."""
+        cores = self.job.steps[step].demand.cpu_millicores / 1000
+        return self.expected_s[step] * cores
 
     def note_run_time(self, step: int, run_s: float) -> None:
         """A run of a step was done after so many seconds."""
--- a/baobabgap/scheduling/_planner.py
+++ b/baobabgap/scheduling/_planner.py
@@ -38,13 +38,21 @@
         return self.plan.job.steps[self.task.task.step].demand
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Urgency:
+    """A place in the order of starts; what is smaller goes first."""
+
+    # 0 if it can be on time, 1 if late, 2 if worth nothing any more.
+    lateness: int
+    # When the tasks must start for the job to be on time, seconds.
+    latest_start: float
+
+
 @dataclass(frozen=True, slots=True)
 class _StepInLine:
     """A step of a job whose tasks wait."""
 
-    # Sorts the line: worthless jobs last, then late ones.
-    lateness: int
-    latest_start: float
+    urgency: Urgency
     plan: JobPlan
     step: int
 
@@ -62,11 +70,11 @@
     """
     placements: list[Placement] = []
     line = [
-        _in_line(plan, step, now)
+        _StepInLine(urgency_of(plan, step, now), plan, step)
         for plan in plans
         for step, _ in plan.startable()
     ]
-    line.sort(key=lambda item: (item.lateness, item.latest_start))
+    line.sort(key=lambda item: item.urgency)
     full_services: set[str] = set()
     usable_by_service = {
         service: usable_rooms(rooms, now)
@@ -88,7 +96,8 @@
     return placements
 
 
-def _in_line(plan: JobPlan, step: int, now: float) -> _StepInLine:
+def urgency_of(plan: JobPlan, step: int, now: float) -> Urgency:
+    """Return the place of a step's tasks in the order of starts."""
     latest_start = plan.latest_start(step)
     margin_s = _MARGIN_S + _MARGIN_SHARE * plan.expected_s[step]
     if now <= latest_start - margin_s:
@@ -97,7 +106,7 @@
         lateness = 1
     else:
         lateness = 2
-    return _StepInLine(lateness, latest_start, plan, step)
+    return Urgency(lateness, latest_start)
 
 
 def _is_plain(item: _StepInLine) -> bool:
