Check histories of scheduled jobs under seeded faults

make job-history runs three control hosts as processes, with agents, entries and recorded upstreams over real links; hosts are killed, frozen, stopped and killed together, upstreams crash, fall silent and carry orders out late. Nine promises are checked: no two runs at once, no start after a noted end, a cancel, the last attempt or a refusal, accepted jobs known until they end, configurations never going back, service after it. Each rule finds its planted fault.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BOOTSTRAP ?= python3
 
 .PHONY: demo test lint unit format bench slopes matrix history \
-	history-control
+	history-control job-history
 
 CASES ?=
 POLICIES ?=
@@ -58,5 +58,8 @@
 	$(PYTHON) -m tools.history --seeds=$(SEEDS) --first=$(FIRST) \
 		--seconds=$(HISTORY_SECONDS)
 
+job-history: $(VENV)/ready
+	$(PYTHON) -m tools.job_history --seeds=$(SEEDS) --first=$(FIRST)
+
 history-control: $(VENV)/ready
 	$(PYTHON) -m tools.control_history --seeds=$(SEEDS)
--- a/baobabgap/dispatch/tests/deployment.py
+++ b/baobabgap/dispatch/tests/deployment.py
@@ -43,6 +43,7 @@
 SERVICE = 'desk'
 WAIT_S = 20.0
 CORES = 4
+ATTEMPTS = 2
 LINKS = Links(0.2, 1.0)
 TIMING = LinkTiming(LINKS.heartbeat_s, LINKS.silence_s)
 
@@ -57,7 +58,9 @@
 
 
 def configuration(version: int = 1) -> QueueConfiguration:
-    queue = JobQueue('q', QUEUE_HOST, PREFIX, SERVICE, 0, 2, 1.6, 60, 1500)
+    queue = JobQueue(
+        'q', QUEUE_HOST, PREFIX, SERVICE, 0, ATTEMPTS, 1.6, 60, 1500
+    )
     return QueueConfiguration(
         version, b'{}', (queue,), (Service(SERVICE, True),)
     )
--- /dev/null
+++ b/tools/job_history/__init__.py
@@ -0,0 +1,1 @@
+"""Checked histories of scheduled jobs under faults: `make job-history`."""
--- /dev/null
+++ b/tools/job_history/_control_daemon.py
@@ -0,0 +1,58 @@
+"""One control host as a process, which takes requests line by line.
+
+A line is a JSON list, `["put", version]` or `["read"]`; so is the answer,
+`["done", version]` or `["failed", why]`.
+"""
+
+import json
+import sys
+from typing import Any
+from typing import Final
+
+from baobabgap.dispatch import ControlNode
+from baobabgap.dispatch import ControlNodeOptions
+from baobabgap.dispatch import LeaseTiming
+from baobabgap.dispatch.tests.deployment import configuration
+from baobabgap.settings import settings_from_document
+
+_RETENTION_MS: Final = 60_000
+_REQUEST_LIMIT_S: Final = 2.0
+
+
+def run_host(document: str) -> None:
+    """Be one host, until the input ends."""
+    settings = settings_from_document(
+        json.loads(document), source='the command line'
+    )
+    node = ControlNode.from_settings(
+        settings,
+        ControlNodeOptions(LeaseTiming(), _RETENTION_MS, 1.5, 3, 60.0),
+    )
+    node.start()
+    _say(['started', node.internal_port])
+    for line in sys.stdin:
+        _say(_answer(node, json.loads(line)))
+    node.stop()
+
+
+def _answer(node: ControlNode, request: list[Any]) -> list[Any]:
+    try:
+        match request:
+            case ['put', version]:
+                stored = node.put_configuration(configuration(version))
+                stored.result(_REQUEST_LIMIT_S)
+                return ['done', version]
+            case _:
+                read = node.read_configuration().result(_REQUEST_LIMIT_S)
+                return ['done', 0 if read is None else read.version]
+    except Exception as error:
+        # Whatever it is, whoever asks must learn that there is no answer.
+        return ['failed', repr(error)]
+
+
+def _say(answer: list[Any]) -> None:
+    print(json.dumps(answer), file=sys.stderr, flush=True)
+
+
+if __name__ == '__main__':
+    run_host(sys.argv[1])
--- /dev/null
+++ b/tools/job_history/_control_group.py
@@ -0,0 +1,157 @@
+"""Control hosts as processes, stopped and hurt by signals."""
+
+import json
+from pathlib import Path
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from typing import Any
+from typing import Final
+from typing import Self
+
+_HOST: Final = '127.0.0.1'
+_ANSWER_LIMIT_S: Final = 5.0
+_START_LIMIT_S: Final = 30.0
+_STOP_LIMIT_S: Final = 20.0
+
+
+class ControlProcess:
+    """One process; all it printed goes to a file in the folder."""
+
+    def __init__(self, name: str, document: Any, folder: Path) -> None:
+        self.name: Final = name
+        self._document = json.dumps(document)
+        self._log = folder / f'{name}.out'
+        self._child: subprocess.Popen[str] | None = None
+        self._answers: queue.Queue[list[Any]] = queue.Queue()
+        self._lock = threading.Lock()
+
+    def start(self) -> None:
+        """Start the process on its own data."""
+        answers: queue.Queue[list[Any]] = queue.Queue()
+        with self._log.open('ab') as log:
+            child = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'tools.job_history._control_daemon',
+                    self._document,
+                ],
+                stdin=subprocess.PIPE,
+                stdout=log,
+                stderr=subprocess.PIPE,
+                text=True,
+            )
+        self._child, self._answers = child, answers
+        threading.Thread(
+            target=_take_answers, args=(child, answers), daemon=True
+        ).start()
+        answers.get(timeout=_START_LIMIT_S)
+
+    def ask(self, *request: Any) -> list[Any]:
+        """Return the answer to one request, or why there is none."""
+        with self._lock:
+            child, answers = self._child, self._answers
+            if child is None or child.stdin is None:
+                return ['failed', 'not running']
+            try:
+                child.stdin.write(json.dumps(request) + '\n')
+                child.stdin.flush()
+                return answers.get(timeout=_ANSWER_LIMIT_S)
+            except (OSError, ValueError, queue.Empty) as error:
+                # A late answer must not be taken for that of a later request.
+                self._answers = queue.Queue()
+                return ['failed', repr(error)]
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        if self._child is not None:
+            self._child.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        child, self._child = self._child, None
+        if child is not None:
+            child.kill()
+            child.wait()
+
+    def stop(self) -> None:
+        """End it as planned, or at once if that takes too long."""
+        child, self._child = self._child, None
+        if child is None or child.stdin is None:
+            return
+        try:
+            child.stdin.close()
+            child.wait(_STOP_LIMIT_S)
+        except (OSError, subprocess.TimeoutExpired):
+            child.kill()
+            child.wait()
+
+
+class ControlGroup:
+    """Three hosts; a context manager that ends what it has started."""
+
+    def __init__(self, folder: Path, hosts: int = 3) -> None:
+        listed = [
+            {'name': f'control-{n}', 'host': _HOST, 'port': _free_port()}
+            for n in range(hosts)
+        ]
+        self.addresses = tuple(
+            f'{host["host"]}:{host["port"]}' for host in listed
+        )
+        self.processes = tuple(
+            ControlProcess(
+                str(host['name']),
+                {
+                    'role': 'control',
+                    'name': host['name'],
+                    'listen': {
+                        'host': _HOST,
+                        'internal_port': host['port'],
+                    },
+                    'control_hosts': listed,
+                    'links': {'heartbeat_s': 0.2, 'silence_s': 1.0},
+                    'control': {
+                        'data_folder': str(folder / str(host['name'])),
+                        'election_timeout_s': 0.4,
+                    },
+                },
+                folder,
+            )
+            for host in listed
+        )
+
+    def __enter__(self) -> Self:
+        for process in self.processes:
+            process.start()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        for process in self.processes:
+            process.signal(signal.SIGCONT)
+            process.stop()
+
+    def find_leader(self) -> ControlProcess | None:
+        """Return a host that answers a read, which only a leader does."""
+        for process in self.processes:
+            if process.ask('read')[0] == 'done':
+                return process
+        return None
+
+
+def _take_answers(
+    child: subprocess.Popen[str], answers: queue.Queue[list[Any]]
+) -> None:
+    assert child.stderr is not None
+    for line in child.stderr:
+        if line.startswith('['):
+            answers.put(json.loads(line))
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((_HOST, 0))
+        return int(probe.getsockname()[1])
--- /dev/null
+++ b/tools/job_history/_deployment.py
@@ -0,0 +1,96 @@
+"""Control hosts as processes; agents, entries and upstreams here."""
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final
+import uuid
+
+from baobabgap.accepted import Demand
+from baobabgap.dispatch import AGENT_ROLE
+from baobabgap.dispatch import ENTRY_ROLE
+from baobabgap.dispatch import LeaseTiming
+from baobabgap.dispatch import UpstreamState
+from baobabgap.dispatch.tests.deployment import SERVICE
+from baobabgap.dispatch.tests.deployment import TIMING
+from baobabgap.leaderlink import LeaderCalls
+from baobabgap.leaderlink import LeaderLink
+from baobabgap.messages import Hello
+from baobabgap.telemetry import Metrics
+from baobabgap.upstreams import RunAgent
+from tools.job_history._control_group import ControlGroup
+from tools.job_history._recorded_upstream import RecordedUpstream
+
+_ENTRIES: Final = 2
+_UPSTREAMS: Final = 3
+_CORES: Final = 6
+
+
+class Members:
+    """Two entries and three agents with their upstreams."""
+
+    def __init__(
+        self, group: ControlGroup, pool: ThreadPoolExecutor, seed: int
+    ) -> None:
+        self._group = group
+        self._pool = pool
+        self.upstreams = [
+            RecordedUpstream(100 * seed + number)
+            for number in range(_UPSTREAMS)
+        ]
+        self.entries = [LeaderCalls() for _ in range(_ENTRIES)]
+        self._agents = [
+            RunAgent(upstream, LeaseTiming(), pool, Metrics())
+            for upstream in self.upstreams
+        ]
+        self._links = [
+            *(
+                self._link(f'entry-{number}', ENTRY_ROLE, calls.session)
+                for number, calls in enumerate(self.entries)
+            ),
+            *(
+                self._link(f'agent-{number}', AGENT_ROLE, agent.session)
+                for number, agent in enumerate(self._agents)
+            ),
+        ]
+
+    def start(self) -> None:
+        """Start agents and links."""
+        for number, agent in enumerate(self._agents):
+            self.announce(number)
+            agent.start()
+        for link in self._links:
+            link.start()
+
+    def stop(self) -> None:
+        """Stop them."""
+        for link in self._links:
+            link.stop()
+        for agent in self._agents:
+            agent.stop()
+
+    def announce(self, number: int) -> None:
+        """Tell an agent which life its upstream lives."""
+        self._agents[number].announce(
+            UpstreamState(
+                f'upstream-{number}',
+                self.upstreams[number].born_ms,
+                SERVICE,
+                'zone',
+                ('kind', 'rack'),
+                Demand(1000 * _CORES, 1000, 0),
+                is_draining=False,
+                is_reachable=True,
+            )
+        )
+
+    def _link(
+        self, name: str, role: str, session: Callable[..., None]
+    ) -> LeaderLink:
+        hello = Hello(name, role, uuid.uuid4().hex[:16])
+        return LeaderLink(
+            lambda: hello,
+            TIMING,
+            self._pool,
+            lambda: self._group.addresses,
+            session,
+        )
--- /dev/null
+++ b/tools/job_history/_recorded_upstream.py
@@ -0,0 +1,125 @@
+"""A fake upstream that records when each run began and ended."""
+
+from dataclasses import dataclass
+import random
+import threading
+import time
+from typing import Final
+
+from baobabgap.accepted import RunEnd
+from baobabgap.accepted import TaskId
+from baobabgap.dispatch import RunOrder
+from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
+from baobabgap.upstreams import Holding
+from baobabgap.upstreams import StartOutcome
+
+# The longest time that an unanswered order takes to be carried out, seconds.
+_LATEST_S: Final = 2.0
+# The share of runs that fail by themselves.
+_FAILURE_SHARE: Final = 0.03
+
+
+@dataclass(slots=True)
+class RunRecord:
+    """One run; times are seconds on the monotonic clock."""
+
+    task: TaskId
+    run: int
+    began_at: float
+    ended_at: float = float('inf')
+    end: RunEnd | None = None
+    # The number of its end in the upstream's life, and when that was noted.
+    number: int = 0
+    noted_at: float = float('inf')
+
+
+class RecordedUpstream(FakeUpstream):
+    """Loses a share of the answers to starts while told to."""
+
+    def __init__(self, seed: int) -> None:
+        self.records: list[RunRecord] = []
+        self._open: dict[TaskId, RunRecord] = {}
+        self._chance = random.Random(seed)
+        # The share of starts that are not answered and carried out late.
+        self.lost_share = 0.0
+        super().__init__(born_ms=1, run_ms=40)
+
+    def start(
+        self, instance: str, order: RunOrder, fence: int, lease_until_ms: int
+    ) -> tuple[StartOutcome, int]:
+        if self._chance.random() >= self.lost_share:
+            return super().start(instance, order, fence, lease_until_ms)
+        born_ms = self.born_ms
+        timer = threading.Timer(
+            self._chance.uniform(0.0, _LATEST_S),
+            lambda: self._carry_out_late(
+                born_ms, order, fence, lease_until_ms
+            ),
+        )
+        timer.daemon = True
+        timer.start()
+        return StartOutcome.UNANSWERED, 0
+
+    def carry_out(
+        self, order: RunOrder, fence: int, lease_until_ms: int
+    ) -> StartOutcome:
+        with self._lock:
+            before = len(self.starts)
+            outcome = super().carry_out(order, fence, lease_until_ms)
+            if len(self.starts) > before:
+                record = RunRecord(order.task, order.run, time.monotonic())
+                self.records.append(record)
+                self._open[order.task] = record
+            return outcome
+
+    def hold(
+        self,
+        instance: str,
+        fence: int,
+        noted: int,
+        lease_until_ms: int,
+        wait_ms: int,
+    ) -> Holding | None:
+        holding = super().hold(instance, fence, noted, lease_until_ms, wait_ms)
+        if holding is not None:
+            now = time.monotonic()
+            with self._lock:
+                for record in self._ended_records:
+                    if record.number <= noted:
+                        record.noted_at = min(record.noted_at, now)
+        return holding
+
+    def restart(self, born_ms: int) -> None:
+        with self._lock:
+            self._advance()
+            now = time.monotonic()
+            for record in self._open.values():
+                record.ended_at = now
+                record.end = RunEnd.INTERRUPTED
+            super().restart(born_ms)
+
+    def _carry_out_late(
+        self, born_ms: int, order: RunOrder, fence: int, lease_until_ms: int
+    ) -> None:
+        with self._lock:
+            if self.born_ms == born_ms:
+                self.carry_out(order, fence, lease_until_ms)
+
+    def _begin_life(self) -> None:
+        super()._begin_life()
+        self._open = {}
+        self._ended_records: list[RunRecord] = []
+
+    def _end(self, task: TaskId, end: RunEnd) -> None:
+        run = self._running[task]
+        is_own_fault = self._chance.random() < _FAILURE_SHARE
+        if end is RunEnd.DONE and is_own_fault:
+            end = RunEnd.FAILED
+        # What is found out late has ended when the lease or the work did.
+        ended_ms = min(self.clock_ms, run.done_at_ms, self._lease_ms)
+        super()._end(task, end)
+        record = self._open.pop(task)
+        record.end = end
+        record.number = self._last_number
+        record.ended_at = self._began_at + ended_ms / 1000
+        self._ended_records.append(record)
--- /dev/null
+++ b/tools/tests/test_job_history.py
@@ -0,0 +1,158 @@
+"""The rules of the job history find planted faults; short runs hold."""
+
+from collections.abc import Callable
+from typing import Final
+import unittest
+
+from baobabgap.accepted import RunEnd
+from baobabgap.accepted import TaskId
+from baobabgap.dispatch import CallOutcome
+from tools.job_history._recorded_upstream import RunRecord
+from tools.job_history._records import Called
+from tools.job_history._records import ConfigurationRead
+from tools.job_history._records import JobHistory
+from tools.job_history._records import Put
+from tools.job_history._rules import check
+from tools.job_history._run import run
+
+_SECONDS: Final = 3.0
+_SEEDS: Final = (1, 2)
+_JOB: Final = 'j'
+
+
+def _make_history(*runs: RunRecord) -> JobHistory:
+    """Return the history of one stored job that was served."""
+    history = JobHistory({_JOB: 1}, {_JOB}, has_recovered=True)
+    history.runs += runs or (_make_run(1, 2.0, 3.0, RunEnd.DONE),)
+    history.final_states[_JOB] = 'completed'
+    history.add(_make_call('submit', 1.0, CallOutcome.ACCEPTED))
+    return history
+
+
+def _make_run(
+    number: int, began_at: float, ended_at: float, end: RunEnd
+) -> RunRecord:
+    return RunRecord(
+        TaskId(_JOB, 0, 0),
+        number,
+        began_at,
+        ended_at,
+        end,
+        number,
+        ended_at + 0.1,
+    )
+
+
+def _make_call(
+    verb: str, asked_at: float, outcome: CallOutcome, state: str = ''
+) -> Called:
+    return Called(verb, _JOB, asked_at, asked_at + 0.1, outcome, state)
+
+
+def _two_at_once() -> JobHistory:
+    return _make_history(
+        _make_run(1, 2.0, 4.0, RunEnd.INTERRUPTED),
+        _make_run(2, 3.0, 5.0, RunEnd.DONE),
+    )
+
+
+def _again_after_done() -> JobHistory:
+    return _make_history(
+        _make_run(1, 2.0, 3.0, RunEnd.DONE),
+        _make_run(2, 3.5, 4.0, RunEnd.DONE),
+    )
+
+
+def _third_attempt() -> JobHistory:
+    return _make_history(
+        _make_run(1, 2.0, 3.0, RunEnd.FAILED),
+        _make_run(2, 3.0, 4.0, RunEnd.FAILED),
+        _make_run(3, 5.5, 6.0, RunEnd.DONE),
+    )
+
+
+def _start_after_cancel() -> JobHistory:
+    history = _make_history(_make_run(1, 4.0, 5.0, RunEnd.DONE))
+    history.add(_make_call('cancel', 2.0, CallOutcome.CANCELLED))
+    return history
+
+
+def _refused_that_ran() -> JobHistory:
+    history = _make_history()
+    history.stored_jobs.clear()
+    history.calls = [_make_call('submit', 1.0, CallOutcome.OVERLOADED)]
+    return history
+
+
+def _lost_job() -> JobHistory:
+    history = _make_history()
+    history.final_states[_JOB] = ''
+    return history
+
+
+def _failed_without_cause() -> JobHistory:
+    history = _make_history()
+    history.final_states[_JOB] = 'failed'
+    return history
+
+
+def _forgotten_job() -> JobHistory:
+    history = _make_history()
+    history.add(_make_call('read', 2.0, CallOutcome.NO_SUCH_JOB))
+    return history
+
+
+def _older_configuration() -> JobHistory:
+    history = _make_history()
+    history.add(Put(7, 1.0, True))
+    history.add(ConfigurationRead(2.0, 6))
+    return history
+
+
+def _dead_deployment() -> JobHistory:
+    history = _make_history()
+    history.has_recovered = False
+    return history
+
+
+_PLANTED: Final[dict[str, Callable[[], JobHistory]]] = {
+    'no_two_runs_at_once': _two_at_once,
+    'no_start_after_a_noted_end': _again_after_done,
+    'no_start_beyond_the_attempts': _third_attempt,
+    'no_start_after_a_cancel': _start_after_cancel,
+    'no_start_of_what_was_refused': _refused_that_ran,
+    'accepted_jobs_end': _lost_job,
+    'known_once_accepted': _forgotten_job,
+    'configuration_never_goes_back': _older_configuration,
+    'serves_again': _dead_deployment,
+}
+
+
+class JobRulesTest(unittest.TestCase):
+    def test_good_history_breaks_nothing(self) -> None:
+        self.assertEqual([], check(_make_history()))
+
+    def test_each_rule_finds_its_fault(self) -> None:
+        for rule, make in _PLANTED.items():
+            with self.subTest(rule):
+                found = [breach.partition(':')[0] for breach in check(make())]
+                self.assertEqual([rule], found)
+
+    def test_failure_needs_its_attempts(self) -> None:
+        found = check(_failed_without_cause())
+        self.assertEqual(1, len(found), found)
+
+
+class JobHistoryTest(unittest.TestCase):
+    """No promise is broken under random faults, from fixed seeds."""
+
+    def test_rules_hold(self) -> None:
+        for seed in _SEEDS:
+            with self.subTest(seed=seed):
+                result = run(seed, _SECONDS)
+                self.assertGreater(len(result.history.runs), 0)
+                self.assertEqual((), result.breaches, result.line())
+
+
+if __name__ == '__main__':
+    unittest.main()
