--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -18,6 +18,7 @@
 from baobabgap.dispatch import LeaderReady
 from baobabgap.dispatch import ReadPath
 from baobabgap.dispatch import SubmitJob
+from baobabgap.queues import RequestLimits
 from baobabgap.transport import Connection
 
 Call = SubmitJob | ReadPath | CancelPath
@@ -67,9 +68,8 @@
         # Volatile jobs by when they were last sent to a leader.
         self._begun_at_by_id: dict[str, float] = {}
         self._forget_at = 0.0
-        self.largest_body_bytes = 256 * 1024
-        # Called when the leader's limits are known.
-        self.on_ready: Callable[[], None] = _do_nothing
+        # The largest request body that the configuration allows.
+        self.largest_body_bytes = RequestLimits().body_bytes
 
     @property
     def is_linked(self) -> bool:
@@ -88,7 +88,6 @@
             # Before any call: the leader must know what may have begun.
             connection.send(EntryReport(self._begun_job_ids()))
             self._connection = connection
-        self.on_ready()
         try:
             for message in messages:
                 match message:
@@ -255,7 +254,3 @@
         case CallOutcome.UNKNOWN:
             return not isinstance(call, SubmitJob) or call.is_volatile
     return False
-
-
-def _do_nothing() -> None:
-    """Stand in until somebody wants to know."""
