--- a/baobabgap/dispatch/tests/fake_upstream.py
+++ b/baobabgap/dispatch/tests/fake_upstream.py
@@ -37,6 +37,8 @@
         self.fails = False
         # Whether no call gets an answer.
         self.is_silent = False
+        # What the last look was willing to wait for an end, milliseconds.
+        self.last_wait_ms = 0
         self.starts: list[tuple[TaskId, int]] = []
         self._lock = threading.Condition()
         self._begin_life()
@@ -118,6 +120,7 @@
         lease_until_ms: int,
         wait_ms: int,
     ) -> Holding | None:
+        self.last_wait_ms = wait_ms
         if self.is_silent:
             return None
         give_up_at = time.monotonic() + wait_ms / 1000
--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -150,6 +150,15 @@
         deployment.cancel('a')
         self.assertEqual('cancelled', asked.result(WAIT_S).state)
 
+    def test_looks_are_short_while_there_is_no_leader(self) -> None:
+        """The next leader waits for reports, which wait for looks."""
+        deployment = self.deployment
+        upstream = deployment.upstreams[0]
+        wait_until(lambda: upstream.last_wait_ms > 100, 'long looks')
+        for node in deployment.nodes:
+            node.stop()
+        wait_until(lambda: 0 < upstream.last_wait_ms <= 50, 'short looks')
+
     def test_configuration_never_goes_back(self) -> None:
         self.deployment.put(7)
         self.deployment.put(3)
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -44,9 +44,10 @@
 # The longest wait of one look for ends, milliseconds: several looks fit
 # into a lease, so that a lost one does no harm.
 _LOOK_WAIT_MS: Final = 250
-# The same after a look that got no answer: an upstream that leaves calls
-# unanswered hides ends for as long as a look waits.
-_WARY_LOOK_WAIT_MS: Final = 50
+# The same after a look that got no answer, since an upstream that leaves calls
+# unanswered hides ends for as long as a look waits; and without a leader, as
+# the next one waits for a report, which has to wait for a look.
+_SHORT_LOOK_WAIT_MS: Final = 50
 # Seconds for which looks stay short after one got no answer.
 _WARY_S: Final = 5.0
 # Seconds between two looks at least, while ends wait to be noted.
@@ -520,7 +521,9 @@
 
     def _look_wait_ms(self) -> int:
         is_wary = boot_time() - self._silent_at < _WARY_S
-        return _WARY_LOOK_WAIT_MS if is_wary else _LOOK_WAIT_MS
+        if is_wary or self._connection is None:
+            return _SHORT_LOOK_WAIT_MS
+        return _LOOK_WAIT_MS
 
     def _take_silence(self) -> None:
         """The upstream doesn't answer: judge by its lease what still runs."""
