Let runs go on whose job is yet to be handed in again

Cause: an agent's report that reached a new leader before the entry had handed the job in again kept its runs as orphans, and the repetition of stops right after it stopped them: to it they belonged to no job. Found by test_volatile_job_survives_the_loss_of_the_leader, 8 starts expected and 12 seen, once beside three lanes of the job history; then in 14 of 36 runs of that test, twelve at a time, since agents look more often while unlinked. The log of one shows agent_reported 6 ms before job_accepted, with four run_stop_ordered. Before: 14 of 36 failed.

--- a/baobabgap/dispatch/_orphans.py
+++ b/baobabgap/dispatch/_orphans.py
@@ -44,6 +44,10 @@
             orphans.found_at = orphans.found_at or now
             orphans.done.append(row.task)
 
+    def expects(self, job_id: str) -> bool:
+        """Tell whether a job may yet be handed in."""
+        return job_id in self._by_id
+
     def take(self, job_id: str) -> JobOrphans:
         """Return what is left of a job, and forget it here."""
         return self._by_id.pop(job_id, JobOrphans())
--- a/baobabgap/dispatch/_run_book.py
+++ b/baobabgap/dispatch/_run_book.py
@@ -110,7 +110,10 @@
     def repeat_stops(self, view: AgentView) -> None:
         """Order stops again that may have been lost with an earlier link."""
         for run in view.run_by_task.values():
-            if self._books.find(run.task) is None:
+            is_wanted = self._books.find(run.task) is not None
+            if not is_wanted and not self._books.orphans.expects(
+                run.task.job_id
+            ):
                 run.is_stopping = True
             if run.is_stopping:
                 self._send_stop(view, run)
--- a/baobabgap/dispatch/tests/test_takeover.py
+++ b/baobabgap/dispatch/tests/test_takeover.py
@@ -1,15 +1,22 @@
 """Which jobs may start after an election."""
 
+from types import SimpleNamespace
+from typing import cast
 import unittest
 
 from baobabgap.accepted import AcceptedJob
 from baobabgap.accepted import RunEnd
 from baobabgap.accepted import TaskId
+from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch._books import Books
 from baobabgap.dispatch._messages import EndRow
 from baobabgap.dispatch._messages import RunRow
+from baobabgap.dispatch._messages import StopRuns
 from baobabgap.dispatch._orphans import Orphans
+from baobabgap.dispatch._run_book import RunBook
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch._timing import LeaseTiming
+from baobabgap.transport import Connection
 
 TERM = 5
 MEMBERS = ('agent/a', 'agent/b', 'entry/e/1')
@@ -89,6 +96,22 @@
         self.assertEqual([other], taken.done)
         self.assertEqual([], orphans.take('a').runs)
 
+    def test_run_of_a_job_that_is_yet_to_come_is_not_stopped(self) -> None:
+        """Regression: a report that came before its job stopped its runs."""
+        books = Books()
+        runs = RunBook(books)
+        sent: list[object] = []
+        link = SimpleNamespace(send=sent.append)
+        view = AgentView('agent', cast(Connection, link))
+        row = RunRow(TaskId('a', 0, 0), 1, True)
+        runs.add_unwanted(view, row)
+        books.orphans.add_run('agent', row, 0.0)
+        runs.repeat_stops(view)
+        self.assertEqual([], sent)
+        books.orphans.expire(3.0)
+        runs.repeat_stops(view)
+        self.assertEqual([StopRuns(0, (row,))], sent)
+
     def test_runs_that_nobody_wants_are_stopped(self) -> None:
         orphans = Orphans()
         row = RunRow(TaskId('a', 0, 0), 1, True)
