Give up a volatile job before its caller stops waiting

Calls carry how long their caller waits; admission and giving up go by it, and what finds room starts first, as estimates are rough. Before: the new test gets unknown. After: overloaded, with a Retry-After.

--- a/baobabgap/dispatch/_call_desk.py
+++ b/baobabgap/dispatch/_call_desk.py
@@ -1,5 +1,6 @@
 """Calls of clients: submit, read, count, cancel."""
 
+import math
 import time
 from typing import Final
 
@@ -165,11 +166,13 @@
         self, arrived: CallArrived, call: SubmitJob, match: QueueMatch
     ) -> None:
         job_id = match.rest
-        if self._join(arrived, job_id):
+        if self._join(arrived, call, job_id):
             return
         job = self._job_from(call, match)
         arrived_at = time.monotonic() - call.waited_ms / 1000
         plan = JobPlan(job, arrived_at, self._books.run_times)
+        if job.is_volatile:
+            plan.awaited_until = _awaited_until(call)
         # Then a refusal, which says that nothing has run, may be untrue.
         plan.may_have_begun = call.is_repeat or (
             self._books.takeover.may_have_begun(job_id)
@@ -205,11 +208,15 @@
             call.is_volatile,
         )
 
-    def _join(self, arrived: CallArrived, job_id: str) -> bool:
+    def _join(
+        self, arrived: CallArrived, call: SubmitJob, job_id: str
+    ) -> bool:
         """Answer for a job that is known already; tell whether it is."""
         books = self._books
         if job_id in books.callers_by_id:
             books.callers_by_id[job_id].append(arrived)
+            plan = books.plan_by_id[job_id]
+            plan.awaited_until = max(plan.awaited_until, _awaited_until(call))
         elif job_id in books.ended_by_id:
             state = books.ended_by_id[job_id].state
             answer(arrived, CallOutcome.FOUND, state=state)
@@ -358,3 +365,10 @@
                 CancelStored(term, job_id, result is not None)
             ),
         )
+
+
+def _awaited_until(call: SubmitJob) -> float:
+    """Return when the caller stops waiting, on the scheduler's clock."""
+    if not call.patience_ms:
+        return math.inf
+    return time.monotonic() + (call.patience_ms - call.waited_ms) / 1000
--- a/baobabgap/dispatch/_messages.py
+++ b/baobabgap/dispatch/_messages.py
@@ -50,6 +50,8 @@
     is_volatile: bool = False
     # Milliseconds since the entry got it: its caller has waited as long.
     waited_ms: int = 0
+    # Milliseconds from then on within which an answer is of use; 0: always.
+    patience_ms: int = 0
     # Whether the entry has sent it before, so that it may have begun.
     is_repeat: bool = False
 
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -127,12 +127,15 @@
         if not self._is_confirmed():
             return
         now = time.monotonic()
-        if now >= self._look_at:
+        is_look_due = now >= self._look_at
+        if is_look_due:
             self._look_at = now + _TICK_S
             self._watch.look(now)
             self._entries.look(now)
-            self._calls.give_up_worthless(now)
         self._starter.start()
+        if is_look_due:
+            # Only what found no room: estimates are rough.
+            self._calls.give_up_worthless(now)
 
     def _take_events(self) -> None:
         try:
--- a/baobabgap/dispatch/tests/deployment.py
+++ b/baobabgap/dispatch/tests/deployment.py
@@ -142,14 +142,18 @@
         )
 
     def submit(
-        self, job_id: str, *steps: Step, volatile: bool
+        self,
+        job_id: str,
+        *steps: Step,
+        volatile: bool,
+        patience_s: float = WAIT_S,
     ) -> Future[CallAnswer]:
         """Hand a job in; the future brings the answer."""
         call = SubmitJob(
             0, QUEUE_HOST, PREFIX + job_id, 'payload', steps, volatile
         )
         return self.pool.submit(
-            self.calls.ask, call, WAIT_S, WAIT_S, lambda: False
+            self.calls.ask, call, WAIT_S, patience_s, lambda: False
         )
 
     def read(self, job_id: str) -> CallAnswer:
--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -150,6 +150,21 @@
         deployment.cancel('a')
         self.assertEqual('cancelled', asked.result(WAIT_S).state)
 
+    def test_caller_of_a_job_that_never_began_is_told_so(self) -> None:
+        """Before it stops waiting, so that it may come again."""
+        deployment = self.deployment
+        for upstream in deployment.upstreams:
+            upstream.run_ms = 60_000
+        deployment.submit('long', step(8, 60_000), volatile=True)
+        wait_until(lambda: len(self.starts()) == 8, 'full upstreams')
+        # Its objective would let it wait for much longer.
+        answer = deployment.submit(
+            'a', step(1, 2000), volatile=True, patience_s=4.0
+        ).result(WAIT_S)
+        self.assertEqual(CallOutcome.OVERLOADED, answer.outcome)
+        self.assertGreater(answer.retry_after_ms, 0)
+        deployment.cancel('long')
+
     def test_looks_are_short_while_there_is_no_leader(self) -> None:
         """The next leader waits for reports, which wait for looks."""
         deployment = self.deployment
--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -140,6 +140,7 @@
                 call = replace(
                     call,
                     waited_ms=int(1000 * (time.monotonic() - now)),
+                    patience_ms=int(1000 * wait_for_answer_s),
                     is_repeat=may_have_begun,
                 )
             answer = self._ask_once(call, answer_by, caller_has_left)
--- a/baobabgap/scheduling/_admission.py
+++ b/baobabgap/scheduling/_admission.py
@@ -12,7 +12,6 @@
 from baobabgap.accepted import Step
 from baobabgap.scheduling._backlog import Backlog
 from baobabgap.scheduling._job_plan import JobPlan
-from baobabgap.scheduling._job_plan import LATE_FACTOR
 from baobabgap.scheduling._rooms import Room
 
 # Seconds of waiting work that keep no job from being served.
@@ -53,12 +52,11 @@
         cls, backlog: Backlog, plan: JobPlan, now: float
     ) -> 'Prospect':
         """Look at a job that isn't counted in the backlog yet."""
-        left_s = plan.arrived_at - now - max(plan.expected_s)
         return cls(
             backlog.ahead_core_s(plan),
             backlog.total_core_s,
-            left_s + plan.objective_s,
-            left_s + LATE_FACTOR * plan.objective_s,
+            plan.latest_start(0) - now,
+            plan.late_limit(0) - now,
         )
 
 
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
+import math
 from typing import Final
 
 from baobabgap.accepted import AcceptedJob
@@ -39,6 +40,8 @@
     ) -> None:
         self.job: Final = job
         self.arrived_at: Final = arrived_at
+        # Until when somebody waits for a volatile job's end.
+        self.awaited_until = math.inf
         self.has_started = False
         # Whether an earlier leader may have started tasks of it.
         self.may_have_begun = False
@@ -106,9 +109,13 @@
         return self.arrived_at + self.objective_s - rest_s
 
     def late_limit(self, step: int) -> float:
-        """Return when starting a step's tasks is worth nothing any more."""
+        """Return when starting a step's tasks is worth nothing any more.
+
+        It would end far too late, or when nobody waits for it any more.
+        """
         rest_s = self.expected_s[step] + self._after_s[step]
-        return self.arrived_at + LATE_FACTOR * self.objective_s - rest_s
+        worthless_at = self.arrived_at + LATE_FACTOR * self.objective_s
+        return min(worthless_at, self.awaited_until) - rest_s
 
     def note_started(self, task: PlannedTask, upstream: str, run: int) -> None:
         """A run was ordered, or was found on an upstream."""
--- a/baobabgap/scheduling/tests/test_decisions.py
+++ b/baobabgap/scheduling/tests/test_decisions.py
@@ -16,6 +16,7 @@
 from baobabgap.scheduling import Room
 from baobabgap.scheduling import RoomHealth
 from baobabgap.scheduling import RunTimes
+from baobabgap.scheduling._planner import urgency_of
 
 TASK = Demand(1000, 64, 0)
 SERVICE = 'service'
@@ -246,6 +247,28 @@
         self.assertLess(refusal.retry_after_ms, 1500)
 
 
+class LateLimitTest(unittest.TestCase):
+    """When a job that waits is worth nothing any more."""
+
+    def test_no_later_than_somebody_waits_for_it(self) -> None:
+        # Its objective is 1.66 s, three times of which is 4.98 s.
+        plan = make_plan('a', Step(1, TASK, 1000))
+        self.assertAlmostEqual(3.98, plan.late_limit(0))
+        plan.awaited_until = 2.5
+        self.assertAlmostEqual(1.5, plan.late_limit(0))
+
+    def test_job_that_would_outlast_its_caller_is_refused(self) -> None:
+        rooms = [make_room('r', 10)]
+        steps = (Step(1, TASK, 1000),)
+        plan = make_plan('a', *steps)
+        backlog = Backlog([(urgency_of(plan, 0, 0.0), 20.0)], 0.0)
+        prospect = Prospect.from_backlog(backlog, plan, 0.0)
+        self.assertIsNone(admit(rooms, steps, prospect))
+        plan.awaited_until = 2.5
+        prospect = Prospect.from_backlog(backlog, plan, 0.0)
+        self.assertIsNotNone(admit(rooms, steps, prospect))
+
+
 class BacklogTest(unittest.TestCase):
     """Work that goes before a job, in the order of starts."""
 
