--- a/baobabgap/dispatch/tests/deployment.py
+++ b/baobabgap/dispatch/tests/deployment.py
@@ -76,7 +76,7 @@
     def __init__(self, folder: Path, controls: int, agents: int) -> None:
         self.pool = ThreadPoolExecutor(512)
         self._hosts = tuple(
-            ControlHost(f'control-{number}', HOST, _free_port())
+            ControlHost(f'control-{number}', HOST, free_port())
             for number in range(controls)
         )
         self.nodes = [self._node(folder, host) for host in self._hosts]
@@ -130,16 +130,7 @@
 
     def described(self, number: int) -> UpstreamState:
         """Return what an upstream says of itself."""
-        return UpstreamState(
-            f'upstream-{number}',
-            self.upstreams[number].born_ms,
-            SERVICE,
-            'zone',
-            ('kind', 'rack'),
-            Demand(1000 * CORES, 1000, 0),
-            is_draining=False,
-            is_reachable=True,
-        )
+        return describe_upstream(number, self.upstreams[number].born_ms, CORES)
 
     def submit(
         self,
@@ -185,17 +176,38 @@
     def _link(
         self, name: str, role: str, session: Callable[..., None]
     ) -> LeaderLink:
-        hello = Hello(name, role, uuid.uuid4().hex[:16])
-        return LeaderLink(
-            lambda: hello,
-            TIMING,
-            self.pool,
-            lambda: tuple(host.address for host in self._hosts),
-            session,
-        )
+        addresses = tuple(host.address for host in self._hosts)
+        return make_link(name, role, session, self.pool, addresses)
+
+
+def describe_upstream(number: int, born_ms: int, cores: int) -> UpstreamState:
+    """Return what an upstream says of itself."""
+    return UpstreamState(
+        f'upstream-{number}',
+        born_ms,
+        SERVICE,
+        'zone',
+        ('kind', 'rack'),
+        Demand(1000 * cores, 1000, 0),
+        is_draining=False,
+        is_reachable=True,
+    )
+
+
+def make_link(
+    name: str,
+    role: str,
+    session: Callable[..., None],
+    pool: ThreadPoolExecutor,
+    addresses: tuple[str, ...],
+) -> LeaderLink:
+    """Build a member's link, not started yet, to any of the hosts."""
+    hello = Hello(name, role, uuid.uuid4().hex[:16])
+    return LeaderLink(lambda: hello, TIMING, pool, lambda: addresses, session)
 
 
-def _free_port() -> int:
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
     with socket.socket() as probe:
         probe.bind((HOST, 0))
         return int(probe.getsockname()[1])
--- a/tools/job_history/_control_group.py
+++ b/tools/job_history/_control_group.py
@@ -4,7 +4,6 @@
 from pathlib import Path
 import queue
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -12,7 +11,9 @@
 from typing import Final
 from typing import Self
 
-_HOST: Final = '127.0.0.1'
+from baobabgap.dispatch.tests.deployment import free_port
+from baobabgap.dispatch.tests.deployment import HOST
+
 _ANSWER_LIMIT_S: Final = 5.0
 _START_LIMIT_S: Final = 30.0
 _STOP_LIMIT_S: Final = 20.0
@@ -96,7 +97,7 @@
 
     def __init__(self, folder: Path, hosts: int = 3) -> None:
         listed = [
-            {'name': f'control-{n}', 'host': _HOST, 'port': _free_port()}
+            {'name': f'control-{n}', 'host': HOST, 'port': free_port()}
             for n in range(hosts)
         ]
         self.addresses = tuple(
@@ -109,7 +110,7 @@
                     'role': 'control',
                     'name': host['name'],
                     'listen': {
-                        'host': _HOST,
+                        'host': HOST,
                         'internal_port': host['port'],
                     },
                     'control_hosts': listed,
@@ -149,9 +150,3 @@
     for line in child.stderr:
         if line.startswith('['):
             answers.put(json.loads(line))
-
-
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return int(probe.getsockname()[1])
--- a/tools/job_history/_deployment.py
+++ b/tools/job_history/_deployment.py
@@ -3,18 +3,14 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Final
-import uuid
 
-from baobabgap.accepted import Demand
 from baobabgap.dispatch import AGENT_ROLE
 from baobabgap.dispatch import ENTRY_ROLE
 from baobabgap.dispatch import LeaseTiming
-from baobabgap.dispatch import UpstreamState
-from baobabgap.dispatch.tests.deployment import SERVICE
-from baobabgap.dispatch.tests.deployment import TIMING
+from baobabgap.dispatch.tests.deployment import describe_upstream
+from baobabgap.dispatch.tests.deployment import make_link
 from baobabgap.leaderlink import LeaderCalls
 from baobabgap.leaderlink import LeaderLink
-from baobabgap.messages import Hello
 from baobabgap.telemetry import Metrics
 from baobabgap.upstreams import RunAgent
 from tools.job_history._control_group import ControlGroup
@@ -71,26 +67,12 @@
     def announce(self, number: int) -> None:
         """Tell an agent which life its upstream lives."""
         self._agents[number].announce(
-            UpstreamState(
-                f'upstream-{number}',
-                self.upstreams[number].born_ms,
-                SERVICE,
-                'zone',
-                ('kind', 'rack'),
-                Demand(1000 * _CORES, 1000, 0),
-                is_draining=False,
-                is_reachable=True,
-            )
+            describe_upstream(number, self.upstreams[number].born_ms, _CORES)
         )
 
     def _link(
         self, name: str, role: str, session: Callable[..., None]
     ) -> LeaderLink:
-        hello = Hello(name, role, uuid.uuid4().hex[:16])
-        return LeaderLink(
-            lambda: hello,
-            TIMING,
-            self._pool,
-            lambda: self._group.addresses,
-            session,
+        return make_link(
+            name, role, session, self._pool, self._group.addresses
         )
