--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BOOTSTRAP ?= python3
 
 .PHONY: demo test lint unit format bench slopes matrix history \
-	history-control job-history
+	history-control job-history job-matrix
 
 CASES ?=
 POLICIES ?=
@@ -61,5 +61,8 @@
 job-history: $(VENV)/ready
 	$(PYTHON) -m tools.job_history --seeds=$(SEEDS) --first=$(FIRST)
 
+job-matrix: $(VENV)/ready
+	$(PYTHON) -m tools.job_history.matrix --seed=$(SEED)
+
 history-control: $(VENV)/ready
 	$(PYTHON) -m tools.control_history --seeds=$(SEEDS)
--- a/tools/job_history/_callers.py
+++ b/tools/job_history/_callers.py
@@ -16,6 +16,8 @@
 from baobabgap.dispatch.tests.deployment import step
 from baobabgap.leaderlink import LeaderCalls
 from tools.job_history._control_group import ControlGroup
+from tools.job_history._moments import Moment
+from tools.job_history._moments import Moments
 from tools.job_history._records import Called
 from tools.job_history._records import ConfigurationRead
 from tools.job_history._records import JobHistory
@@ -34,8 +36,13 @@
     """Hands jobs in, resends what is unclear, cancels some, reads all."""
 
     def __init__(
-        self, entries: list[LeaderCalls], history: JobHistory, seed: int
+        self,
+        entries: list[LeaderCalls],
+        history: JobHistory,
+        moments: Moments,
+        seed: int,
     ) -> None:
+        self._moments = moments
         self._entries = entries
         self._history = history
         self._seed = seed
@@ -110,6 +117,11 @@
         call: SubmitJob | ReadPath | CancelPath,
         entry: LeaderCalls,
     ) -> CallOutcome:
+        match call:
+            case SubmitJob(is_volatile=False):
+                self._moments.reach(Moment.ACCEPT)
+            case CancelPath():
+                self._moments.reach(Moment.CANCEL)
         asked_at = time.monotonic()
         answer: CallAnswer = entry.ask(
             call, _ANSWER_S, _ANSWER_S, lambda: False
@@ -130,7 +142,10 @@
 class Operator:
     """Puts configurations with rising numbers, and reads them."""
 
-    def __init__(self, group: ControlGroup, history: JobHistory) -> None:
+    def __init__(
+        self, group: ControlGroup, history: JobHistory, moments: Moments
+    ) -> None:
+        self._moments = moments
         self._group = group
         self._history = history
 
@@ -144,6 +159,7 @@
 
     def put(self, version: int) -> bool:
         """Hand a version in at one host after the other."""
+        self._moments.reach(Moment.PUT)
         for process in self._group.processes:
             if process.ask('put', version)[0] == 'done':
                 self._history.add(Put(version, time.monotonic(), True))
--- a/tools/job_history/_control_daemon.py
+++ b/tools/job_history/_control_daemon.py
@@ -14,6 +14,7 @@
 from baobabgap.dispatch import LeaseTiming
 from baobabgap.dispatch.tests.deployment import configuration
 from baobabgap.settings import settings_from_document
+from tools.matrix._daemon import install_faulty_disk
 
 _RETENTION_MS: Final = 60_000
 _REQUEST_LIMIT_S: Final = 2.0
@@ -21,6 +22,7 @@
 
 def run_host(document: str) -> None:
     """Be one host, until the input ends."""
+    install_faulty_disk()
     settings = settings_from_document(
         json.loads(document), source='the command line'
     )
--- a/tools/job_history/_deployment.py
+++ b/tools/job_history/_deployment.py
@@ -14,6 +14,7 @@
 from baobabgap.telemetry import Metrics
 from baobabgap.upstreams import RunAgent
 from tools.job_history._control_group import ControlGroup
+from tools.job_history._moments import Moments
 from tools.job_history._recorded_upstream import RecordedUpstream
 
 _ENTRIES: Final = 2
@@ -25,12 +26,16 @@
     """Two entries and three agents with their upstreams."""
 
     def __init__(
-        self, group: ControlGroup, pool: ThreadPoolExecutor, seed: int
+        self,
+        group: ControlGroup,
+        pool: ThreadPoolExecutor,
+        moments: Moments,
+        seed: int,
     ) -> None:
         self._group = group
         self._pool = pool
         self.upstreams = [
-            RecordedUpstream(100 * seed + number)
+            RecordedUpstream(100 * seed + number, moments)
             for number in range(_UPSTREAMS)
         ]
         self.entries = [LeaderCalls() for _ in range(_ENTRIES)]
--- a/tools/job_history/_recorded_upstream.py
+++ b/tools/job_history/_recorded_upstream.py
@@ -12,6 +12,8 @@
 from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
 from baobabgap.upstreams import Holding
 from baobabgap.upstreams import StartOutcome
+from tools.job_history._moments import Moment
+from tools.job_history._moments import Moments
 
 # The longest time that an unanswered order takes to be carried out, seconds.
 _LATEST_S: Final = 2.0
@@ -36,7 +38,8 @@
 class RecordedUpstream(FakeUpstream):
     """Loses a share of the answers to starts while told to."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, moments: Moments) -> None:
+        self._moments = moments
         self.records: list[RunRecord] = []
         self._open: dict[TaskId, RunRecord] = {}
         self._chance = random.Random(seed)
@@ -47,6 +50,7 @@
     def start(
         self, instance: str, order: RunOrder, fence: int, lease_until_ms: int
     ) -> tuple[StartOutcome, int]:
+        self._moments.reach(Moment.ORDER)
         if self._chance.random() >= self.lost_share:
             return super().start(instance, order, fence, lease_until_ms)
         born_ms = self.born_ms
@@ -123,3 +127,4 @@
         record.number = self._last_number
         record.ended_at = self._began_at + ended_ms / 1000
         self._ended_records.append(record)
+        self._moments.reach(Moment.NOTE_END)
--- a/tools/job_history/_run.py
+++ b/tools/job_history/_run.py
@@ -1,7 +1,11 @@
 """One run by a seed: members, callers and faults, then the check."""
 
+from collections import Counter
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import wait
 from dataclasses import dataclass
+import math
 from pathlib import Path
 import tempfile
 import threading
@@ -13,6 +17,7 @@
 from tools.job_history._control_group import ControlGroup
 from tools.job_history._deployment import Members
 from tools.job_history._faults import Faults
+from tools.job_history._moments import Moments
 from tools.job_history._records import JobHistory
 from tools.job_history._rules import check
 
@@ -46,17 +51,57 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Players:
+    """What faults are done to, and when."""
+
+    group: ControlGroup
+    members: Members
+    moments: Moments
+
+
+# Does faults until it is done, or until the event is set.
+Hurt = Callable[[Players, threading.Event], None]
+
+
 def run(seed: int, seconds: float) -> JobRunResult:
-    """Run for some seconds under faults, let all settle, and check."""
+    """Play for some seconds under random faults, and check."""
+    counts: Counter[str] = Counter()
+
+    def hurt(players: Players, over: threading.Event) -> None:
+        members = players.members
+        faults = Faults(
+            players.group, members.upstreams, members.announce, seed
+        )
+        others = threading.Thread(target=faults.hurt_upstreams, args=(over,))
+        others.start()
+        faults.hurt_control(over)
+        others.join()
+        counts.update(faults.counts)
+
+    result = play(seed, [hurt], seconds)
+    result.history.fault_counts = dict(counts)
+    return result
+
+
+def play(
+    seed: int, hurts: list[Hurt], seconds: float = math.inf
+) -> JobRunResult:
+    """Let callers work while faults are done, let all settle, and check.
+
+    It lasts until all faults are done, or for some seconds.
+    """
     history = JobHistory()
+    moments = Moments()
     with (
         tempfile.TemporaryDirectory(prefix='baobabgap-') as folder,
         ThreadPoolExecutor(_THREADS) as pool,
         ControlGroup(Path(folder)) as group,
     ):
-        members = Members(group, pool, seed)
+        members = Members(group, pool, moments, seed)
+        players = Players(group, members, moments)
         try:
-            _record(group, members, pool, history, seed, seconds)
+            _record(players, pool, history, seed, hurts, seconds)
         finally:
             members.stop()
         for upstream in members.upstreams:
@@ -65,39 +110,37 @@
 
 
 def _record(
-    group: ControlGroup,
-    members: Members,
+    players: Players,
     pool: ThreadPoolExecutor,
     history: JobHistory,
     seed: int,
+    hurts: list[Hurt],
     seconds: float,
 ) -> None:
+    members, moments = players.members, players.moments
     members.start()
-    operator = Operator(group, history)
+    operator = Operator(players.group, history, moments)
     give_up_at = time.monotonic() + _START_LIMIT_S
     while not operator.put(1):
         if time.monotonic() > give_up_at:
             raise TimeoutError('no leader took the first configuration')
         time.sleep(0.1)
-    callers = Callers(members.entries, history, seed)
-    faults = Faults(group, members.upstreams, members.announce, seed)
+    callers = Callers(members.entries, history, moments, seed)
     over = threading.Event()
-    futures = [
+    hurting = [pool.submit(hurt, players, over) for hurt in hurts]
+    working = [
         pool.submit(operator.operate, over),
-        pool.submit(faults.hurt_control, over),
-        pool.submit(faults.hurt_upstreams, over),
         *(
             pool.submit(callers.call, number, over)
             for number in range(_CALLERS)
         ),
     ]
     try:
-        time.sleep(seconds)
+        wait(hurting, None if seconds == math.inf else seconds)
     finally:
         over.set()
-    for future in futures:
+    for future in (*hurting, *working):
         future.result()
-    history.fault_counts = dict(faults.counts)
     callers.settle()
     operator.read()
     time.sleep(_QUIET_S)
--- a/tools/matrix/_daemon.py
+++ b/tools/matrix/_daemon.py
@@ -100,16 +100,25 @@
     return serve_behind
 
 
+def install_faulty_disk() -> None:
+    """Have data folders obey orders, and logs compacted often."""
+    seams: list[tuple[Any, str, Any]] = [
+        (_log, 'DiskFolder', _OrderedFolder),
+        (_log, 'LogLimits', lambda: _LIMITS),
+    ]
+    for module, attribute, replacement in seams:
+        setattr(module, attribute, replacement)
+
+
 def _install(name: str) -> None:
     """Put the seams in place of the product's own."""
+    install_faulty_disk()
     from_own_address = functools.partial(
         connect, source_address=(source_host(name), 0)
     )
     seams: list[tuple[Any, str, Any]] = [
         (_dialer, 'connect', from_own_address),
         (_listener, 'serve', _behind_relay(serve)),
-        (_log, 'DiskFolder', _OrderedFolder),
-        (_log, 'LogLimits', lambda: _LIMITS),
     ]
     for module, attribute, replacement in seams:
         setattr(module, attribute, replacement)
