Let a task that is longer than its siblings end

Cause: a run counted as overdue at twice its longest sibling, also below the time that it was expected to take, and each new run of the task at the same moment again.

two tasks stopped at 4.27 s three times (expected 6.2 s, sibling 2.0 s), was held for 17 s and answered 504. Ruled out: a slow upstream, the four runs were on four. After: no run is overdue before its expected time, and each run that was stopped so doubles the time of the next. Before: both new checks fail (the case, and the played task).

--- a/baobabgap/dispatch/_watch.py
+++ b/baobabgap/dispatch/_watch.py
@@ -12,7 +12,7 @@
 from baobabgap.dispatch._timing import boot_time
 from baobabgap.dispatch._timing import LeaseTiming
 from baobabgap.scheduling import is_overdue
-from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import PlannedTask
 from baobabgap.telemetry import log_event
 
 # Seconds for which the end of a volatile job is kept: its caller hands it
@@ -75,17 +75,21 @@
             if plan is None or run.is_stopping:
                 continue
             run_s = now - run.started_at
-            sibling_s = plan.longest_done_s[run.task.step]
-            if is_overdue(run_s, run.expected_s, sibling_s):
-                self._replace(view, run, plan, run_s)
+            task = plan.task_by_id.get(run.task)
+            if task is not None and is_overdue(
+                run_s,
+                run.expected_s,
+                plan.longest_done_s[run.task.step],
+                task.overdue_runs,
+            ):
+                self._replace(view, run, task, run_s)
 
     def _replace(
-        self, view: AgentView, run: Run, plan: JobPlan, run_s: float
+        self, view: AgentView, run: Run, task: PlannedTask, run_s: float
     ) -> None:
         """Stop a run that hangs, so that its task runs elsewhere."""
-        task = plan.task_by_id.get(run.task)
-        if task is not None:
-            task.avoided.add(view.name)
+        task.avoided.add(view.name)
+        task.overdue_runs += 1
         room = view.room
         is_suspended = room is not None and room.health.note_overdue(
             time.monotonic()
--- a/baobabgap/scheduling/_health.py
+++ b/baobabgap/scheduling/_health.py
@@ -105,13 +105,19 @@
 
 
 def is_overdue(
-    run_s: float, expected_s: float, sibling_s: float | None
+    run_s: float,
+    expected_s: float,
+    sibling_s: float | None,
+    overdue_before: int = 0,
 ) -> bool:
     """Tell whether a run has taken far longer than it should.
 
     `sibling_s` is the longest run of a task of the same step that is
-    done, or None.
+    done, or None. Each run of the task that was overdue before doubles
+    the time: a task that is only longer than it seemed must end once.
     """
     if sibling_s is None:
-        return run_s > _OVERDUE_FACTOR * expected_s + _OVERDUE_SLACK_S
-    return run_s > _OVERDUE_AMONG_SIBLINGS * sibling_s + _OVERDUE_SLACK_S
+        most_s = _OVERDUE_FACTOR * expected_s
+    else:
+        most_s = max(expected_s, _OVERDUE_AMONG_SIBLINGS * sibling_s)
+    return run_s > 2.0**overdue_before * most_s + _OVERDUE_SLACK_S
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -25,6 +25,8 @@
     # Upstreams on which a run has failed or hung.
     avoided: set[str] = field(default_factory=set)
     failed_runs: set[int] = field(default_factory=set)
+    # How many of its runs were stopped because they took too long.
+    overdue_runs: int = 0
     # Where the task runs, or may run; empty while it waits.
     upstream: str = ''
 
--- a/baobabgap/scheduling/tests/test_decisions.py
+++ b/baobabgap/scheduling/tests/test_decisions.py
@@ -191,6 +191,8 @@
             (0.6, 0.1, None, True),
             (2.0, 1.0, 0.5, True),
             (1.2, 1.0, 0.5, False),
+            # No sibling makes a run overdue before it should end.
+            (4.3, 6.2, 2.0, False),
         ]
         for run_s, expected_s, sibling_s, overdue in cases:
             with self.subTest(run_s=run_s, sibling_s=sibling_s):
@@ -198,6 +200,14 @@
                     overdue, is_overdue(run_s, expected_s, sibling_s)
                 )
 
+    def test_task_that_is_longer_than_it_seemed_ends_once(self) -> None:
+        """Regression: it was stopped at the same time in each run."""
+        needed_s, attempt = 5.0, 0
+        while is_overdue(needed_s, 0.8, 0.5, attempt):
+            attempt += 1
+            self.assertLess(attempt, 10)
+        self.assertGreater(attempt, 0)
+
 
 class AdmissionTest(unittest.TestCase):
     STEPS = (Step(1, TASK, 100),)
