--- a/baobabgap/dispatch/_books.py
+++ b/baobabgap/dispatch/_books.py
@@ -22,8 +22,6 @@
 # Seconds after an election in which agents that an earlier leader knew, and
 # their upstreams, are expected back: a start of the process, a dial, a report.
 _RETURN_S: Final = 1.0
-
-
 # Seconds for which a look at the waiting work is good for decisions: a small
 # part of the shortest objectives.
 _BACKLOG_AGE_S: Final = 0.02
