Let the test's callers wait for as long as their jobs take

The test is about new lives of upstreams; its callers wait for 120 s now, as do those of the test with full upstreams.

--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 import tempfile
+from typing import Final
 import unittest
 
 from baobabgap.accepted import TaskId
@@ -12,6 +13,9 @@
 from baobabgap.dispatch.tests.deployment import WAIT_S
 from baobabgap.dispatch.tests.deployment import wait_until
 
+# Longer than any task of these tests takes, seconds.
+_LONG_PATIENCE_S: Final = 120.0
+
 
 class DispatchTest(unittest.TestCase):
     controls = 1
@@ -139,7 +143,10 @@
         deployment = self.deployment
         for upstream in deployment.upstreams:
             upstream.run_ms = 60_000
-        asked = deployment.submit('a', step(8, 60_000), volatile=True)
+        # Whoever waits for less time than that is refused at once.
+        asked = deployment.submit(
+            'a', step(8, 60_000), volatile=True, patience_s=_LONG_PATIENCE_S
+        )
         wait_until(lambda: len(self.starts()) == 8, 'full upstreams')
         for upstream in deployment.upstreams:
             upstream.run_ms = 30
@@ -155,7 +162,9 @@
         deployment = self.deployment
         for upstream in deployment.upstreams:
             upstream.run_ms = 60_000
-        deployment.submit('long', step(8, 60_000), volatile=True)
+        deployment.submit(
+            'long', step(8, 60_000), volatile=True, patience_s=_LONG_PATIENCE_S
+        )
         wait_until(lambda: len(self.starts()) == 8, 'full upstreams')
         # Its objective would let it wait for much longer.
         answer = deployment.submit(
