--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -63,8 +63,10 @@
     retention_ms: int
     # Factor by which a task takes longer outside the rack of its data.
     off_rack_factor: float
-    # Target number of group members; further hosts stand by.
+    # Number of group members needed to tolerate the stated losses.
     wanted_members: int
+    # Largest number of group members; further hosts stand by.
+    most_members: int
     # Seconds of silence after which a member may be replaced.
     member_silence_limit_s: float
 
@@ -109,7 +111,10 @@
         )
         self._state.on_configuration = self._apply_configuration
         self._membership = MembershipManager(
-            self._log, options.wanted_members, options.member_silence_limit_s
+            self._log,
+            options.wanted_members,
+            options.most_members,
+            options.member_silence_limit_s,
         )
         self._limits = RequestLimits()
         self._member_lock = threading.Lock()
--- a/baobabgap/dispatch/_membership_manager.py
+++ b/baobabgap/dispatch/_membership_manager.py
@@ -17,16 +17,21 @@
 class MembershipManager:
     """Adds standby hosts to the group and replaces silent members.
 
-    The group has as many voters as are needed to tolerate the configured
-    number of failures. Further hosts are standbys until a member has been
+    The group grows to `wanted_members`, and from there in pairs up to
+    `most_members`. Further hosts are standbys until a member has been
     silent for `silence_limit_s` seconds.
     """
 
     def __init__(
-        self, log: ReplicatedLog, wanted_members: int, silence_limit_s: float
+        self,
+        log: ReplicatedLog,
+        wanted_members: int,
+        most_members: int,
+        silence_limit_s: float,
     ) -> None:
         self._log: Final = log
         self._wanted_members: Final = wanted_members
+        self._most_members: Final = most_members
         self._silence_limit_s: Final = silence_limit_s
         self._lock = threading.Lock()
         self._standby_by_name: dict[str, ControlHost] = {}
@@ -71,7 +76,7 @@
             ]
         if not standbys:
             return
-        if len(members) < self._wanted_members:
+        if len(members) < self._target_size(len(members) + len(standbys)):
             host = standbys[0]
             log_event('member_added', member=host.name, address=host.address)
             self._log.add_member(host).result(_CHANGE_TIMEOUT_S)
@@ -81,6 +86,12 @@
             log_event('member_removed', member=silent, reason='silent')
             self._log.remove_member(silent).result(_CHANGE_TIMEOUT_S)
 
+    def _target_size(self, available: int) -> int:
+        """Return the size for the group if so many hosts are available."""
+        # A group of even size tolerates no more failures than one less.
+        odd = available - (available + 1) % 2
+        return max(self._wanted_members, min(odd, self._most_members))
+
     def _silent_member(self, names: set[str]) -> str:
         """Return a member that has been silent too long, or an empty name."""
         assert self._leading_since is not None
--- a/baobabgap/dispatch/tests/deployment.py
+++ b/baobabgap/dispatch/tests/deployment.py
@@ -170,7 +170,7 @@
         )
         return ControlNode.from_settings(
             settings,
-            ControlNodeOptions(LeaseTiming(), 60_000, 1.5, 3, 4.0),
+            ControlNodeOptions(LeaseTiming(), 60_000, 1.5, 3, 5, 4.0),
         )
 
     def _link(
--- a/tools/job_history/_control_daemon.py
+++ b/tools/job_history/_control_daemon.py
@@ -30,7 +30,7 @@
     )
     node = ControlNode.from_settings(
         settings,
-        ControlNodeOptions(LeaseTiming(), _RETENTION_MS, 1.5, 3, 60.0),
+        ControlNodeOptions(LeaseTiming(), _RETENTION_MS, 1.5, 3, 3, 60.0),
     )
     node.start()
     _write_answer(['started', node.internal_port])
