--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -154,6 +154,20 @@
         """The leader as known to this host, or None."""
         return self._log.leader
 
+    @property
+    def is_member(self) -> bool:
+        """Whether this host belongs to the group, so that it hears leaders."""
+        return self._log.is_member
+
+    @property
+    def leader_heard_at(self) -> float:
+        """When another host was last heard as the leader, in seconds.
+
+        This is a reading of the monotonic clock; a leader that is alive is
+        heard several times a second.
+        """
+        return self._log.leader_heard_at
+
     def hello(self) -> Hello:
         """Return the `Hello` of this host for a new link."""
         return Hello(
--- a/baobabgap/replication/_log.py
+++ b/baobabgap/replication/_log.py
@@ -199,6 +199,19 @@
                 return None
             return self._state.leader_host
 
+    @property
+    def is_member(self) -> bool:
+        """Whether this host's name is in the membership."""
+        with self._state.lock:
+            name = self._state.own_host.name
+            return self._state.membership.member(name) is not None
+
+    @property
+    def leader_heard_at(self) -> float:
+        """The monotonic time of the last message from another leader."""
+        with self._state.lock:
+            return self._state.leader_heard_at
+
     def status(self) -> LogStatus:
         """Return the current status."""
         return read_status(self._state, self._peers, self._storage)
