Finish jobs that have begun before new ones start

The first ones in its logs were alike: seven to 14 tasks, all but one done or at work, one start that got no answer and was taken back 0.25 to 0.5 s later. By then the job was past its objective, so its last task waited behind every new job until the caller had left.

Cause: the order of starts went by lateness alone. A job that has begun can't be refused any more, its caller can't try again, and the work that is done is lost with it; a new job can be refused and come back.

A job that has begun, and whose caller still waits long enough for its end, now keeps the place that its latest start gives it among the jobs that can be on time. Jobs that have not begun are ordered as before.

--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -107,8 +107,7 @@
 
     def latest_start(self, step: int) -> float:
         """Return when a step must start for the job to be on time."""
-        remaining_s = self.expected_s[step] + self._after_s[step]
-        return self.arrived_at + self.objective_s - remaining_s
+        return self.arrived_at + self.objective_s - self._remaining_s(step)
 
     def latest_useful_start(self, step: int) -> float:
         """Return the latest time at which starting a step is still useful.
@@ -116,9 +115,20 @@
         A job started later would end far past its objective, or after its
         caller has stopped waiting.
         """
-        remaining_s = self.expected_s[step] + self._after_s[step]
         expires_at = self.arrived_at + LATE_FACTOR * self.objective_s
-        return min(expires_at, self.awaited_until) - remaining_s
+        return min(expires_at, self.awaited_until) - self._remaining_s(step)
+
+    def is_begun_and_awaited(self, step: int, now: float) -> bool:
+        """Return whether a run was ordered and the end would still be used.
+
+        A step that starts now then ends before the caller stops waiting.
+        """
+        ends_at = now + self._remaining_s(step)
+        return self.has_started and ends_at <= self.awaited_until
+
+    def _remaining_s(self, step: int) -> float:
+        """Return the expected time from the start of a step to the end."""
+        return self.expected_s[step] + self._after_s[step]
 
     def note_started(self, task: PlannedTask, upstream: str, run: int) -> None:
         """Record a run that was ordered, or was found on an upstream."""
--- a/baobabgap/scheduling/_planner.py
+++ b/baobabgap/scheduling/_planner.py
@@ -1,7 +1,9 @@
 """Order of starts, and placement of tasks on upstreams.
 
-When more tasks wait than fit, jobs that can still be on time start before
-those that can't, and among them the one with the earliest latest start.
+When more tasks wait than fit, jobs that can still be on time, or that have
+begun, start before those that are late already, and among them the one with
+the earliest latest start. A job that has begun can't be refused any more: if
+it waits behind new ones, its caller gets no answer and the work is lost.
 """
 
 from collections import Counter
@@ -41,7 +43,8 @@
 class Urgency:
     """Sort key of the order of starts; the smallest starts first."""
 
-    # 0 if the job can be on time, 1 if late, 2 if no longer worth running.
+    # 0 if the job can be on time or has begun, 1 if late, 2 if no longer worth
+    # running.
     lateness: int
     # Time at which the tasks must start for the job to be on time, seconds.
     latest_start: float
@@ -104,7 +107,7 @@
     """Return the sort key of a step's tasks in the order of starts."""
     latest_start = plan.latest_start(step)
     margin_s = _MARGIN_S + _MARGIN_SHARE * plan.expected_s[step]
-    if now <= latest_start - margin_s:
+    if now <= latest_start - margin_s or plan.is_begun_and_awaited(step, now):
         lateness = 0
     elif now <= plan.latest_useful_start(step):
         lateness = 1
--- a/baobabgap/scheduling/tests/load_player.py
+++ b/baobabgap/scheduling/tests/load_player.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 import heapq
 import itertools
+import math
 import random
 
 from baobabgap.accepted import AcceptedJob
@@ -28,6 +29,8 @@
 JOB_KINDS = ((8, 0.12, 17.0), (4, 1.8, 3.0), (2, 0.4, 50.0))
 STRETCH = 1.6
 ALLOWANCE_MS = 60
+# Seconds until a start that got no answer is taken back.
+LOST_START_S = 0.25
 # Largest relative error of a submitter's estimate, either way.
 ESTIMATE_ERROR = 0.4
 UPSTREAMS = 11
@@ -57,6 +60,8 @@
     late: int = 0
     unfinished: int = 0
     refused: int = 0
+    # Of the late ones, those that ended after their callers had left.
+    abandoned: int = 0
     on_time_by_second: dict[int, int] = field(default_factory=dict)
 
     @property
@@ -135,6 +140,22 @@
     return placements
 
 
+def urgent_first_without_begun(
+    plans: Iterable[JobPlan],
+    targets: dict[str, list[PlacementTarget]],
+    now: float,
+) -> list[Placement]:
+    """Start tasks by urgency as if no job had begun."""
+    plans = list(plans)
+    begun = [plan for plan in plans if plan.has_started]
+    for plan in begun:
+        plan.has_started = False
+    placements = plan_starts(plans, targets, 1.0, now)
+    for plan in begun:
+        plan.has_started = True
+    return placements
+
+
 def by_work_ahead(admission_input: AdmissionInput) -> AdmissionInput:
     """Admit by the work that starts before a job, as the scheduler does."""
     return admission_input
@@ -166,6 +187,8 @@
 
     Without `admission` every job is admitted. With it, jobs that arrive in
     an outage are still all admitted, as no scheduler is there to refuse.
+    `lost_share` of the starts have no effect and are taken back after
+    `LOST_START_S`; callers wait for `patience_s` seconds.
     """
 
     def __init__(
@@ -173,8 +196,13 @@
         order: StartOrder,
         outage: tuple[float, float] = (0.0, 0.0),
         admission: AdmissionOptions | None = None,
+        lost_share: float = 0.0,
+        patience_s: float = math.inf,
     ) -> None:
         self._order = order
+        self._lost_share = lost_share
+        self._patience_s = patience_s
+        self._rng = random.Random(1)
         self._outage = outage
         self._admission = admission
         capacity = Demand(1000 * CORES_PER_TASK * TASKS_PER_UPSTREAM, 1000, 0)
@@ -215,6 +243,7 @@
         def arrive(now: float) -> None:
             job = arrival.job
             plan = JobPlan(job, now, RunTimes())
+            plan.awaited_until = now + self._patience_s
             if self._is_refused(plan, now):
                 self._outcome.refused += 1
                 return
@@ -256,6 +285,11 @@
             placement.plan.note_started(
                 placement.task, placement.target.name, 1
             )
+            if self._rng.random() < self._lost_share:
+                self._schedule(
+                    now + LOST_START_S, self._make_lost_start_end(placement)
+                )
+                continue
             run_s = self._run_s[placement.plan.job.job_id]
             self._schedule(now + run_s, self._make_task_end(placement))
 
@@ -269,6 +303,15 @@
 
         return end
 
+    def _make_lost_start_end(
+        self, placement: Placement
+    ) -> Callable[[float], None]:
+        def end(now: float) -> None:
+            placement.target.release(placement.demand)
+            placement.plan.requeue(placement.task)
+
+        return end
+
     def _record_job_end(self, plan: JobPlan, now: float) -> None:
         job_id = plan.job.job_id
         del self._plans[job_id]
@@ -280,6 +323,8 @@
             by_second[second] = by_second.get(second, 0) + 1
         else:
             self._outcome.late += 1
+            if now > plan.awaited_until:
+                self._outcome.abandoned += 1
 
 
 def _make_open_setter(
--- a/baobabgap/scheduling/tests/test_decisions.py
+++ b/baobabgap/scheduling/tests/test_decisions.py
@@ -77,6 +77,24 @@
             planned_starts([late, fresh], [make_target('r', 1)], now=0.2),
         )
 
+    def test_begun_job_is_not_starved_by_new_ones(self) -> None:
+        cases = [
+            # When the caller stops waiting, and the job that starts first.
+            (5.0, 'begun'),
+            (0.4, 'fresh'),
+        ]
+        for awaited_until, first in cases:
+            with self.subTest(awaited_until=awaited_until):
+                begun = make_plan('begun', Step(8, TASK, 100))
+                begun.awaited_until = awaited_until
+                for index in range(7):
+                    begun.note_done(TaskId('begun', 0, index))
+                fresh = make_plan('fresh', Step(1, TASK, 1000), arrived_at=0.2)
+                starts = planned_starts(
+                    [fresh, begun], [make_target('r', 1)], now=0.35
+                )
+                self.assertEqual([first], [job for job, _, _ in starts])
+
     def test_planning_does_not_change_targets(self) -> None:
         target = make_target('r', 2)
         plan = make_plan('a', Step(5, TASK, 100))
--- a/baobabgap/scheduling/tests/test_played_load.py
+++ b/baobabgap/scheduling/tests/test_played_load.py
@@ -9,6 +9,7 @@
 from baobabgap.scheduling.tests.load_player import LoadSimulator
 from baobabgap.scheduling.tests.load_player import make_trace
 from baobabgap.scheduling.tests.load_player import urgent_first
+from baobabgap.scheduling.tests.load_player import urgent_first_without_begun
 
 SECONDS = 12.0
 SEEDS = (1, 2)
@@ -125,6 +126,21 @@
                     self.assertGreater(actual.on_time, baseline.on_time)
                     self.assertLessEqual(actual.refused, baseline.refused)
 
+    def test_lost_starts_under_overload_do_not_starve_begun_jobs(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                trace = make_trace(SECONDS, burst, seed)
+                actual, baseline = (
+                    LoadSimulator(
+                        order,
+                        admission=AdmissionOptions(),
+                        lost_share=0.03,
+                        patience_s=2.0,
+                    ).run(trace)
+                    for order in (urgent_first, urgent_first_without_begun)
+                )
+                self.assertLess(actual.abandoned, baseline.abandoned)
+
     def test_overloaded_scheduler_serves_all_jobs(self) -> None:
         """Late jobs start last, but must not starve."""
         trace = make_trace(SECONDS, overload, 1)
