--- a/baobabgap/dispatch/_membership_manager.py
+++ b/baobabgap/dispatch/_membership_manager.py
@@ -88,7 +88,7 @@
 
     def _target_size(self, available: int) -> int:
         """Return the size for the group if so many hosts are available."""
-        # A group of even size tolerates no more failures than one less.
+        # An even group tolerates no more failures than one host fewer.
         odd = available - (available + 1) % 2
         return max(self._wanted_members, min(odd, self._most_members))
 
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -119,9 +119,10 @@
         return min(expires_at, self.awaited_until) - self._remaining_s(step)
 
     def is_begun_and_awaited(self, step: int, now: float) -> bool:
-        """Return whether a run was ordered and the end would still be used.
+        """Return whether the job has begun and its caller awaits its end.
 
-        A step that starts now then ends before the caller stops waiting.
+        The caller does if a step that starts now lets the job end before
+        the caller stops waiting.
         """
         ends_at = now + self._remaining_s(step)
         return self.has_started and ends_at <= self.awaited_until
