Serve all links of a process with one thread

Cause: each link had three threads (the library's reader, the receiver and the sender), and each heartbeat woke two of them.

Now one loop reads and writes all links through the Sans-I/O layer of `websockets`. Heartbeats are sent and received without waking anybody; a receiver wakes for messages only. Timing, wire format and the order of messages are as before.

Faults found on the way, each with a test that failed before its fix: - A wakeup was lost when a request came between clearing the flag and reading the pipe, after which the loop slept until the next heartbeat or for ever (test_request_during_a_wakeup_leaves_the_loop_wakeable). - A stopped listener left its accepted links open, so that the process did not end (test_stopped_listener_closes_its_links).

--- a/baobabgap/control/_client.py
+++ b/baobabgap/control/_client.py
@@ -235,12 +235,15 @@
             )
 
     def _run_link(self, address: str) -> None:
-        connection = dial(address, self._hello, self._dial_timing, self._pool)
+        connection = dial(address, self._hello, self._dial_timing)
         connection.use_timing(self._timing)
         try:
             self._pending.peer = connection.peer.name
             connection.send(Subscribe(self._version, self._member_roles))
             self._connection = connection
+            if self._stopping.is_set():
+                # `stop` may have come before the link was there to close.
+                return
             self._send_pending()
             for message in connection.messages():
                 self._messages_received += 1
--- a/baobabgap/control/_relay.py
+++ b/baobabgap/control/_relay.py
@@ -116,13 +116,14 @@
             self._stopping.wait(_REDIAL_DELAY_S)
 
     def _run_link(self, leader: ControlHost) -> None:
-        connection = dial(
-            leader.address, self._make_hello(), self._timing, self._pool
-        )
+        connection = dial(leader.address, self._make_hello(), self._timing)
         try:
             with self._lock:
                 self._leader = leader
                 self._connection = connection
+            if self._stopping.is_set():
+                # `stop` may have come before the link was there to close.
+                return
             self._on_open()
             for message in connection.messages():
                 self._handle(message)
--- a/baobabgap/leaderlink/_link.py
+++ b/baobabgap/leaderlink/_link.py
@@ -114,9 +114,7 @@
         self._hinted_address = ''
         dialled_at = time.monotonic()
         try:
-            connection = dial(
-                address, self._make_hello(), self._dial_timing, self._pool
-            )
+            connection = dial(address, self._make_hello(), self._dial_timing)
             connection.use_timing(self._timing)
         except BaobabgapError as error:
             if time.monotonic() - dialled_at > _HANG_THRESHOLD_S:
@@ -130,6 +128,9 @@
         self._unreachable.discard(address)
         self._connection = connection
         try:
+            if self._stopping.is_set():
+                # `stop` may have come before the link was there to close.
+                return True
             return self._run_session(address, connection)
         except BaobabgapError as error:
             self._exclude(address)
--- a/baobabgap/transport/_dialer.py
+++ b/baobabgap/transport/_dialer.py
@@ -7,41 +7,30 @@
 from typing import Final
 
 from websockets.exceptions import WebSocketException
-from websockets.sync.client import connect
 
 from baobabgap._exceptions import BaobabgapError
 from baobabgap._exceptions import ConnectionLost
 from baobabgap.messages import Hello
-from baobabgap.messages import MAXIMUM_FRAME_BYTES
 from baobabgap.transport._connection import Connection
 from baobabgap.transport._connection import LinkTiming
+from baobabgap.transport._link_socket import connect
 
 _INITIAL_RETRY_DELAY_S: Final = 0.05
 _MAX_RETRY_DELAY_S: Final = 1.0
 
 
-def dial(
-    address: str, own_hello: Hello, timing: LinkTiming, pool: Executor
-) -> Connection:
+def dial(address: str, own_hello: Hello, timing: LinkTiming) -> Connection:
     """Open one link to `host:port`; raise `ConnectionLost` if it fails."""
     try:
-        socket = connect(
-            f'ws://{address}/',
-            compression=None,
-            ping_interval=None,
-            open_timeout=timing.silence_s,
-            close_timeout=timing.silence_s,
-            max_size=MAXIMUM_FRAME_BYTES,
-            proxy=None,
-        )
+        socket = connect(address, timing.silence_s)
     except (OSError, TimeoutError, WebSocketException) as error:
         raise ConnectionLost(
             f'cannot connect: {error}', step='dial', peer=address
         ) from error
     try:
-        return Connection.open_link(socket, own_hello, timing, pool)
+        return Connection.open_link(socket, own_hello, timing)
     except BaobabgapError:
-        threading.Thread(target=socket.close, daemon=True).start()
+        socket.close()
         raise
 
 
@@ -101,9 +90,7 @@
         """Run a session on one link; return whether the link was opened."""
         opened = False
         try:
-            connection = dial(
-                self._address, self._own_hello, self._timing, self._pool
-            )
+            connection = dial(self._address, self._own_hello, self._timing)
             opened = True
             self._connection = connection
             try:
--- a/baobabgap/transport/tests/test_connection.py
+++ b/baobabgap/transport/tests/test_connection.py
@@ -2,9 +2,9 @@
 
 from concurrent.futures import ThreadPoolExecutor
 from queue import Queue
-from socket import socket as Socket
 import threading
 import unittest
+from unittest.mock import create_autospec
 
 from websockets.exceptions import ConnectionClosedError
 
@@ -15,27 +15,12 @@
 from baobabgap.transport import dial
 from baobabgap.transport import LinkTiming
 from baobabgap.transport import Listener
+from baobabgap.transport._link_socket import LinkSocket
 
 _WAIT_S = 20.0
 _TIMING = LinkTiming(0.2, 3.0)
 
 
-class ClosedSocket:
-    """A WebSocket that the peer closed right after the handshake."""
-
-    def __init__(self) -> None:
-        self.socket = Socket()
-
-    def send(self, message: bytes) -> None:
-        raise ConnectionClosedError(None, None)
-
-    def recv(self, timeout: float | None = None) -> str | bytes:
-        raise ConnectionClosedError(None, None)
-
-    def close(self, code: int = 1000, reason: str = '') -> None:
-        self.socket.close()
-
-
 class OpenLinkTest(unittest.TestCase):
     """Opening a link reports each failure as an error of the package.
 
@@ -44,16 +29,14 @@
     """
 
     def test_peer_closing_before_hello_raises_connection_lost(self) -> None:
-        closed_socket = ClosedSocket()
-        self.addCleanup(closed_socket.close)
-        with ThreadPoolExecutor() as pool:
-            with self.assertRaises(ConnectionLost):
-                Connection.open_link(
-                    closed_socket,
-                    Hello(name='one', role='control', incarnation='1'),
-                    LinkTiming(),
-                    pool,
-                )
+        closed_socket = create_autospec(LinkSocket, instance=True)
+        closed_socket.send.side_effect = ConnectionClosedError(None, None)
+        with self.assertRaises(ConnectionLost):
+            Connection.open_link(
+                closed_socket,
+                Hello(name='one', role='control', incarnation='1'),
+                LinkTiming(),
+            )
 
 
 class SendingTest(unittest.TestCase):
@@ -79,7 +62,7 @@
         listener.start()
         self.addCleanup(listener.stop)
         address = f'127.0.0.1:{listener.port}'
-        self.link = dial(address, _hello('a'), _TIMING, self.pool)
+        self.link = dial(address, _hello('a'), _TIMING)
         self.addCleanup(self.link.close)
         self.addCleanup(self.may_close.set)
 
--- a/tools/matrix/_daemon.py
+++ b/tools/matrix/_daemon.py
@@ -16,9 +16,6 @@
 from typing import Any
 from typing import Final
 
-from websockets.sync.client import connect
-from websockets.sync.server import serve
-
 from baobabgap.daemon import main
 from baobabgap.replication import _log
 from baobabgap.replication._folder import AppendFile
@@ -26,6 +23,8 @@
 from baobabgap.replication._limits import LogLimits
 from baobabgap.transport import _dialer
 from baobabgap.transport import _listener
+from baobabgap.transport._link_socket import connect
+from baobabgap.transport._link_socket import listen
 from tools.matrix._addresses import LISTEN_HOST
 from tools.matrix._addresses import RELAY_HOST
 from tools.matrix._addresses import source_host
@@ -92,12 +91,10 @@
 
 
 def _listen_behind_relay(listen: Callable[..., Any]) -> Callable[..., Any]:
-    def serve_behind(handler: Any, host: str, *rest: Any, **named: Any) -> Any:
-        if host == RELAY_HOST:
-            host = LISTEN_HOST
-        return listen(handler, host, *rest, **named)
+    def listen_behind(host: str, port: int) -> Any:
+        return listen(LISTEN_HOST if host == RELAY_HOST else host, port)
 
-    return serve_behind
+    return listen_behind
 
 
 def install_faulty_disk() -> None:
@@ -118,7 +115,7 @@
     )
     patches: list[tuple[Any, str, Any]] = [
         (_dialer, 'connect', connect_from_own_address),
-        (_listener, 'serve', _listen_behind_relay(serve)),
+        (_listener, 'listen', _listen_behind_relay(listen)),
     ]
     for module, attribute, replacement in patches:
         setattr(module, attribute, replacement)
--- a/tools/slopes_claims.py
+++ b/tools/slopes_claims.py
@@ -8,7 +8,6 @@
 """
 
 from collections.abc import Iterator
-from concurrent.futures import ThreadPoolExecutor
 from itertools import count
 import json
 import tempfile
@@ -41,16 +40,13 @@
     with tempfile.TemporaryDirectory() as folder:
         group = LocalControlGroup.start(folder, 3, sync_delay_ms)
         try:
-            with ThreadPoolExecutor(8) as pool:
-                _measure(group, pool, sync_delay_ms)
+            _measure(group, sync_delay_ms)
         finally:
             group.stop()
 
 
-def _measure(
-    group: LocalControlGroup, pool: ThreadPoolExecutor, sync_delay_ms: float
-) -> None:
-    link, leader = _dial_leader(group, pool)
+def _measure(group: LocalControlGroup, sync_delay_ms: float) -> None:
+    link, leader = _dial_leader(group)
     messages = link.messages()
     sequence = count(1)
     for batch in _BATCH_SIZES:
@@ -79,22 +75,20 @@
     link.close()
 
 
-def _dial_leader(
-    group: LocalControlGroup, pool: ThreadPoolExecutor
-) -> tuple[Connection, str]:
+def _dial_leader(group: LocalControlGroup) -> tuple[Connection, str]:
     """Connect to any host and follow its `LeaderHint` to the leader.
 
     Returns the link and the leader's name.
     """
     own = Hello('entry-1', 'entry', 'entry-1-a', '127.0.0.1:4000')
     address = f'127.0.0.1:{group.hosts[0].internal_port}'
-    link = dial(address, own, LinkTiming(), pool)
+    link = dial(address, own, LinkTiming())
     for message in link.messages():
         if isinstance(message, LeaderHint):
             if message.leader == link.peer.name:
                 return link, message.leader
             link.close()
-            link = dial(message.address, own, LinkTiming(), pool)
+            link = dial(message.address, own, LinkTiming())
             return link, message.leader
     raise AssertionError(f'{address} closed the link without a LeaderHint')
 
--- a/tools/slopes_members.py
+++ b/tools/slopes_members.py
@@ -6,7 +6,6 @@
     python -m tools.slopes_members
 """
 
-from concurrent.futures import ThreadPoolExecutor
 import json
 import tempfile
 import time
@@ -109,13 +108,12 @@
     """Put a ticket and measure the time until all members have received it."""
     before = _metrics(web)
     sent_at = time.monotonic()
-    with ThreadPoolExecutor(4) as pool:
-        own = Hello('tool-1', 'tool', 'tool-1-a')
-        link = dial(f'127.0.0.1:{host.internal_port}', own, LinkTiming(), pool)
-        link.send(PutTicket(1, number, {'policy': {}}))
-        outcome = next(iter(link.messages()))
-        accepted_at = time.monotonic()
-        link.close()
+    own = Hello('tool-1', 'tool', 'tool-1-a')
+    link = dial(f'127.0.0.1:{host.internal_port}', own, LinkTiming())
+    link.send(PutTicket(1, number, {'policy': {}}))
+    outcome = next(iter(link.messages()))
+    accepted_at = time.monotonic()
+    link.close()
     deadline = accepted_at + _TICKET_WAIT_S
     while members.count_with_version(outcome.version) < size:
         if time.monotonic() > deadline:
