Poll an upstream once for each ended run

Cause: after a poll that reported an end, the agent polled again at once, before the leader could have acknowledged the end, and got the same answer. Each end cost two polls, of the agent's processor time and of what the upstream charges.

Other messages of the leader no longer cut the wait short.

--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -427,7 +427,6 @@
                 )
                 if lease_end_ms:
                     self._clock.record_lease(lease_end_ms)
-                has_unacknowledged_ends = bool(self._unacknowledged_ends)
                 is_full_report_due = self._is_full_report_due
             if not fence:
                 self._pause(_POLL_RETRY_PAUSE_S)
@@ -456,8 +455,25 @@
                     self._pause(_POLL_RETRY_PAUSE_S)
                 continue
             self._handle_report(upstream, fence, report, sent_at)
-            if has_unacknowledged_ends or not lease_end_ms:
+            if not lease_end_ms:
                 self._pause(_POLL_PAUSE_S)
+            else:
+                self._wait_for_acknowledgement()
+
+    def _wait_for_acknowledgement(self) -> None:
+        """Wait briefly while ended runs aren't acknowledged.
+
+        Until then, the upstream answers every poll at once.
+        """
+        with self._lock:
+            self._poll_wakeup.wait_for(
+                lambda: (
+                    self._stopping
+                    or self._is_full_report_due
+                    or not self._unacknowledged_ends
+                ),
+                _POLL_PAUSE_S,
+            )
 
     def _handle_report(
         self,
--- /dev/null
+++ b/baobabgap/upstreams/tests/test_run_agent.py
@@ -0,0 +1,137 @@
+"""Tests of the agent's polls, with an upstream and a leader in memory."""
+
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from queue import SimpleQueue
+import threading
+import time
+from typing import Any
+from typing import cast
+import unittest
+from unittest.mock import Mock
+
+from baobabgap.accepted import Demand
+from baobabgap.accepted import TaskId
+from baobabgap.dispatch import Authority
+from baobabgap.dispatch import AuthorityRequest
+from baobabgap.dispatch import EndsNoted
+from baobabgap.dispatch import LeaderReady
+from baobabgap.dispatch import LeaseTiming
+from baobabgap.dispatch import RunOrder
+from baobabgap.dispatch import RunsEnded
+from baobabgap.dispatch import StartRuns
+from baobabgap.dispatch import UpstreamState
+from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
+from baobabgap.telemetry import Metrics
+from baobabgap.transport import Connection
+from baobabgap.upstreams import RunAgent
+from baobabgap.upstreams import UpstreamReport
+
+_FENCE = 3
+_INSTANCE = 'upstream-1'
+_WAIT_S = 20.0
+
+
+class CountingUpstream(FakeUpstream):
+    """Counts the polls."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.polls = 0
+
+    def poll(self, *arguments: Any) -> UpstreamReport | None:
+        self.polls += 1
+        return super().poll(*arguments)
+
+
+class LeaderInMemory:
+    """A link whose leader grants authority and acknowledges ends."""
+
+    def __init__(self, acknowledges: bool) -> None:
+        self._acknowledges = acknowledges
+        self._messages: SimpleQueue[object] = SimpleQueue()
+        self.ended_numbers: set[int] = set()
+        self.has_granted = threading.Event()
+
+    def send(self, *messages: object) -> None:
+        for message in messages:
+            self._handle(message)
+
+    def order(self, message: object) -> None:
+        self._messages.put(message)
+
+    def messages(self) -> Iterator[object]:
+        while (message := self._messages.get()) is not None:
+            yield message
+
+    def _handle(self, message: object) -> None:
+        match message:
+            case AuthorityRequest(clock_ms=clock_ms):
+                self.order(Authority(_FENCE, _INSTANCE, clock_ms + 4000))
+                self.has_granted.set()
+            case RunsEnded(ended=ended):
+                self.ended_numbers.update(row.number for row in ended)
+                if self._acknowledges:
+                    self.order(
+                        EndsNoted(_INSTANCE, 1, max(self.ended_numbers))
+                    )
+
+
+class PollsTest(unittest.TestCase):
+    """Each poll costs the agent and the upstream processor time."""
+
+    def setUp(self) -> None:
+        self.pool = ThreadPoolExecutor(16)
+        self.upstream = CountingUpstream()
+
+    def _start_agent(self, acknowledges: bool) -> LeaderInMemory:
+        agent = RunAgent(self.upstream, LeaseTiming(), self.pool, Metrics())
+        leader = LeaderInMemory(acknowledges)
+        agent.announce(
+            UpstreamState(
+                _INSTANCE,
+                1,
+                'desk',
+                'zone',
+                ('a', 'r1'),
+                Demand(4000, 4000, 0),
+                False,
+                True,
+            )
+        )
+        agent.start()
+        ready = Mock(LeaderReady, fence=_FENCE)
+        connection = cast(Connection, leader)
+        self.pool.submit(agent.session, connection, ready, leader.messages())
+        self.addCleanup(self.pool.shutdown, wait=False)
+        self.addCleanup(leader.order, None)
+        self.addCleanup(agent.stop)
+        self.assertTrue(leader.has_granted.wait(_WAIT_S))
+        time.sleep(0.2)
+        return leader
+
+    def _run(self, leader: LeaderInMemory, count: int) -> None:
+        """Run tasks one after another until all their ends have arrived."""
+        for number in range(count):
+            order = RunOrder(
+                TaskId(f'{number:016x}', 0, 0), 1, 'x', Demand(1000, 10, 0)
+            )
+            leader.order(StartRuns(_FENCE, _INSTANCE, 1, (order,)))
+            give_up_at = time.monotonic() + _WAIT_S
+            while len(leader.ended_numbers) <= number:
+                self.assertLess(time.monotonic(), give_up_at)
+                time.sleep(0.002)
+            time.sleep(0.03)
+
+    def test_acknowledged_end_takes_one_poll(self) -> None:
+        leader = self._start_agent(acknowledges=True)
+        polls_before, began_at = self.upstream.polls, time.monotonic()
+        self._run(leader, 20)
+        polls = self.upstream.polls - polls_before
+        idle_polls = (time.monotonic() - began_at) / 0.25
+        self.assertLessEqual(polls, 20 + idle_polls + 2)
+
+    def test_later_ends_arrive_while_one_is_not_acknowledged(self) -> None:
+        leader = self._start_agent(acknowledges=False)
+        self._run(leader, 3)
+        self.assertEqual({1, 2, 3}, leader.ended_numbers)
