--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 	$(PYTHON) -m tools.slopes_members > var/slopes.jsonl
 	$(PYTHON) -m tools.slopes_claims --sync_delay_ms=4 >> var/slopes.jsonl
 	$(PYTHON) -m tools.slopes_links >> var/slopes.jsonl
+	$(PYTHON) -m tools.slopes_decisions >> var/slopes.jsonl
 	$(PYTHON) -m tools.bench --cases=wide --seconds=10 >> var/slopes.jsonl
 	cat var/slopes.jsonl
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt matplotlib
--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -193,14 +193,15 @@
             if previous is not None:
                 self._runs.drop_all(view, 'upstream is gone')
             view.last_end_number = 0
-            view.target = None
+            self._term_state.set_target(view, None)
         view.upstream = upstream
         if upstream is None:
             self.dismiss(view)
             return
         if view.target is None:
-            view.target = _target_of(view, upstream)
-        view.target.is_open = (
+            self._term_state.set_target(view, _target_of(view, upstream))
+        assert view.target is not None
+        view.target.set_open(
             upstream.is_reachable and not upstream.is_draining
         )
         if previous != upstream:
@@ -241,7 +242,7 @@
 
     def _handle_gone_runs(self, view: AgentView, message: RunsGone) -> None:
         if message.reason in _REFUSALS and view.target is not None:
-            view.target.health.note_refused(time.monotonic())
+            view.target.note_refused(time.monotonic())
         for row in message.runs:
             run = view.run_by_task.get(row.task)
             if run is not None and run.number == row.run:
@@ -338,7 +339,7 @@
             case RunEnd.DONE:
                 self._record_run_time(target, row, run, run_s)
             case RunEnd.FAILED:
-                is_suspended = target.health.note_failed(now)
+                is_suspended = target.note_failed(now)
                 log_event(
                     'run_failed',
                     job=row.task.job_id,
@@ -355,9 +356,9 @@
     ) -> None:
         if run.was_found:
             # Its total run time is unknown.
-            target.health.note_done(run.expected_s, run.expected_s)
+            target.note_done(run.expected_s, run.expected_s)
             return
-        target.health.note_done(run_s, run.expected_s * target.kind_slowness)
+        target.note_done(run_s, run.expected_s * target.kind_slowness)
         plan = self._term_state.plan_by_id.get(row.task.job_id)
         if plan is not None:
             step = plan.job.steps[row.task.step]
--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -97,7 +97,7 @@
         if event.term != self._term_state.term:
             return
         for job_id in event.job_ids:
-            plan, calls = self._term_state.storing_by_id.pop(job_id)
+            plan, calls = self._term_state.pop_storing(job_id)
             if event.succeeded:
                 self._activate(plan)
             for call in calls:
@@ -111,6 +111,7 @@
         if event.term != self._term_state.term:
             return
         calls = self._term_state.cancelling_by_id.pop(event.job_id, [])
+        self._term_state.resume_plan(event.job_id)
         state = self._state.state_of(event.job_id)
         is_cancelled = event.succeeded and state is JobState.CANCELLED
         for call in calls:
@@ -137,18 +138,17 @@
                 continue
             if now <= plan.latest_useful_start(0):
                 continue
-            backlog_core_s = term_state.backlog(
-                plan.job.service, now
-            ).total_core_s
+            queue = term_state.queue_by_service[plan.job.service]
+            backlog_core_s = queue.total_core_s
             retry_after_ms = retry_after(
-                term_state.targets_of(plan.job.service),
+                term_state.pool_by_service[plan.job.service],
                 backlog_core_s,
                 returning=term_state.returning_upstreams(
                     plan.job.service, now
                 ),
             )
             del term_state.callers_by_id[job_id]
-            del term_state.plan_by_id[job_id]
+            term_state.pop_plan(job_id)
             log_event(
                 'job_given_up',
                 job=job_id,
@@ -188,7 +188,7 @@
         if job.is_volatile:
             self._accept_volatile(plan, arrived)
             return
-        self._term_state.storing_by_id[job_id] = (plan, [arrived])
+        self._term_state.add_storing(plan, arrived)
         term = self._term_state.term
         self._committer.propose(
             AcceptJobs((job,)),
@@ -222,7 +222,7 @@
         if job_id in term_state.callers_by_id:
             term_state.callers_by_id[job_id].append(arrived)
             plan = term_state.plan_by_id[job_id]
-            plan.awaited_until = max(plan.awaited_until, _awaited_until(call))
+            plan.await_until(_awaited_until(call))
         elif job_id in term_state.ended_by_id:
             state = term_state.ended_by_id[job_id].state
             answer(arrived, CallOutcome.FOUND, state=state)
@@ -238,13 +238,12 @@
         """Refuse a job that can't be served; return whether it is admitted."""
         job = plan.job
         now = time.monotonic()
-        targets = self._term_state.targets_of(job.service)
-        backlog = self._term_state.backlog(job.service, now)
-        admission_input = AdmissionInput.from_backlog(backlog, plan, now)
+        pool = self._term_state.pool_by_service[job.service]
+        queue = self._term_state.queue_by_service[job.service]
+        admission_input = AdmissionInput.from_queue(queue, plan, now)
         returning = self._term_state.returning_upstreams(job.service, now)
-        refusal = admit(targets, job.steps, admission_input, returning)
+        refusal = admit(pool, job.steps, admission_input, returning)
         if refusal is None:
-            backlog.add(plan)
             return True
         self._metrics.count('baobabgap_jobs_total{end="refused"}')
         log_event(
@@ -254,10 +253,9 @@
             reason=refusal.reason,
             ahead_core_s=round(admission_input.ahead_core_s, 2),
             backlog_core_s=round(admission_input.total_core_s, 2),
-            backlog_age_ms=round(1000 * (now - backlog.observed_at)),
             on_time_patience_s=round(admission_input.on_time_patience_s, 3),
             patience_s=round(admission_input.late_patience_s, 3),
-            upstreams=len(targets),
+            upstreams=len(pool.target_by_name),
             returning_upstreams=returning,
             retry_after_ms=refusal.retry_after_ms,
         )
@@ -298,7 +296,7 @@
             self._state.state_of(job.job_id) is JobState.QUEUED
         )
         if is_open:
-            self._term_state.plan_by_id[job.job_id] = plan
+            self._term_state.add_plan(plan)
         self._metrics.observe_seconds(
             'baobabgap_accept_seconds', time.monotonic() - plan.arrived_at
         )
@@ -364,6 +362,7 @@
         waiting.append(arrived)
         if len(waiting) > 1:
             return
+        term_state.hold_plan(job_id)
         term = term_state.term
         self._committer.propose(
             CancelAccepted((job_id,), int(time.time() * 1000)),
--- a/baobabgap/dispatch/_job_closer.py
+++ b/baobabgap/dispatch/_job_closer.py
@@ -98,7 +98,7 @@
             term_state.ended_by_id[job_id] = EndedJob(state, now)
         for call in (*callers, *term_state.readers_by_id.pop(job_id, [])):
             answer(call, CallOutcome.FOUND, state=state)
-        plan = term_state.plan_by_id.pop(job_id, None)
+        plan = term_state.pop_plan(job_id)
         if plan is None:
             return
         for task in plan.task_by_id.values():
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -228,7 +228,7 @@
             plan = JobPlan.from_unfinished(
                 unfinished, now, term_state.run_times
             )
-            term_state.plan_by_id[unfinished.job.job_id] = plan
+            term_state.add_plan(plan)
         log_event(
             'scheduler:leads',
             term=event.term,
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -13,9 +13,9 @@
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.dispatch._timing import LeaseTiming
 from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import place_waiting
 from baobabgap.scheduling import Placement
 from baobabgap.scheduling import PlacementTarget
-from baobabgap.scheduling import plan_starts
 from baobabgap.scheduling import PlannedTask
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
@@ -46,49 +46,48 @@
     def start(self) -> None:
         """Start all tasks that can start; called by the confirmed leader."""
         term_state = self._term_state
-        plans = [
-            plan
-            for job_id, plan in term_state.plan_by_id.items()
-            if plan.has_waiting
-            and job_id not in term_state.cancelling_by_id
-            and term_state.takeover.may_start(plan.job)
-        ]
-        if not plans:
-            return
-        targets_by_service: dict[str, list[PlacementTarget]] = defaultdict(
-            list
-        )
-        for view in term_state.view_by_name.values():
-            if view.target and view.may_start(self._authority_s):
-                targets_by_service[view.target.service].append(view.target)
-        placements = plan_starts(
-            plans, targets_by_service, self._off_rack_factor, time.monotonic()
-        )
-        if placements:
-            self._order(placements)
-
-    def _order(self, placements: list[Placement]) -> None:
+        term_state.release_held_plans()
         orders_by_agent: dict[str, list[RunOrder]] = defaultdict(list)
         runs_by_job: dict[str, list[str]] = defaultdict(list)
-        for placement in placements:
-            plan, task, target = (
-                placement.plan,
-                placement.task,
-                placement.target,
-            )
-            view = self._term_state.view_by_name[target.name]
-            number = self._next_run(plan.job, task)
-            self._runs.add(view, plan, task, number)
-            orders_by_agent[target.name].append(
-                RunOrder(task.task, number, plan.job.payload, placement.demand)
-            )
-            runs_by_job[plan.job.job_id].append(
-                f'{task_text(task.task)}#{number}@{target.name}'
-            )
+        for service, queue in term_state.queue_by_service.items():
+            if not queue:
+                continue
+            for placement in place_waiting(
+                queue,
+                term_state.pool_by_service[service],
+                self._off_rack_factor,
+                time.monotonic(),
+                self._may_start_on,
+            ):
+                number = self._record_start(placement)
+                name, task = placement.target.name, placement.task.task
+                orders_by_agent[name].append(
+                    RunOrder(
+                        task,
+                        number,
+                        placement.plan.job.payload,
+                        placement.demand,
+                    )
+                )
+                runs_by_job[task.job_id].append(
+                    f'{task_text(task)}#{number}@{name}'
+                )
         for name, orders in orders_by_agent.items():
-            self._send(self._term_state.view_by_name[name], tuple(orders))
+            self._send(term_state.view_by_name[name], tuple(orders))
         for job_id, runs in runs_by_job.items():
-            self._log(self._term_state.plan_by_id[job_id], runs)
+            self._log(term_state.plan_by_id[job_id], runs)
+
+    def _may_start_on(self, target: PlacementTarget) -> bool:
+        view = self._term_state.view_by_name[target.name]
+        return view.may_start(self._authority_s)
+
+    def _record_start(self, placement: Placement) -> int:
+        """Record the run that is to be ordered; return its number."""
+        plan, task = placement.plan, placement.task
+        view = self._term_state.view_by_name[placement.target.name]
+        number = self._next_run(plan.job, task)
+        self._runs.add(view, plan, task, number)
+        return number
 
     def _send(self, view: AgentView, orders: tuple[RunOrder, ...]) -> None:
         assert view.connection is not None and view.upstream is not None
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -1,7 +1,6 @@
 """State of the leader that is held in memory, for one term."""
 
 from collections import defaultdict
-from collections.abc import Iterator
 from dataclasses import dataclass
 import time
 from typing import Final
@@ -13,18 +12,16 @@
 from baobabgap.dispatch._orphans import Orphans
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.queues import QueueTable
-from baobabgap.scheduling import Backlog
 from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import PlacementTarget
 from baobabgap.scheduling import PlannedTask
 from baobabgap.scheduling import RunTimes
+from baobabgap.scheduling import StartQueue
+from baobabgap.scheduling import TargetPool
 
 # Seconds after an election within which agents known to an earlier leader, and
 # their upstreams, are expected to reconnect: process start, dial and report.
 _AGENT_RETURN_S: Final = 1.0
-# Seconds for which a computed backlog is used for decisions; a small part of
-# the shortest objectives.
-_BACKLOG_MAX_AGE_S: Final = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +49,10 @@
         self.term = term
         self.takeover = takeover
         self._began_at = time.monotonic()
-        self._backlog_by_service: dict[str, Backlog] = {}
+        self.queue_by_service: dict[str, StartQueue] = defaultdict(StartQueue)
+        self.pool_by_service: dict[str, TargetPool] = defaultdict(TargetPool)
+        # Jobs that may have a run of an earlier term.
+        self._held_by_id: dict[str, JobPlan] = {}
         self.plan_by_id: dict[str, JobPlan] = {}
         # Jobs whose acceptance is not durable yet, with the calls to answer.
         self.storing_by_id: dict[str, tuple[JobPlan, list[CallArrived]]] = {}
@@ -84,13 +84,68 @@
         task = plan.task_by_id.get(task_id) if plan else None
         return (plan, task) if plan and task else None
 
-    def targets_of(self, service: str) -> list[PlacementTarget]:
-        """Return the upstreams of a service, open to new runs or not."""
-        return [
-            view.target
-            for view in self.view_by_name.values()
-            if view.target is not None and view.target.service == service
-        ]
+    def add_plan(self, plan: JobPlan) -> None:
+        """Let a job's tasks start, as soon as the takeover permits."""
+        job_id = plan.job.job_id
+        self.plan_by_id[job_id] = plan
+        if self.takeover.may_start(plan.job):
+            self._queue_of(plan).add(plan, time.monotonic())
+        else:
+            self._held_by_id[job_id] = plan
+
+    def add_storing(self, plan: JobPlan, call: CallArrived) -> None:
+        """Count the work of a job whose acceptance is being stored."""
+        self.storing_by_id[plan.job.job_id] = (plan, [call])
+        self._queue_of(plan).add(plan, time.monotonic(), is_held=True)
+
+    def pop_storing(self, job_id: str) -> tuple[JobPlan, list[CallArrived]]:
+        """Remove a job whose acceptance is stored or has failed."""
+        plan, calls = self.storing_by_id.pop(job_id)
+        self._queue_of(plan).remove(plan)
+        return plan, calls
+
+    def pop_plan(self, job_id: str) -> JobPlan | None:
+        """Remove a job, so that none of its tasks starts any more."""
+        plan = self.plan_by_id.pop(job_id, None)
+        if plan is not None:
+            self._held_by_id.pop(job_id, None)
+            self._queue_of(plan).remove(plan)
+        return plan
+
+    def hold_plan(self, job_id: str) -> None:
+        """Start no more tasks of a job, which still counts as waiting."""
+        plan = self.plan_by_id.get(job_id)
+        if plan is not None and job_id not in self._held_by_id:
+            self._queue_of(plan).add(plan, time.monotonic(), is_held=True)
+
+    def resume_plan(self, job_id: str) -> None:
+        """Let the tasks of a held job start again."""
+        plan = self.plan_by_id.get(job_id)
+        if plan is not None and job_id not in self._held_by_id:
+            self._queue_of(plan).add(plan, time.monotonic())
+
+    def release_held_plans(self) -> None:
+        """Let those jobs start that the takeover permits by now."""
+        for job_id, plan in list(self._held_by_id.items()):
+            if self.takeover.may_start(plan.job):
+                del self._held_by_id[job_id]
+                if job_id not in self.cancelling_by_id:
+                    self._queue_of(plan).add(plan, time.monotonic())
+
+    def set_target(
+        self, view: AgentView, target: PlacementTarget | None
+    ) -> None:
+        """Replace the target of an agent's upstream."""
+        if view.target is not None:
+            self.pool_by_service[view.target.service].remove(view.target)
+        view.target = target
+        if target is not None:
+            self.pool_by_service[target.service].add(target)
+
+    def forget_agent(self, view: AgentView) -> None:
+        """Remove an agent and its target."""
+        self.set_target(view, None)
+        del self.view_by_name[view.name]
 
     def returning_upstreams(self, service: str, now: float) -> int:
         """Return how many upstreams of a service should reconnect soon.
@@ -100,32 +155,12 @@
         """
         if now - self._began_at > _AGENT_RETURN_S:
             return 0
-        targets = [
-            view.target
-            for view in self.view_by_name.values()
-            if view.target is not None
-        ]
-        missing = len(self.view_by_name) - len(targets)
-        known_of_service = sum(
-            1 for target in targets if target.service == service
+        targets = sum(
+            len(pool.target_by_name) for pool in self.pool_by_service.values()
         )
-        return missing * known_of_service // max(1, len(targets))
-
-    def backlog(self, service: str, now: float) -> Backlog:
-        """Return the work of a service that is waiting and may start."""
-        cached = self._backlog_by_service.get(service)
-        if cached is None or now - cached.observed_at > _BACKLOG_MAX_AGE_S:
-            cached = Backlog.from_plans(self._waiting_plans(service), now)
-            self._backlog_by_service[service] = cached
-        return cached
-
-    def _waiting_plans(self, service: str) -> Iterator[JobPlan]:
-        plans = [
-            *self.plan_by_id.values(),
-            *(plan for plan, _ in self.storing_by_id.values()),
-        ]
-        for plan in plans:
-            if plan.job.service == service and self.takeover.may_start(
-                plan.job
-            ):
-                yield plan
+        missing = len(self.view_by_name) - targets
+        known_of_service = len(self.pool_by_service[service].target_by_name)
+        return missing * known_of_service // max(1, targets)
+
+    def _queue_of(self, plan: JobPlan) -> StartQueue:
+        return self.queue_by_service[plan.job.service]
--- a/baobabgap/dispatch/_timeout_monitor.py
+++ b/baobabgap/dispatch/_timeout_monitor.py
@@ -63,12 +63,12 @@
             self._term_state.takeover.note_agent_report(view.name)
             # Later takeovers needn't wait for it.
             self._agents.dismiss(view)
-            del self._term_state.view_by_name[view.name]
+            self._term_state.forget_agent(view)
 
     def _check_linked(self, view: AgentView, now: float) -> None:
         if view.target is not None:
-            view.target.kind_slowness = self._term_state.run_times.slowness(
-                view.target.kind
+            view.target.set_kind_slowness(
+                self._term_state.run_times.slowness(view.target.kind)
             )
         for run in list(view.run_by_task.values()):
             plan = self._term_state.plan_by_id.get(run.task.job_id)
@@ -91,7 +91,7 @@
         task.avoided.add(view.name)
         task.overdue_runs += 1
         target = view.target
-        is_suspended = target is not None and target.health.note_overdue(
+        is_suspended = target is not None and target.note_overdue(
             time.monotonic()
         )
         log_event(
--- a/baobabgap/scheduling/_admission.py
+++ b/baobabgap/scheduling/_admission.py
@@ -10,9 +10,9 @@
 from typing import Final
 
 from baobabgap.accepted import Step
-from baobabgap.scheduling._backlog import Backlog
 from baobabgap.scheduling._job_plan import JobPlan
-from baobabgap.scheduling._targets import PlacementTarget
+from baobabgap.scheduling._start_queue import StartQueue
+from baobabgap.scheduling._target_pool import TargetPool
 
 # Expected wait that never causes a refusal.
 _NEGLIGIBLE_WAIT_S: Final = 0.05
@@ -47,20 +47,21 @@
     late_patience_s: float
 
     @classmethod
-    def from_backlog(
-        cls, backlog: Backlog, plan: JobPlan, now: float
+    def from_queue(
+        cls, queue: StartQueue, plan: JobPlan, now: float
     ) -> 'AdmissionInput':
-        """Build the input for a job that is not in the backlog yet."""
+        """Build the input for a job that is not in the queue yet."""
+        queue.advance(now)
         return cls(
-            backlog.ahead_core_s(plan),
-            backlog.total_core_s,
+            queue.ahead_core_s(plan),
+            queue.total_core_s,
             plan.latest_start(0) - now,
             plan.latest_useful_start(0) - now,
         )
 
 
 def admit(
-    targets: list[PlacementTarget],
+    pool: TargetPool,
     steps: tuple[Step, ...],
     admission_input: AdmissionInput,
     returning: int = 0,
@@ -74,10 +75,10 @@
     counts with the average capacity of the open ones. Returns None if the
     job is admitted.
     """
-    if targets and not _could_ever_fit(targets, steps):
+    if pool.target_by_name and not _could_ever_fit(pool, steps):
         # A larger upstream may join; the caller decides whether to wait.
         return Refusal(_LONGEST_RETRY_AFTER_MS, 'no upstream is large enough')
-    cores = _open_cores(targets, returning)
+    cores = _open_cores(pool, returning)
     if not cores:
         return None
     ahead_s = admission_input.ahead_core_s / cores
@@ -89,7 +90,7 @@
         return None
     return Refusal(
         retry_after(
-            targets,
+            pool,
             admission_input.total_core_s,
             admission_input.late_patience_s,
             returning,
@@ -99,7 +100,7 @@
 
 
 def retry_after(
-    targets: list[PlacementTarget],
+    pool: TargetPool,
     backlog_core_s: float,
     patience_s: float = 0.0,
     returning: int = 0,
@@ -108,7 +109,7 @@
 
     By then the wait should have shrunk to the job's patience.
     """
-    cores = _open_cores(targets, returning)
+    cores = _open_cores(pool, returning)
     if not cores:
         return _LONGEST_RETRY_AFTER_MS
     excess_s = max(0.0, backlog_core_s / cores - patience_s)
@@ -118,21 +119,11 @@
     )
 
 
-def _open_cores(targets: list[PlacementTarget], returning: int) -> float:
-    cores = [
-        target.capacity.cpu_millicores / 1000
-        for target in targets
-        if target.is_open
-    ]
-    if not cores:
+def _open_cores(pool: TargetPool, returning: int) -> float:
+    if not pool.open_count:
         return 0.0
-    return sum(cores) * (1 + returning / len(cores))
+    return pool.open_cores * (1 + returning / pool.open_count)
 
 
-def _could_ever_fit(
-    targets: list[PlacementTarget], steps: tuple[Step, ...]
-) -> bool:
-    return all(
-        any(step.demand.fits_in(target.capacity) for target in targets)
-        for step in steps
-    )
+def _could_ever_fit(pool: TargetPool, steps: tuple[Step, ...]) -> bool:
+    return all(pool.could_fit(step.demand) for step in steps)
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -1,5 +1,6 @@
 """Scheduling state of one unfinished job."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
@@ -42,6 +43,8 @@
     ) -> None:
         self.job: Final = job
         self.arrived_at: Final = arrived_at
+        # Called after each change that matters to the order of starts.
+        self.on_change: Callable[[JobPlan], None] = _ignore_change
         # Time until which a caller waits for the end of a volatile job.
         self.awaited_until = math.inf
         self.has_started = False
@@ -101,10 +104,19 @@
     def ready_steps(self) -> Iterator[tuple[int, list[PlannedTask]]]:
         """Yield each step whose predecessors are done, with waiting tasks."""
         for number, waiting in enumerate(self.waiting_by_step):
-            after = self.job.steps[number].after
-            if waiting and not any(self._remaining_by_step[i] for i in after):
+            if waiting and self.is_ready(number):
                 yield number, waiting
 
+    def is_ready(self, step: int) -> bool:
+        """Return whether all predecessors of a step are done."""
+        after = self.job.steps[step].after
+        return not any(self._remaining_by_step[number] for number in after)
+
+    def await_until(self, time: float) -> None:
+        """Extend the time for which a caller waits for the end."""
+        self.awaited_until = max(self.awaited_until, time)
+        self.on_change(self)
+
     def latest_start(self, step: int) -> float:
         """Return when a step must start for the job to be on time."""
         return self.arrived_at + self.objective_s - self._remaining_s(step)
@@ -118,14 +130,16 @@
         expires_at = self.arrived_at + LATE_FACTOR * self.objective_s
         return min(expires_at, self.awaited_until) - self._remaining_s(step)
 
-    def is_begun_and_awaited(self, step: int, now: float) -> bool:
-        """Return whether the job has begun and its caller awaits its end.
+    def begun_and_awaited_until(self, step: int) -> float:
+        """Return until when the job has begun and its caller awaits its end.
 
-        The caller does if a step that starts now lets the job end before
-        the caller stops waiting.
+        The caller does as long as a step that starts then lets the job end
+        before the caller stops waiting. Minus infinity if the job has not
+        begun.
         """
-        ends_at = now + self._remaining_s(step)
-        return self.has_started and ends_at <= self.awaited_until
+        if not self.has_started:
+            return -math.inf
+        return self.awaited_until - self._remaining_s(step)
 
     def _remaining_s(self, step: int) -> float:
         """Return the expected time from the start of a step to the end."""
@@ -139,6 +153,7 @@
         task.upstream = upstream
         task.last_run = max(task.last_run, run)
         self.has_started = True
+        self.on_change(self)
 
     def task_core_s(self, step: int) -> float:
         """Return the expected work of one task of a step in core-seconds."""
@@ -155,6 +170,7 @@
         if task.upstream:
             task.upstream = ''
             self.waiting_by_step[task.task.step].append(task)
+            self.on_change(self)
 
     def note_done(self, task_id: TaskId) -> None:
         """Record that a task is done; a repeated call has no effect."""
@@ -165,6 +181,11 @@
         self.has_started = True
         if not task.upstream:
             self.waiting_by_step[task_id.step].remove(task)
+        self.on_change(self)
+
+
+def _ignore_change(plan: JobPlan) -> None:
+    """Do nothing: the plan is in no queue."""
 
 
 def _critical_path_after(
--- /dev/null
+++ b/baobabgap/scheduling/_target_pool.py
@@ -0,0 +1,216 @@
+"""The upstreams of one service, and the choice among them.
+
+Answers the load of many starts on many upstreams: targets are kept by their
+free capacity, so that a choice looks at a few of them, and at none if no
+target has enough free capacity.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Final
+from typing import Self
+
+from sortedcontainers import SortedDict
+from sortedcontainers import SortedList
+
+from baobabgap.accepted import Demand
+from baobabgap.accepted import Step
+from baobabgap.scheduling._targets import _ignore_change
+from baobabgap.scheduling._targets import PlacementTarget
+
+# Seconds between checks whether most upstreams are suspended.
+_SUSPENSION_CHECK_INTERVAL_S: Final = 0.02
+
+# Slowness and processors of equal targets, among which the one with the most
+# free processors also has the largest free share.
+_GroupKey = tuple[float, int]
+# Free processors, negated, and the target's name.
+_Rank = tuple[int, str]
+
+
+class TargetPool:
+    """Targets of one service by slowness and free capacity.
+
+    Targets report their changes to the pool while they are in it::
+
+        pool = TargetPool.from_targets(targets)
+        target = pool.choose(step, (), {}, 1.5, now)
+    """
+
+    def __init__(self) -> None:
+        self.target_by_name: dict[str, PlacementTarget] = {}
+        # Ranks of the open targets by group, the fastest group first.
+        self._ranks_by_group: SortedDict = SortedDict()
+        self._place_by_name: dict[str, tuple[_GroupKey, _Rank]] = {}
+        self._open_millicores = 0
+        # Targets with a suspension that may not be over.
+        self._suspended_names: set[str] = set()
+        self._next_suspension_check_at = float('-inf')
+        # Number of targets that choices have looked at so far.
+        self.examined = 0
+
+    @classmethod
+    def from_targets(cls, targets: Iterable[PlacementTarget]) -> Self:
+        """Create a pool."""
+        pool = cls()
+        for target in targets:
+            pool.add(target)
+        return pool
+
+    @property
+    def open_count(self) -> int:
+        """The number of open targets."""
+        return len(self._place_by_name)
+
+    @property
+    def open_cores(self) -> float:
+        """The processors of the open targets, occupied or free."""
+        return self._open_millicores / 1000
+
+    def add(self, target: PlacementTarget) -> None:
+        """Add a target, in place of an earlier one of the same name."""
+        earlier = self.target_by_name.get(target.name)
+        if earlier is not None:
+            self.remove(earlier)
+        self.target_by_name[target.name] = target
+        target.on_change = self._update
+        self._update(target)
+
+    def remove(self, target: PlacementTarget) -> None:
+        """Remove a target, if it is in the pool."""
+        if self.target_by_name.get(target.name) is not target:
+            return
+        target.on_change = _ignore_change
+        del self.target_by_name[target.name]
+        self._take_out(target)
+        self._suspended_names.discard(target.name)
+
+    def could_fit(self, demand: Demand) -> bool:
+        """Return whether an idle target could run a task."""
+        return any(
+            demand.fits_in(target.capacity)
+            for target in self.target_by_name.values()
+        )
+
+    def lift_common_suspensions(
+        self, now: float, may_start: Callable[[PlacementTarget], bool]
+    ) -> None:
+        """Lift all suspensions if more than half of the targets have one.
+
+        Only open targets that may start runs count. A fault that affects so
+        many at once hardly lies in the upstreams.
+        """
+        if not self._suspended_names or now < self._next_suspension_check_at:
+            return
+        self._next_suspension_check_at = now + _SUSPENSION_CHECK_INTERVAL_S
+        usable = [
+            target
+            for name in self._place_by_name
+            if may_start(target := self.target_by_name[name])
+        ]
+        suspended = [
+            target for target in usable if target.health.is_suspended(now)
+        ]
+        if 2 * len(suspended) > len(usable):
+            for target in usable:
+                target.lift_suspension()
+        self._suspended_names = {
+            name
+            for name in self._suspended_names
+            if self.target_by_name[name].health.is_suspended(now)
+        }
+
+    def choose(
+        self,
+        step: Step,
+        avoided: Collection[str],
+        task_count_by_upstream: Mapping[str, int],
+        off_rack_factor: float,
+        now: float,
+        may_start: Callable[[PlacementTarget], bool],
+    ) -> PlacementTarget | None:
+        """Choose a target for one more task of a step, or None.
+
+        The target where the task ends soonest wins; among equally fast ones
+        the one with the largest free share: spreading the load limits the
+        jobs that the loss of one upstream affects.
+        """
+        best: PlacementTarget | None = None
+        best_cost = (0.0, 0.0)
+        for (slowness, _), ranks in self._ranks_by_group.items():
+            if best is not None and slowness > best_cost[0]:
+                break
+            for free_negated, name in ranks:
+                if -free_negated < step.demand.cpu_millicores:
+                    break
+                target = self.target_by_name[name]
+                self.examined += 1
+                if not may_start(target) or not _is_eligible(
+                    target, step, avoided, task_count_by_upstream, now
+                ):
+                    continue
+                cost = _cost(target, step, off_rack_factor)
+                if best is None or cost < best_cost:
+                    best, best_cost = target, cost
+                if not step.data_rack:
+                    # The others of the group have less free capacity.
+                    break
+        return best
+
+    def _update(self, target: PlacementTarget) -> None:
+        self._take_out(target)
+        if target.health.suspended_until:
+            self._suspended_names.add(target.name)
+        if not target.is_open:
+            return
+        group = (target.slowness, target.capacity.cpu_millicores)
+        rank = (-target.free.cpu_millicores, target.name)
+        ranks = self._ranks_by_group.get(group)
+        if ranks is None:
+            ranks = self._ranks_by_group[group] = SortedList()
+        ranks.add(rank)
+        self._place_by_name[target.name] = (group, rank)
+        self._open_millicores += target.capacity.cpu_millicores
+
+    def _take_out(self, target: PlacementTarget) -> None:
+        place = self._place_by_name.pop(target.name, None)
+        if place is None:
+            return
+        group, rank = place
+        ranks = self._ranks_by_group[group]
+        ranks.remove(rank)
+        if not ranks:
+            del self._ranks_by_group[group]
+        self._open_millicores -= target.capacity.cpu_millicores
+
+
+def _cost(
+    target: PlacementTarget, step: Step, off_rack_factor: float
+) -> tuple[float, float]:
+    slowness = target.slowness
+    if step.data_rack and step.data_rack not in target.labels:
+        slowness = round(
+            target.kind_slowness * target.health.slowdown * off_rack_factor, 1
+        )
+    return slowness, -target.free_share
+
+
+def _is_eligible(
+    target: PlacementTarget,
+    step: Step,
+    avoided: Collection[str],
+    task_count_by_upstream: Mapping[str, int],
+    now: float,
+) -> bool:
+    if not step.demand.fits_in(target.free):
+        return False
+    if target.name in avoided:
+        return False
+    if not target.health.accepts_run(target.running, now):
+        return False
+    if step.required_label and step.required_label not in target.labels:
+        return False
+    limit = step.most_per_upstream
+    return not limit or task_count_by_upstream.get(target.name, 0) < limit
--- a/baobabgap/scheduling/tests/load_player.py
+++ b/baobabgap/scheduling/tests/load_player.py
@@ -10,18 +10,21 @@
 import itertools
 import math
 import random
+import time
 
 from baobabgap.accepted import AcceptedJob
 from baobabgap.accepted import Demand
 from baobabgap.accepted import Step
 from baobabgap.scheduling import AdmissionInput
 from baobabgap.scheduling import admit
-from baobabgap.scheduling import Backlog
 from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import place_waiting
 from baobabgap.scheduling import Placement
 from baobabgap.scheduling import PlacementTarget
-from baobabgap.scheduling import plan_starts
 from baobabgap.scheduling import RunTimes
+from baobabgap.scheduling import StartQueue
+from baobabgap.scheduling import TargetPool
+from baobabgap.scheduling.tests.reference_planner import plan_starts
 
 SERVICE = 'service'
 CORES_PER_TASK = 3
@@ -108,12 +111,12 @@
     return sorted(arrivals, key=lambda arrival: arrival.at)
 
 
-def urgent_first(
+def by_reference(
     plans: Iterable[JobPlan],
     targets: dict[str, list[PlacementTarget]],
     now: float,
 ) -> list[Placement]:
-    """Start tasks by urgency, as the scheduler does."""
+    """Start tasks by urgency as the reference planner decides."""
     return plan_starts(plans, targets, 1.0, now)
 
 
@@ -185,6 +188,7 @@
 class LoadSimulator:
     """Simulates upstreams and their runs; nothing starts in an outage.
 
+    Without `order`, tasks start as the scheduler decides.
     Without `admission` every job is admitted. With it, jobs that arrive in
     an outage are still all admitted, as no scheduler is there to refuse.
     `lost_share` of the starts have no effect and are taken back after
@@ -193,11 +197,12 @@
 
     def __init__(
         self,
-        order: StartOrder,
+        order: StartOrder | None = None,
         outage: tuple[float, float] = (0.0, 0.0),
         admission: AdmissionOptions | None = None,
         lost_share: float = 0.0,
         patience_s: float = math.inf,
+        upstreams: int = UPSTREAMS,
     ) -> None:
         self._order = order
         self._lost_share = lost_share
@@ -208,8 +213,15 @@
         capacity = Demand(1000 * CORES_PER_TASK * TASKS_PER_UPSTREAM, 1000, 0)
         self._targets = [
             PlacementTarget(f'r{number}', SERVICE, 'z', (), capacity, capacity)
-            for number in range(UPSTREAMS)
+            for number in range(upstreams)
         ]
+        self.queue = StartQueue()
+        self.pool = TargetPool.from_targets(self._targets)
+        # Number of starts so far, and seconds spent on deciding on them and
+        # on admissions.
+        self.starts = 0
+        self.planning_s = 0.0
+        self.admission_s = 0.0
         self._plans: dict[str, JobPlan] = {}
         self._run_s: dict[str, float] = {}
         self._outcome = Outcome()
@@ -236,8 +248,8 @@
             action(now)
             yield now
 
-    def _schedule(self, time: float, action: Callable[[float], None]) -> None:
-        heapq.heappush(self._events, (time, next(self._event_numbers), action))
+    def _schedule(self, at: float, action: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (at, next(self._event_numbers), action))
 
     def _make_arrival(self, arrival: Arrival) -> Callable[[float], None]:
         def arrive(now: float) -> None:
@@ -248,6 +260,7 @@
                 self._outcome.refused += 1
                 return
             self._plans[job.job_id] = plan
+            self.queue.add(plan, now)
             self._run_s[job.job_id] = arrival.run_s
 
         return arrive
@@ -266,21 +279,22 @@
         admission = self._admission
         if admission is None or self._outage[0] <= now < self._outage[1]:
             return False
-        backlog = Backlog.from_plans(self._plans.values(), now)
-        admission_input = AdmissionInput.from_backlog(backlog, plan, now)
+        began_at = time.perf_counter()
+        admission_input = AdmissionInput.from_queue(self.queue, plan, now)
         closed = sum(1 for target in self._targets if not target.is_open)
         refusal = admit(
-            self._targets,
+            self.pool,
             plan.job.steps,
             admission.transform(admission_input),
             closed if admission.counts_returning else 0,
         )
+        self.admission_s += time.perf_counter() - began_at
         return refusal is not None
 
     def _start_tasks(self, now: float) -> None:
-        targets = {SERVICE: self._targets}
-        waiting = [plan for plan in self._plans.values() if plan.has_waiting]
-        for placement in self._order(waiting, targets, now):
+        began_at = time.perf_counter()
+        for placement in self._placements(now):
+            self.starts += 1
             placement.target.occupy(placement.demand)
             placement.plan.note_started(
                 placement.task, placement.target.name, 1
@@ -292,6 +306,13 @@
                 continue
             run_s = self._run_s[placement.plan.job.job_id]
             self._schedule(now + run_s, self._make_task_end(placement))
+        self.planning_s += time.perf_counter() - began_at
+
+    def _placements(self, now: float) -> Iterable[Placement]:
+        if self._order is None:
+            return place_waiting(self.queue, self.pool, 1.0, now)
+        waiting = [plan for plan in self._plans.values() if plan.has_waiting]
+        return self._order(waiting, {SERVICE: self._targets}, now)
 
     def _make_task_end(self, placement: Placement) -> Callable[[float], None]:
         def end(now: float) -> None:
@@ -314,7 +335,7 @@
 
     def _record_job_end(self, plan: JobPlan, now: float) -> None:
         job_id = plan.job.job_id
-        del self._plans[job_id]
+        self.queue.remove(self._plans.pop(job_id))
         objective_s = STRETCH * self._run_s[job_id] + ALLOWANCE_MS / 1000
         if now - plan.arrived_at <= objective_s:
             self._outcome.on_time += 1
@@ -331,6 +352,6 @@
     target: PlacementTarget, *, is_open: bool
 ) -> Callable[[float], None]:
     def set_open(now: float) -> None:
-        target.is_open = is_open
+        target.set_open(is_open)
 
     return set_open
--- a/baobabgap/scheduling/tests/test_decisions.py
+++ b/baobabgap/scheduling/tests/test_decisions.py
@@ -1,5 +1,6 @@
 """Tests of the order of starts, placement, health and admission."""
 
+import random
 import unittest
 
 from baobabgap.accepted import AcceptedJob
@@ -9,14 +10,14 @@
 from baobabgap.accepted import UnfinishedJob
 from baobabgap.scheduling import AdmissionInput
 from baobabgap.scheduling import admit
-from baobabgap.scheduling import Backlog
 from baobabgap.scheduling import is_overdue
 from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import place_waiting
 from baobabgap.scheduling import PlacementTarget
-from baobabgap.scheduling import plan_starts
 from baobabgap.scheduling import RunTimes
+from baobabgap.scheduling import StartQueue
 from baobabgap.scheduling import TargetHealth
-from baobabgap.scheduling._planner import urgency_of
+from baobabgap.scheduling import TargetPool
 
 TASK = Demand(1000, 64, 0)
 SERVICE = 'service'
@@ -41,6 +42,10 @@
     )
 
 
+def small_pool() -> TargetPool:
+    return TargetPool.from_targets([make_target('r')])
+
+
 def make_admission_input(core_s: float) -> AdmissionInput:
     """Return the input for a job that must wait for the whole backlog."""
     return AdmissionInput(core_s, core_s, 1.0, 1.0)
@@ -49,14 +54,16 @@
 def planned_starts(
     plans: list[JobPlan], targets: list[PlacementTarget], now: float = 0.0
 ) -> list[tuple[str, int, str]]:
-    return [
-        (
-            placement.plan.job.job_id,
-            placement.task.task.index,
-            placement.target.name,
-        )
-        for placement in plan_starts(plans, {SERVICE: targets}, 1.5, now)
-    ]
+    """Carry out all placements; return them as job, task and target."""
+    queue = StartQueue.from_plans(plans, now)
+    pool = TargetPool.from_targets(targets)
+    starts = []
+    for placement in place_waiting(queue, pool, 1.5, now):
+        task, name = placement.task, placement.target.name
+        placement.target.occupy(placement.demand)
+        placement.plan.note_started(task, name, task.last_run + 1)
+        starts.append((placement.plan.job.job_id, task.task.index, name))
+    return starts
 
 
 class PlannerTest(unittest.TestCase):
@@ -95,12 +102,24 @@
                 )
                 self.assertEqual([first], [job for job, _, _ in starts])
 
-    def test_planning_does_not_change_targets(self) -> None:
+    def test_only_carried_out_placements_change_anything(self) -> None:
         target = make_target('r', 2)
         plan = make_plan('a', Step(5, TASK, 100))
-        self.assertEqual(2, len(planned_starts([plan], [target])))
+        queue = StartQueue.from_plans([plan], 0.0)
+        pool = TargetPool.from_targets([target])
+        for _ in range(3):
+            self.assertIsNotNone(next(place_waiting(queue, pool, 1.5, 0.0)))
         self.assertEqual(target.capacity, target.free)
         self.assertEqual(0, target.running)
+        self.assertEqual(5, len(plan.waiting_by_step[0]))
+
+    def test_each_placement_counts_before_the_next_one(self) -> None:
+        target = make_target('r', 2)
+        plan = make_plan('a', Step(5, TASK, 100))
+        self.assertEqual(2, len(planned_starts([plan], [target])))
+        self.assertEqual(0, target.free.cpu_millicores)
+        self.assertEqual(2, target.running)
+        self.assertEqual(3, len(plan.waiting_by_step[0]))
 
     def test_tasks_spread_over_equal_targets(self) -> None:
         targets = [make_target('r1', 4), make_target('r2', 4)]
@@ -118,11 +137,14 @@
         self.assertEqual([('a', 0, 'fast')], placed)
 
     def test_avoided_target_is_used_only_if_no_other_fits(self) -> None:
-        plan = make_plan('a', Step(1, TASK, 100))
-        plan.task_by_id[TaskId('a', 0, 0)].avoided.add('r1')
-        targets = [make_target('r1'), make_target('r2')]
-        self.assertEqual([('a', 0, 'r2')], planned_starts([plan], targets))
-        self.assertEqual([('a', 0, 'r1')], planned_starts([plan], targets[:1]))
+        for names, expected in ((('r1', 'r2'), 'r2'), (('r1',), 'r1')):
+            plan = make_plan('a', Step(1, TASK, 100))
+            plan.task_by_id[TaskId('a', 0, 0)].avoided.add('r1')
+            targets = [make_target(name) for name in names]
+            with self.subTest(names):
+                self.assertEqual(
+                    [('a', 0, expected)], planned_starts([plan], targets)
+                )
 
     def test_required_label_and_limit_per_upstream(self) -> None:
         targets = [make_target('r1', 8, 'a'), make_target('r2', 8, 'b')]
@@ -141,9 +163,9 @@
             [('a', 0, 'r')], planned_starts([plan], [make_target('r', 4)])
         )
         plan.note_done(TaskId('a', 0, 0))
-        (placement,) = plan_starts(
-            [plan], {SERVICE: [make_target('r', 4)]}, 1.5, 0.0
-        )
+        queue = StartQueue.from_plans([plan], 0.0)
+        pool = TargetPool.from_targets([make_target('r', 4)])
+        placement = next(place_waiting(queue, pool, 1.5, 0.0))
         self.assertEqual(1, placement.task.task.step)
 
     def test_suspensions_are_lifted_if_most_targets_have_one(self) -> None:
@@ -243,17 +265,15 @@
     STEPS = (Step(1, TASK, 100),)
 
     def test_job_that_would_end_too_late_is_refused(self) -> None:
-        targets = [make_target('r', 10)]
-        self.assertIsNone(
-            admit(targets, self.STEPS, make_admission_input(9.0))
-        )
-        refusal = admit(targets, self.STEPS, make_admission_input(30.0))
+        pool = TargetPool.from_targets([make_target('r', 10)])
+        self.assertIsNone(admit(pool, self.STEPS, make_admission_input(9.0)))
+        refusal = admit(pool, self.STEPS, make_admission_input(30.0))
         assert refusal is not None
         # After the retry delay the wait is within the patience.
         self.assertGreaterEqual(refusal.retry_after_ms, 2000)
 
     def test_job_ahead_of_a_late_backlog_is_admitted(self) -> None:
-        targets = [make_target('r', 10)]
+        pool = TargetPool.from_targets([make_target('r', 10)])
         cases = {
             'no work ahead': (0.0, True),
             'as much as its patience allows': (3.0, True),
@@ -262,27 +282,35 @@
         for name, (ahead_core_s, is_admitted) in cases.items():
             with self.subTest(name):
                 admission_input = AdmissionInput(ahead_core_s, 99.0, 0.3, 1.0)
-                refusal = admit(targets, self.STEPS, admission_input)
+                refusal = admit(pool, self.STEPS, admission_input)
                 self.assertEqual(is_admitted, refusal is None)
 
     def test_late_job_is_admitted_without_backlog(self) -> None:
         admission_input = AdmissionInput(0.0, 0.0, -2.0, -1.0)
         self.assertIsNone(
-            admit([make_target('r')], self.STEPS, admission_input)
+            admit(
+                TargetPool.from_targets([make_target('r')]),
+                self.STEPS,
+                admission_input,
+            )
         )
 
     def test_job_that_fits_nowhere_is_refused(self) -> None:
         huge = (Step(1, Demand(99_000, 1, 0), 100),)
         self.assertIsNotNone(
-            admit([make_target('r')], huge, make_admission_input(0.0))
+            admit(
+                TargetPool.from_targets([make_target('r')]),
+                huge,
+                make_admission_input(0.0),
+            )
         )
 
     def test_closed_targets_do_not_count_as_capacity(self) -> None:
         closed = make_target('r1', 10)
         closed.is_open = False
-        targets = [closed, make_target('r2', 1)]
+        pool = TargetPool.from_targets([closed, make_target('r2', 1)])
         self.assertIsNotNone(
-            admit(targets, self.STEPS, make_admission_input(5.0))
+            admit(pool, self.STEPS, make_admission_input(5.0))
         )
 
     def test_returning_upstreams_count_as_capacity(self) -> None:
@@ -291,14 +319,16 @@
         Just after an outage few of them have reported again, so that the
         capacity looks small and the expected wait long.
         """
-        targets = [make_target('r1', 10), make_target('r2', 10)]
+        pool = TargetPool.from_targets(
+            [make_target('r1', 10), make_target('r2', 10)]
+        )
         self.assertIsNotNone(
-            admit(targets, self.STEPS, make_admission_input(100.0))
+            admit(pool, self.STEPS, make_admission_input(100.0))
         )
         self.assertIsNone(
-            admit(targets, self.STEPS, make_admission_input(100.0), 9)
+            admit(pool, self.STEPS, make_admission_input(100.0), 9)
         )
-        refusal = admit(targets, self.STEPS, make_admission_input(200.0), 8)
+        refusal = admit(pool, self.STEPS, make_admission_input(200.0), 8)
         assert refusal is not None
         self.assertLess(refusal.retry_after_ms, 1500)
 
@@ -314,38 +344,110 @@
         self.assertAlmostEqual(1.5, plan.latest_useful_start(0))
 
     def test_job_that_would_outlast_its_caller_is_refused(self) -> None:
-        targets = [make_target('r', 10)]
+        pool = TargetPool.from_targets([make_target('r', 10)])
         steps = (Step(1, TASK, 1000),)
         plan = make_plan('a', *steps)
-        backlog = Backlog([(urgency_of(plan, 0, 0.0), 20.0)], 0.0)
-        admission_input = AdmissionInput.from_backlog(backlog, plan, 0.0)
-        self.assertIsNone(admit(targets, steps, admission_input))
+        # 20 core-seconds of the same urgency.
+        others = make_plan('b', Step(20, TASK, 1000))
+        queue = StartQueue.from_plans([others], 0.0)
+        admission_input = AdmissionInput.from_queue(queue, plan, 0.0)
+        self.assertAlmostEqual(20.0, admission_input.ahead_core_s)
+        self.assertIsNone(admit(pool, steps, admission_input))
         plan.awaited_until = 2.5
-        admission_input = AdmissionInput.from_backlog(backlog, plan, 0.0)
-        self.assertIsNotNone(admit(targets, steps, admission_input))
+        admission_input = AdmissionInput.from_queue(queue, plan, 0.0)
+        self.assertIsNotNone(admit(pool, steps, admission_input))
 
 
-class BacklogTest(unittest.TestCase):
-    """The work that starts before a job."""
+class StartQueueTest(unittest.TestCase):
+    """The order of waiting steps, and the work before a new job."""
 
     STEP = Step(1, TASK, 100)
 
     def test_late_work_is_not_ahead_of_a_new_job(self) -> None:
         late = make_plan('late', self.STEP, arrived_at=0.0)
         on_time = make_plan('on_time', self.STEP, arrived_at=9.95)
-        backlog = Backlog.from_plans([late, on_time], 10.0)
+        queue = StartQueue.from_plans([late, on_time], 10.0)
         new = make_plan('new', self.STEP, arrived_at=10.0)
         expected_core_s = new.task_core_s(0)
-        self.assertAlmostEqual(2 * expected_core_s, backlog.total_core_s)
-        self.assertAlmostEqual(expected_core_s, backlog.ahead_core_s(new))
+        self.assertAlmostEqual(2 * expected_core_s, queue.total_core_s)
+        self.assertAlmostEqual(expected_core_s, queue.ahead_core_s(new))
 
     def test_added_job_counts(self) -> None:
-        backlog = Backlog.from_plans([], 10.0)
-        backlog.add(make_plan('first', self.STEP, arrived_at=9.95))
+        queue = StartQueue.from_plans([], 10.0)
+        queue.add(make_plan('first', self.STEP, arrived_at=9.95), 10.0)
         new = make_plan('new', self.STEP, arrived_at=10.0)
         expected_core_s = new.task_core_s(0)
-        self.assertAlmostEqual(expected_core_s, backlog.ahead_core_s(new))
-        self.assertAlmostEqual(expected_core_s, backlog.total_core_s)
+        self.assertAlmostEqual(expected_core_s, queue.ahead_core_s(new))
+        self.assertAlmostEqual(expected_core_s, queue.total_core_s)
+
+    def test_removed_job_leaves_no_work(self) -> None:
+        plan = make_plan('a', Step(3, TASK, 100), Step(1, TASK, 50))
+        queue = StartQueue.from_plans([plan], 0.0)
+        queue.remove(plan)
+        self.assertEqual(0.0, queue.total_core_s)
+        self.assertIsNone(queue.first_after(None))
+        plan.await_until(5.0)
+        self.assertEqual(0.0, queue.total_core_s)
+
+    def test_job_that_turned_late_goes_behind_one_on_time(self) -> None:
+        # Its objective is 0.22 s, its longest usefulness 0.66 s.
+        early = make_plan('early', self.STEP, arrived_at=0.0)
+        later = make_plan('later', self.STEP, arrived_at=0.3)
+        queue = StartQueue.from_plans([early, later], 0.0)
+        for now, expected in ((0.05, 'early'), (0.35, 'later')):
+            with self.subTest(now):
+                queue.advance(now)
+                first = queue.first_after(None)
+                assert first is not None
+                self.assertEqual(expected, first.plan.job.job_id)
+
+    def test_order_equals_that_of_a_queue_made_anew(self) -> None:
+        """However plans change, order and sums are those of their state."""
+        rng = random.Random(3)
+        plans = [
+            make_plan(f'{n}', Step(3, TASK, 50 + n), arrived_at=n * 0.02)
+            for n in range(60)
+        ]
+        queue = StartQueue.from_plans(plans, 0.0)
+        for now in (0.1, 0.3, 0.5, 1.2, 2.0):
+            for plan in rng.sample(plans, 30):
+                _change_at_random(plan, rng, now)
+            queue.advance(now)
+            anew = StartQueue.from_plans(plans, now)
+            for plan in plans:
+                queue.add(plan, now)
+            with self.subTest(now):
+                self.assertEqual(_job_ids(anew), _job_ids(queue))
+                self.assertAlmostEqual(anew.total_core_s, queue.total_core_s)
+                new = make_plan('new', self.STEP, arrived_at=now)
+                self.assertAlmostEqual(
+                    anew.ahead_core_s(new), queue.ahead_core_s(new)
+                )
+
+
+def _change_at_random(plan: JobPlan, rng: random.Random, now: float) -> None:
+    task = rng.choice(list(plan.task_by_id.values()) or [None])
+    if task is None:
+        return
+    if not task.upstream:
+        plan.note_started(task, 'r', task.last_run + 1)
+    elif rng.random() < 0.5:
+        plan.requeue(task)
+    else:
+        plan.note_done(task.task)
+    if rng.random() < 0.3:
+        plan.await_until(now + rng.random())
+
+
+def _job_ids(queue: StartQueue) -> list[tuple[str, float]]:
+    found = []
+    waiting_step = queue.first_after(None)
+    while waiting_step is not None:
+        found.append(
+            (waiting_step.plan.job.job_id, waiting_step.urgency.latest_start)
+        )
+        waiting_step = queue.first_after(waiting_step)
+    return found
 
 
 class RunTimesTest(unittest.TestCase):
--- a/baobabgap/scheduling/tests/test_played_load.py
+++ b/baobabgap/scheduling/tests/test_played_load.py
@@ -1,14 +1,16 @@
 """Scheduling policies under simulated loads, against simpler policies."""
 
+from collections.abc import Callable
 import unittest
 
 from baobabgap.scheduling.tests.load_player import AdmissionOptions
+from baobabgap.scheduling.tests.load_player import by_reference
 from baobabgap.scheduling.tests.load_player import by_total_backlog
 from baobabgap.scheduling.tests.load_player import by_work_ahead
 from baobabgap.scheduling.tests.load_player import first_come
 from baobabgap.scheduling.tests.load_player import LoadSimulator
 from baobabgap.scheduling.tests.load_player import make_trace
-from baobabgap.scheduling.tests.load_player import urgent_first
+from baobabgap.scheduling.tests.load_player import UPSTREAMS
 from baobabgap.scheduling.tests.load_player import urgent_first_without_begun
 
 SECONDS = 12.0
@@ -19,6 +21,10 @@
     return 1.0
 
 
+def constant_load(factor: float) -> Callable[[float], float]:
+    return lambda at: factor
+
+
 def burst(at: float) -> float:
     return 1.8 if 5 <= at < 9 else 1.0
 
@@ -40,7 +46,7 @@
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 trace = make_trace(SECONDS, normal_load, seed)
-                outcome = LoadSimulator(urgent_first).run(trace)
+                outcome = LoadSimulator().run(trace)
                 self.assertGreater(outcome.share_on_time, 0.95)
                 self.assertEqual(0, outcome.unfinished)
 
@@ -50,7 +56,7 @@
             for seed in SEEDS:
                 with self.subTest(name, seed=seed):
                     trace = make_trace(SECONDS, rate_factor, seed)
-                    actual = LoadSimulator(urgent_first).run(trace)
+                    actual = LoadSimulator().run(trace)
                     baseline = LoadSimulator(first_come).run(trace)
                     self.assertGreater(
                         actual.share_on_time, baseline.share_on_time
@@ -67,7 +73,7 @@
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 trace = make_trace(SECONDS, normal_load, seed)
-                actual = LoadSimulator(urgent_first, outage).run(trace)
+                actual = LoadSimulator(outage=outage).run(trace)
                 baseline = LoadSimulator(first_come, outage).run(trace)
                 self.assertGreater(
                     actual.on_time_by_second.get(6, 0),
@@ -90,7 +96,7 @@
                 trace = make_trace(SECONDS, normal_load, seed)
                 counted, uncounted = (
                     LoadSimulator(
-                        urgent_first,
+                        None,
                         outage,
                         AdmissionOptions(
                             by_total_backlog, 0.08, counts_returning
@@ -117,7 +123,7 @@
                     trace = make_trace(SECONDS, rate_factor, seed)
                     actual, baseline = (
                         LoadSimulator(
-                            urgent_first,
+                            None,
                             outage,
                             AdmissionOptions(transform),
                         ).run(trace)
@@ -137,14 +143,42 @@
                         lost_share=0.03,
                         patience_s=2.0,
                     ).run(trace)
-                    for order in (urgent_first, urgent_first_without_begun)
+                    for order in (None, urgent_first_without_begun)
                 )
                 self.assertLess(actual.abandoned, baseline.abandoned)
 
+    def test_outcomes_equal_those_of_the_reference_planner(self) -> None:
+        """Keeping order and capacity up to date changes no outcome."""
+        cases = {'normal': normal_load, 'burst': burst, 'overload': overload}
+        for name, rate_factor in cases.items():
+            for seed in SEEDS:
+                with self.subTest(name, seed=seed):
+                    trace = make_trace(SECONDS, rate_factor, seed)
+                    actual = LoadSimulator().run(trace)
+                    reference = LoadSimulator(by_reference).run(trace)
+                    self.assertEqual(reference, actual)
+
+    def test_work_of_a_start_does_not_grow_with_the_fleet(self) -> None:
+        """A pass looks at what it places, not at all that waits or runs."""
+        for upstreams in (11, 165):
+            for load in (1.0, 1.8):
+                with self.subTest(upstreams=upstreams, load=load):
+                    trace = make_trace(
+                        2.0, constant_load(load * upstreams / UPSTREAMS), 5
+                    )
+                    simulator = LoadSimulator(
+                        admission=AdmissionOptions(), upstreams=upstreams
+                    )
+                    simulator.run(trace)
+                    looked_at = (
+                        simulator.pool.examined + simulator.queue.examined
+                    )
+                    self.assertLess(looked_at, 6 * simulator.starts)
+
     def test_overloaded_scheduler_serves_all_jobs(self) -> None:
         """Late jobs start last, but must not starve."""
         trace = make_trace(SECONDS, overload, 1)
-        self.assertEqual(0, LoadSimulator(urgent_first).run(trace).unfinished)
+        self.assertEqual(0, LoadSimulator().run(trace).unfinished)
 
 
 if __name__ == '__main__':
