Propose run ends again whose storing has an unknown outcome

Callers: a stored job could stay unfinished for ever. A batch of ends whose commit had an unknown outcome was forgotten, while a later batch confirmed higher numbers, so that the upstream discarded ends that were not durable.

Now such a batch is proposed again after 50 ms, and batches are confirmed in their order. If the first proposal took effect after all, the jobs that it ended are closed from the stored state, as the repeated command names none.

--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -79,11 +79,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EndsStored:
-    """Ends of runs are durable; `job_ends` are the jobs that they ended."""
+    """Ends of runs are durable, or it is unknown whether they are."""
 
     term: int
     batch: int
+    # The jobs that the ends ended.
     job_ends: tuple[JobEnd, ...]
+    # Whether the ends are durable.
+    succeeded: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/dispatch/_job_closer.py
+++ b/baobabgap/dispatch/_job_closer.py
@@ -1,9 +1,12 @@
 """Storage of run ends and closing of ended jobs."""
 
+from dataclasses import dataclass
 import time
 from typing import Final
 
+from baobabgap.accepted import AcceptedState
 from baobabgap.accepted import JobEnd
+from baobabgap.accepted import JobState
 from baobabgap.accepted import NoteEnds
 from baobabgap.accepted import TaskEnd
 from baobabgap.dispatch._committer import Committer
@@ -18,6 +21,25 @@
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 
+# Seconds until a batch of unknown outcome is proposed again.
+_REPEAT_PAUSE_S: Final = 0.05
+
+
+_ENDED_STATES: Final = (JobState.COMPLETED, JobState.FAILED)
+
+
+@dataclass(slots=True)
+class _Batch:
+    """Ends that are stored together."""
+
+    ends: tuple[TaskEnd, ...]
+    # What to tell each agent once the ends are durable.
+    noted_by_agent: dict[str, EndsNoted]
+    # Whether the outcome of a proposal is awaited.
+    is_proposed: bool = False
+    is_durable: bool = False
+    was_repeated: bool = False
+
 
 class JobCloser:
     """Stores run ends in batches and closes jobs that have ended.
@@ -30,12 +52,16 @@
         self,
         term_state: TermState,
         runs: RunTracker,
+        state: AcceptedState,
         committer: Committer,
         post_event: PostEvent,
         metrics: Metrics,
     ) -> None:
         self._term_state: Final = term_state
         self._runs: Final = runs
+        # Only read by single look-ups, which are safe against concurrent
+        # updates.
+        self._state: Final = state
         self._committer: Final = committer
         self._post_event: Final = post_event
         self._metrics: Final = metrics
@@ -47,7 +73,10 @@
         self._unstored: list[TaskEnd] = []
         # The highest end number of each agent in the next batch.
         self._noted_by_agent: dict[str, EndsNoted] = {}
-        self._noted_by_batch: dict[int, dict[str, EndsNoted]] = {}
+        # Proposed batches whose ends aren't known to be durable, or that
+        # follow such a batch, by number and so in order.
+        self._batches: dict[int, _Batch] = {}
+        self._repeat_at = 0.0
 
     def add_end(self, end: TaskEnd) -> None:
         """Add an end to the next batch."""
@@ -59,34 +88,75 @@
 
     def store(self) -> None:
         """Store the next batch; notify at once if nothing is to be stored."""
+        self._repeat_batches(time.monotonic())
         if not self._noted_by_agent:
             return
         noted = self._noted_by_agent
         self._noted_by_agent = {}
-        if not self._unstored and not self._noted_by_batch:
+        if not self._unstored and not self._batches:
             self._send(noted)
             return
         self._last_batch += 1
-        batch, term = self._last_batch, self._term_state.term
-        self._noted_by_batch[batch] = noted
-        ends = tuple(self._unstored)
+        self._batches[self._last_batch] = _Batch(tuple(self._unstored), noted)
         self._unstored = []
-
-        def stored(result: list[JobEnd] | None) -> None:
-            if result is not None:
-                self._post_event(EndsStored(term, batch, tuple(result)))
-
-        self._committer.propose(
-            NoteEnds(ends, int(time.time() * 1000)), stored
-        )
+        self._propose(self._last_batch)
 
     def handle_stored(self, event: EndsStored) -> None:
-        """Notify agents of a durable batch and close the jobs it ended."""
+        """Notify agents of durable batches and close the jobs that ended.
+
+        A batch of unknown outcome is proposed again. Until it is durable, no
+        later batch is confirmed, as that would confirm its ends, too.
+        """
         if event.term != self._term_state.term:
             return
-        self._send(self._noted_by_batch.pop(event.batch))
+        batch = self._batches[event.batch]
+        batch.is_proposed = False
+        batch.is_durable = event.succeeded
+        if not event.succeeded:
+            self._repeat_at = time.monotonic() + _REPEAT_PAUSE_S
+        while self._batches:
+            number, oldest = next(iter(self._batches.items()))
+            if not oldest.is_durable:
+                break
+            del self._batches[number]
+            self._send(oldest.noted_by_agent)
         for job_end in event.job_ends:
             self.close(job_end)
+        if event.succeeded and batch.was_repeated:
+            self._close_ended_before(batch)
+
+    def _close_ended_before(self, batch: _Batch) -> None:
+        """Close the jobs that an earlier proposal of a batch has ended."""
+        for job_id in {end.task.job_id for end in batch.ends}:
+            state = self._state.state_of(job_id)
+            if (
+                state in _ENDED_STATES
+                and job_id in self._term_state.plan_by_id
+            ):
+                self.close(JobEnd(job_id, state))
+
+    def _repeat_batches(self, now: float) -> None:
+        if now < self._repeat_at:
+            return
+        for number, batch in self._batches.items():
+            if not batch.is_proposed and not batch.is_durable:
+                batch.was_repeated = True
+                self._propose(number)
+
+    def _propose(self, number: int) -> None:
+        batch, term = self._batches[number], self._term_state.term
+        batch.is_proposed = True
+
+        def stored(result: list[JobEnd] | None) -> None:
+            self._post_event(
+                EndsStored(
+                    term, number, tuple(result or ()), result is not None
+                )
+            )
+
+        self._committer.propose(
+            NoteEnds(batch.ends, int(time.time() * 1000)), stored
+        )
 
     def close(self, job_end: JobEnd) -> None:
         """Answer calls that wait for a job's end; stop its remaining runs."""
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -81,7 +81,7 @@
         self._term_state = term_state = TermState()
         runs = RunTracker(term_state)
         self._closer = JobCloser(
-            term_state, runs, committer, self.post_event, metrics
+            term_state, runs, state, committer, self.post_event, metrics
         )
         self._calls = CallHandler(
             term_state,
