End each probe of a suspended upstream, and queue a job once

Two faults of the entry's dispatcher, noticed while reading: - A probe ended only with a finished task. A task that failed, did not start, was lost or belonged to a job that ended left the upstream suspended until another of its tasks was done, which nobody placed there. Now such a probe is abandoned, and the next one follows after the time of the suspension. - A job with two tasks that did not start was queued twice, so that its waiting tasks counted twice in the backlog that peers hear.

Each has a test that failed before (four cases for the probe).

--- a/baobabgap/entry/_dispatcher.py
+++ b/baobabgap/entry/_dispatcher.py
@@ -169,6 +169,8 @@
             self._close(job)
             for agent in agents:
                 self._links.send(agent, CancelJobs((job.identifier,)))
+                # The task that probes the agent may be one of this job.
+                self._slow_upstreams.abandon_probe(agent, time.monotonic())
             self._answer(job, JobAnswer.from_failure(job.identifier, failure))
             return True
 
@@ -245,6 +247,8 @@
         is_token_accepted = result.token_returns and self.pool.return_token(
             agent, result.epoch
         )
+        if result.outcome is not TaskOutcome.DONE:
+            self._slow_upstreams.abandon_probe(agent, time.monotonic())
         task = self._outstanding.remove(agent, result.job, result.task)
         job = self._job_by_identifier.get(result.job)
         if task is None or job is None:
--- a/baobabgap/entry/_slow_upstream_detector.py
+++ b/baobabgap/entry/_slow_upstream_detector.py
@@ -91,6 +91,16 @@
         suspension.is_probing = False
         return False
 
+    def abandon_probe(self, agent: str, now: float) -> None:
+        """End a probe that tells nothing; another follows later.
+
+        Its task failed, did not start or was cancelled.
+        """
+        suspension = self._suspension_by_agent.get(agent)
+        if suspension is not None and suspension.is_probing:
+            suspension.is_probing = False
+            suspension.probe_at = now + suspension.duration_s
+
     def forget(self, agent: str) -> None:
         """Lift the suspension of an agent, because its upstream is new."""
         self._suspension_by_agent.pop(agent, None)
--- a/baobabgap/entry/_waiting_queue.py
+++ b/baobabgap/entry/_waiting_queue.py
@@ -21,9 +21,14 @@
     def __init__(self) -> None:
         self._heap: list[tuple[float, int, ActiveJob]] = []
         self._sequence = count()
+        # Identifiers of the jobs in the heap: each is there once.
+        self._queued: set[str] = set()
 
     def add(self, job: ActiveJob, policy: Policy) -> None:
-        """Queue a job that has waiting tasks."""
+        """Queue a job that has waiting tasks, unless it is queued already."""
+        if job.identifier in self._queued:
+            return
+        self._queued.add(job.identifier)
         virtual_deadline = _virtual_deadline(job, policy)
         heapq.heappush(
             self._heap, (virtual_deadline, next(self._sequence), job)
@@ -34,7 +39,7 @@
         self._drop_ended()
         if not self._heap:
             return None
-        return heapq.heappop(self._heap)[2]
+        return self._pop_head()
 
     def head_deadline(self) -> float | None:
         """Return the earliest virtual deadline in monotonic seconds."""
@@ -50,7 +55,12 @@
 
     def _drop_ended(self) -> None:
         while self._heap and _has_nothing_to_place(self._heap[0][2]):
-            heapq.heappop(self._heap)
+            self._pop_head()
+
+    def _pop_head(self) -> ActiveJob:
+        job = heapq.heappop(self._heap)[2]
+        self._queued.discard(job.identifier)
+        return job
 
 
 def _has_nothing_to_place(job: ActiveJob) -> bool:
--- a/baobabgap/entry/tests/test_dispatcher.py
+++ b/baobabgap/entry/tests/test_dispatcher.py
@@ -4,6 +4,7 @@
 import unittest
 
 from baobabgap.configuration import Configuration
+from baobabgap.entry._failures import deadline_exceeded
 from baobabgap.entry.tests.fakes import FakeEntry
 from baobabgap.entry.tests.fakes import FakeLink
 from baobabgap.entry.tests.fakes import job
@@ -15,6 +16,8 @@
 from baobabgap.messages import PlaceTasks
 from baobabgap.messages import ResumeTasks
 from baobabgap.messages import TaskOutcome
+from baobabgap.messages import TaskResult
+from baobabgap.messages import TaskResults
 from baobabgap.messages import TokenTransfer
 
 
@@ -244,6 +247,29 @@
         self.assertEqual(1, len(agent.pop_sent(PlaceTasks)))
 
 
+class TestRequeuedTasks(unittest.TestCase):
+    def test_job_whose_tasks_did_not_start_waits_once(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 2)
+        entry.submit(job(1, tasks=2))
+        (placed,) = agent.pop_sent(PlaceTasks)
+        results = tuple(
+            TaskResult(
+                placed.job,
+                task.task,
+                TaskOutcome.NOT_STARTED,
+                '',
+                0.0,
+                False,
+                1,
+            )
+            for task in placed.tasks
+        )
+        entry.dispatcher.handle_results(agent.connection, TaskResults(results))
+        state = entry.dispatcher.state(time.monotonic())
+        self.assertEqual(2, state.backlog_tasks)
+
+
 class TestSlowUpstream(unittest.TestCase):
     """An upstream on which most tasks are overdue is suspended.
 
@@ -271,6 +297,37 @@
         entry.submit(job(4))
         self.assertEqual(1, len(slow.pop_sent(PlaceTasks)))
 
+    def test_probe_that_tells_nothing_is_followed_by_another(self) -> None:
+        for name, end_probe in (
+            ('task failed', TaskOutcome.FAILED),
+            ('task did not start', TaskOutcome.NOT_STARTED),
+            ('task was lost', TaskOutcome.LOST),
+            ('job was cancelled', None),
+        ):
+            with self.subTest(name):
+                entry = FakeEntry()
+                for _ in range(12):
+                    entry.dispatcher.run_times.learn('kurek', 'seat', 50.0)
+                slow = entry.add_agent('slow', 2)
+                entry.submit(job(1, tasks=2))
+                now = time.monotonic()
+                entry.dispatcher.check_upstreams(now + 1.0)
+                entry.finish(slow, slow.pop_sent(PlaceTasks)[0])
+                entry.submit(job(2))
+                entry.dispatcher.check_upstreams(now + 7.0)
+                (probe,) = slow.pop_sent(PlaceTasks)
+                if end_probe is not None:
+                    entry.finish(slow, probe, end_probe)
+                else:
+                    active = entry.dispatcher.find(probe.job)
+                    assert active is not None
+                    failure = deadline_exceeded(active, 1.0)
+                    entry.dispatcher.fail(active, failure)
+                slow.pop_sent(PlaceTasks)
+                entry.submit(job(3))
+                entry.dispatcher.check_upstreams(now + 60.0)
+                self.assertEqual(1, len(slow.pop_sent(PlaceTasks)))
+
     def test_jobs_are_admitted_if_all_upstreams_are_suspended(self) -> None:
         entry = FakeEntry()
         for _ in range(12):
