Stop dialling a peer at an address that it has left

A member that returned at another address kept the dialer of the old one, which went on dialling whoever listens there now. Dialers are kept by the peer's name instead of by address. test_peer_dialers.py fails on the code before.

--- a/baobabgap/entry/_peer_dialers.py
+++ b/baobabgap/entry/_peer_dialers.py
@@ -32,7 +32,8 @@
         self._executor = executor
         self._session = session
         self._on_error = on_error
-        self._dialer_by_address: dict[str, Dialer] = {}
+        # The dialer of each peer, with the address that it dials.
+        self._dialer_by_name: dict[str, tuple[str, Dialer]] = {}
 
     def update_members(self, changes: Changes) -> None:
         """Start and stop dialers after a membership change."""
@@ -42,18 +43,21 @@
             if member.role != 'entry' or member.name <= self._hello.name:
                 continue
             if member.alive:
-                self._dial(member.address)
+                self._dial(member.name, member.address)
             else:
-                self._drop(member.address)
+                self._drop(member.name)
 
     def stop(self) -> None:
         """Stop all dialers and close their links."""
-        for address in list(self._dialer_by_address):
-            self._drop(address)
+        for name in list(self._dialer_by_name):
+            self._drop(name)
 
-    def _dial(self, address: str) -> None:
-        if address in self._dialer_by_address:
+    def _dial(self, name: str, address: str) -> None:
+        current = self._dialer_by_name.get(name)
+        if current is not None and current[0] == address:
             return
+        # The peer may have returned at another address.
+        self._drop(name)
         dialer = Dialer(
             address,
             self._hello,
@@ -62,15 +66,15 @@
             self._session,
             self._on_error,
         )
-        self._dialer_by_address[address] = dialer
+        self._dialer_by_name[name] = (address, dialer)
         dialer.start()
 
-    def _drop(self, address: str) -> None:
-        dialer = self._dialer_by_address.pop(address, None)
-        if dialer is not None:
-            dialer.stop()
+    def _drop(self, name: str) -> None:
+        current = self._dialer_by_name.pop(name, None)
+        if current is not None:
+            current[1].stop()
 
     def _drop_missing(self, members: tuple[MemberRecord, ...]) -> None:
-        live_addresses = {member.address for member in members if member.alive}
-        for address in set(self._dialer_by_address) - live_addresses:
-            self._drop(address)
+        live_names = {member.name for member in members if member.alive}
+        for name in set(self._dialer_by_name) - live_names:
+            self._drop(name)
