Let a new upstream process start without its predecessor's ejection

The ejection, of up to 60 s, and the pause after a refusal outlived the process that had earned them: UpstreamHealth.reset cleared the history but not the times. test_new_upstream_process_is_not_ejected fails before.

--- a/baobabgap/agent/_health.py
+++ b/baobabgap/agent/_health.py
@@ -46,6 +46,8 @@
         """Clear the failure history: there is a new upstream process."""
         self._failed_jobs.clear()
         self._ejection_s = 0.0
+        self._ejected_until = 0.0
+        self._refused_until = 0.0
         self.note_successful_check(now)
 
     def note_successful_check(self, sent_at: float) -> None:
--- a/baobabgap/agent/tests/test_health.py
+++ b/baobabgap/agent/tests/test_health.py
@@ -26,6 +26,13 @@
         self.note_failures(100.0, *['a'] * 50)
         self.assertEqual(8, self.slots(100.0))
 
+    def test_new_upstream_process_is_not_ejected(self) -> None:
+        self.note_failures(100.0, 'a', 'b', 'c', 'd', 'e')
+        self.assertEqual(0, self.slots(100.5))
+        self.health.note_refusal(100.5)
+        self.health.reset(100.6)
+        self.assertEqual(8, self.slots(100.6))
+
     def test_success_resets_the_failed_jobs(self) -> None:
         self.note_failures(100.0, 'a', 'b', 'c', 'd')
         self.health.note_success()
