Send a claim again whose outcome is missing in an answer

An answer with fewer outcomes than claims left the callers of the others waiting until their time limit, without a line in the log. They are sent again, with an unknown outcome, and answers_missing is logged. test_claim_without_outcome_in_the_answer_is_sent_again fails before.

--- a/baobabgap/control/_pending_requests.py
+++ b/baobabgap/control/_pending_requests.py
@@ -23,6 +23,7 @@
 from baobabgap.messages import PutTicket
 from baobabgap.messages import QueryControl
 from baobabgap.messages import TicketOutcome
+from baobabgap.telemetry import log_event
 
 _MAX_BATCH_CLAIMS: Final = 512
 # Further claims wait for an answer and are then sent in one batch.
@@ -238,6 +239,26 @@
         for item, answer in zip(batch, answers, strict=False):
             if not item.future.done():
                 item.future.set_result(answer)
+        unanswered = batch[len(answers) :]
+        if unanswered:
+            log_event(
+                'answers_missing',
+                peer=self.peer,
+                requests=len(batch),
+                answers=len(answers),
+            )
+            self._repeat(unanswered, 'no answer to this request')
+
+    def _repeat(self, items: Sequence[_PendingRequest], reason: str) -> None:
+        """Send requests again whose outcome is unknown."""
+        not_before = time.monotonic() + _RETRY_DELAY_S
+        with self._lock:
+            for item in items:
+                item.unchanged = False
+                item.reason = reason
+                item.not_before = not_before
+                if not item.future.done():
+                    self._waiting.append(item)
 
     def _requeue(self, message: ControlUnavailable) -> None:
         not_before = time.monotonic() + _RETRY_DELAY_S
--- a/baobabgap/control/tests/test_client.py
+++ b/baobabgap/control/tests/test_client.py
@@ -221,6 +221,29 @@
                 error = self.expire(pending, future)
                 self.assertIs(error.unchanged, expected)
 
+    def test_claim_without_outcome_in_the_answer_is_sent_again(self) -> None:
+        pending = PendingRequests(ClaimSender('e', 'e-a', ''))
+        futures = [
+            pending.add_claim(claim(name), 20.0, lookup_only=False)
+            for name in ('kurek.5.n', 'kurek.6.n')
+        ]
+        (message,) = pending.pop_messages()
+        assert isinstance(message, ClaimJobs)
+        first = ClaimOutcome('kurek.5.n', ClaimStatus.GRANTED, 'e', 'e-a', '')
+        pending.handle_answer(ClaimOutcomes(message.request, (first,)))
+        self.assertIs(first, futures[0].result(0))
+        self.assertFalse(futures[1].done())
+        give_up_at = time.monotonic() + WAIT_LIMIT_S
+        while not (messages := pending.pop_messages()):
+            self.assertLess(time.monotonic(), give_up_at)
+            time.sleep(0.01)
+        (again,) = messages
+        assert isinstance(again, ClaimJobs)
+        self.assertEqual(['kurek.6.n'], [c.job for c in again.claims])
+        second = ClaimOutcome('kurek.6.n', ClaimStatus.GRANTED, 'e', 'e-a', '')
+        pending.handle_answer(ClaimOutcomes(again.request, (second,)))
+        self.assertIs(second, futures[1].result(0))
+
     def test_outcome_of_a_request_in_flight_is_unknown(self) -> None:
         pending = PendingRequests(ClaimSender('e', 'e-a', ''))
         future = pending.add_claim(claim('kurek.5.n'), 0.1, lookup_only=False)
