Find queues by IPv6 hosts

The host was cut at its first colon, so that no queue of an IPv6 address was ever found. Brackets and the port behind them are removed, in configurations, too. Three of the four new cases fail before.

--- a/baobabgap/queues/_table.py
+++ b/baobabgap/queues/_table.py
@@ -43,7 +43,7 @@
         """Build the index; host names are case-insensitive."""
         queues_by_host: dict[str, list[JobQueue]] = defaultdict(list)
         for queue in configuration.queues:
-            queues_by_host[queue.host.lower()].append(queue)
+            queues_by_host[_normalize_host(queue.host)].append(queue)
         for queues in queues_by_host.values():
             queues.sort(key=lambda queue: -len(queue.path_prefix))
         return cls(
@@ -64,4 +64,12 @@
 
 
 def _normalize_host(host: str) -> str:
+    """Return the host of a Host header in lower case, without its port.
+
+    An IPv6 address may stand in brackets, which are removed.
+    """
+    if host.startswith('['):
+        return host[1:].partition(']')[0].lower()
+    if host.count(':') > 1:
+        return host.lower()
     return host.partition(':')[0].lower()
--- a/baobabgap/queues/tests/test_table.py
+++ b/baobabgap/queues/tests/test_table.py
@@ -21,6 +21,8 @@
                     make_queue('short', 'One.example', '/a/'),
                     make_queue('long', 'one.example', '/a/b/'),
                     make_queue('other', 'two.example', '/a/b/'),
+                    make_queue('v6', '2001:db8::1', '/a/'),
+                    make_queue('v6 in brackets', '[2001:DB8::2]', '/a/'),
                 ),
                 (),
             )
@@ -31,6 +33,10 @@
             ('two.example', '/a/b/', ('other', '')),
             ('two.example', '/a/x', None),
             ('three.example', '/a/x', None),
+            ('[2001:db8::1]:8080', '/a/x', ('v6', 'x')),
+            ('[2001:db8::1]', '/a/x', ('v6', 'x')),
+            ('2001:db8::2', '/a/x', ('v6 in brackets', 'x')),
+            ('[2001:db8::3]:8080', '/a/x', None),
         ]
         for host, path, expected in cases:
             with self.subTest(host=host, path=path):
