--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -174,8 +174,14 @@
         if self._answer_known_job(arrived, call, job_id):
             return
         job = self._job_from(call, match)
-        arrived_at = time.monotonic() - call.waited_ms / 1000
-        plan = JobPlan(job, arrived_at, self._term_state.run_times)
+        try:
+            arrived_at = time.monotonic() - call.waited_ms / 1000
+            plan = JobPlan(job, arrived_at, self._term_state.run_times)
+        except ArithmeticError as error:
+            # A sender must not be able to end the term with its numbers.
+            log_event('job_not_plannable', job=job_id, error=repr(error))
+            answer(arrived, CallOutcome.INVALID, detail='numbers too large')
+            return
         if job.is_volatile:
             plan.awaited_until = _awaited_until(call)
         # A refusal states that nothing has run, which may be wrong for a
