Test that unusable numbers of one job don't end the leader's term

The step's estimate of 10**400 ms reaches the leader over a link, as from an entry that doesn't check it.

--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -61,6 +61,18 @@
         self.assertEqual('completed', third.result(WAIT_S).state)
         self.assertEqual(2, len(self.starts()))
 
+    def test_job_with_unusable_numbers_does_not_end_the_term(self) -> None:
+        leader = self.deployment.leader
+        assert leader is not None
+        waiting = self.deployment.submit('a', step(30), volatile=True)
+        answer = self.deployment.submit(
+            'b', step(1, 10**400), volatile=True
+        ).result(WAIT_S)
+        self.assertIs(CallOutcome.INVALID, answer.outcome)
+        self.assertEqual('completed', waiting.result(WAIT_S).state)
+        # A new term would have counted the runs in thousands.
+        self.assertTrue(all(run < 1000 for _, run in self.starts()))
+
     def test_stored_job_is_accepted_then_read(self) -> None:
         deployment = self.deployment
         answer = deployment.submit('a', step(3), volatile=False).result(WAIT_S)
