--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 import tempfile
+import time
 from typing import Final
 import unittest
 
@@ -141,6 +142,22 @@
         # Only the upstream without an order so far may start it.
         self.assertLessEqual(len(self.starts()), 2)
 
+    def test_run_goes_on_while_its_agent_is_out_of_touch(self) -> None:
+        """Silence must not start a run again that still goes on."""
+        deployment = self.deployment
+        for upstream in deployment.upstreams:
+            upstream.run_ms = 1500
+        answer = deployment.submit('a', step(2, 1500), volatile=True)
+        wait_until(lambda: len(self.starts()) == 2, 'both runs')
+        for _ in range(3):
+            # The other agent's upstream has capacity for the task.
+            connection = deployment.agents[0]._connection
+            if connection is not None:
+                connection.close()
+            time.sleep(0.2)
+        self.assertEqual('completed', answer.result(WAIT_S).state)
+        self.assertEqual(2, len(self.starts()))
+
     def test_draining_upstream_gets_no_new_runs(self) -> None:
         deployment = self.deployment
         deployment.agents[0].drain()
