--- a/baobabgap/upstreams/tests/test_run_agent.py
+++ b/baobabgap/upstreams/tests/test_run_agent.py
@@ -15,11 +15,14 @@
 from baobabgap.dispatch import Authority
 from baobabgap.dispatch import AuthorityRequest
 from baobabgap.dispatch import EndsNoted
+from baobabgap.dispatch import FullReport
 from baobabgap.dispatch import LeaderReady
 from baobabgap.dispatch import LeaseTiming
 from baobabgap.dispatch import RunOrder
 from baobabgap.dispatch import RunsEnded
+from baobabgap.dispatch import RunsFound
 from baobabgap.dispatch import StartRuns
+from baobabgap.dispatch import UpstreamChanged
 from baobabgap.dispatch import UpstreamState
 from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
 from baobabgap.telemetry import Metrics
@@ -51,6 +54,7 @@
         self._acknowledges = acknowledges
         self._messages: SimpleQueue[object] = SimpleQueue()
         self.ended_numbers: set[int] = set()
+        self.reports: list[object] = []
         self.has_granted = threading.Event()
 
     def send(self, *messages: object) -> None:
@@ -66,6 +70,8 @@
 
     def _handle(self, message: object) -> None:
         match message:
+            case FullReport() | RunsFound() | UpstreamChanged():
+                self.reports.append(message)
             case AuthorityRequest(clock_ms=clock_ms):
                 self.order(Authority(_FENCE, _INSTANCE, clock_ms + 4000))
                 self.has_granted.set()
@@ -84,7 +90,9 @@
         self.pool = ThreadPoolExecutor(16)
         self.upstream = CountingUpstream()
 
-    def _start_agent(self, acknowledges: bool) -> LeaderInMemory:
+    def _start_agent(
+        self, acknowledges: bool, *, is_answered: bool = True
+    ) -> LeaderInMemory:
         agent = RunAgent(self.upstream, LeaseTiming(), self.pool, Metrics())
         leader = LeaderInMemory(acknowledges)
         agent.announce(
@@ -106,7 +114,8 @@
         self.addCleanup(self.pool.shutdown, wait=False)
         self.addCleanup(leader.order, None)
         self.addCleanup(agent.stop)
-        self.assertTrue(leader.has_granted.wait(_WAIT_S))
+        if is_answered:
+            self.assertTrue(leader.has_granted.wait(_WAIT_S))
         time.sleep(0.2)
         return leader
 
@@ -131,6 +140,21 @@
         idle_polls = (time.monotonic() - began_at) / 0.25
         self.assertLessEqual(polls, 20 + idle_polls + 2)
 
+    def test_upstream_that_has_left_is_not_reported_after_a_restart(
+        self,
+    ) -> None:
+        """A late announcement must not bring it back into use.
+
+        A restarted agent doesn't know which upstreams have left. Nothing
+        answers for the one that has, and the leader starts nothing on an
+        upstream that was not reported.
+        """
+        self.upstream.is_silent = True
+        leader = self._start_agent(acknowledges=True, is_answered=False)
+        time.sleep(1.0)
+        self.assertGreater(self.upstream.polls, 3)
+        self.assertEqual([], leader.reports)
+
     def test_later_ends_arrive_while_one_is_not_acknowledged(self) -> None:
         leader = self._start_agent(acknowledges=False)
         self._run(leader, 3)
