--- a/baobabgap/upstreams/_clock.py
+++ b/baobabgap/upstreams/_clock.py
@@ -1,5 +1,6 @@
 """Estimates the upstream's clock and bounds the end of its leases."""
 
+import math
 from typing import Final
 
 from baobabgap.protocol import CLOCK_DRIFT
@@ -62,7 +63,16 @@
         Allows for a slow clock of the upstream and for the time that it
         takes to end runs.
         """
-        remaining_ms = (
+        return self.remaining_ms(now) < 0
+
+    def remaining_ms(self, now: float) -> int:
+        """Return for how long a lease that was sent may still hold.
+
+        In milliseconds of local time; negative once all have expired.
+        """
+        longest_ms = (
             self._latest_lease_end_ms - self._clock_ms + _STOP_SLACK_MS
         )
-        return 1000 * (now - self._read_at) > remaining_ms * (1 + CLOCK_DRIFT)
+        return math.floor(
+            longest_ms * (1 + CLOCK_DRIFT) - 1000 * (now - self._read_at)
+        )
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -161,6 +161,7 @@
                 and current.born_ms == upstream.born_ms
             )
             if not is_same:
+                self._log_lost_runs('replaced' if upstream else 'left')
                 self._reset_incarnation()
             self._upstream = upstream
             if current != upstream:
@@ -216,6 +217,8 @@
         # Ends that the leader has not made durable yet, by number.
         self._unacknowledged_ends: dict[int, EndRow] = {}
         self._unanswered_polls = 0
+        # When the first of the latest unanswered polls failed.
+        self._unanswered_since: float | None = None
         self._last_unanswered_at = float('-inf')
         self._is_full_report_due = True
         self._authority_requested_at = float('-inf')
@@ -325,15 +328,15 @@
                     return
 
     def _send_start(self, start: _StartCall) -> None:
-        lease_until_ms = self._lease_for_start(start)
+        sent_at = boottime_clock()
+        lease_until_ms = self._lease_for_start(start, sent_at)
         if lease_until_ms:
-            sent_at = boottime_clock()
             outcome, clock_ms = self._client.start(
                 start.instance, start.order, start.fence, lease_until_ms
             )
             self._handle_start_outcome(start, outcome, clock_ms, sent_at)
 
-    def _lease_for_start(self, call: _StartCall) -> int:
+    def _lease_for_start(self, call: _StartCall, sent_at: float) -> int:
         """Return the end of the lease for a start, or 0 to not send it."""
         order = call.order
         with self._lock:
@@ -345,12 +348,13 @@
                 self._send_runs_gone((run.row,), 'not sent')
                 return 0
             until_ms = self._next_lease_end_ms()
-            now_ms = self._clock.estimate_ms(boottime_clock())
+            now_ms = self._clock.estimate_ms(sent_at)
             if until_ms - now_ms < _SHORTEST_LEASE_MS:
                 self._table.remove(order.task, order.run)
                 self._send_runs_gone((run.row,), 'no authority')
                 return 0
             self._clock.record_lease(until_ms)
+            run.began_at = sent_at
             return until_ms
 
     def _handle_start_outcome(
@@ -501,6 +505,7 @@
                 and report.born_ms != self._upstream.born_ms
             ):
                 # The upstream restarted under the same identity.
+                self._log_lost_runs('restarted')
                 self._reset_incarnation()
                 self._upstream = replace(
                     self._upstream, born_ms=report.born_ms
@@ -580,6 +585,8 @@
         with self._lock:
             self._unanswered_polls += 1
             self._last_unanswered_at = boottime_clock()
+            if self._unanswered_since is None:
+                self._unanswered_since = self._last_unanswered_at
             if self._unanswered_polls == _UNREACHABLE_AFTER_POLLS:
                 self._report_reachability(False)
             if not self._clock.has_lapsed(boottime_clock()):
@@ -587,6 +594,7 @@
             rows = self._table.rows()
             if rows:
                 log_event('lease_lapsed', runs=len(rows))
+                self._log_lost_runs('lease lapsed')
                 self._table = RunTable()
                 self._send_runs_gone(rows, 'lapsed')
             if self._is_full_report_due and self._connection is not None:
@@ -594,10 +602,37 @@
                 # runs nothing.
                 self._connection.send(UpstreamQuiet(self._fence))
 
+    def _log_lost_runs(self, reason: str) -> None:
+        """Log the runs that end with the upstream, the latest start first."""
+        upstream = self._upstream
+        runs = self._table.run_by_task.values()
+        if upstream is None or not runs:
+            return
+        now = boottime_clock()
+        lost_at = self._unanswered_since or now
+        ages_ms = {
+            f'{run.task.job_id}.{run.task.step}.{run.task.index}#{run.run}': (
+                round(1000 * (lost_at - run.began_at))
+            )
+            for run in runs
+            if run.began_at is not None
+        }
+        log_event(
+            'runs_lost',
+            instance=upstream.instance,
+            born_ms=upstream.born_ms,
+            draining=upstream.is_draining,
+            reason=reason,
+            unanswered_ms=round(1000 * (now - lost_at)),
+            lease_left_ms=self._clock.remaining_ms(now),
+            ages_ms=dict(sorted(ages_ms.items(), key=lambda age: age[1])),
+        )
+
     def _handle_answered_poll(self) -> None:
         if self._unanswered_polls >= _UNREACHABLE_AFTER_POLLS:
             self._report_reachability(True)
         self._unanswered_polls = 0
+        self._unanswered_since = None
 
     def _report_reachability(self, is_reachable: bool) -> None:
         log_event('upstream_reachable', reachable=is_reachable)
--- a/baobabgap/upstreams/_run_table.py
+++ b/baobabgap/upstreams/_run_table.py
@@ -28,6 +28,9 @@
     stopped_at: float | None = None
     # The reason to report once the upstream no longer lists the run.
     reason: str = 'stopped'
+    # When its start was sent or it was found, seconds of `boottime_clock`;
+    # None before that.
+    began_at: float | None = None
 
     @property
     def row(self) -> RunRow:
