Count an upstream's lease from the answer, not from the call

A task could be started a second time while its first run went on: an agent gave up the runs of a silent upstream up to 0.15 s before their lease had lapsed. It counted the time since the reading of the upstream's clock from when the poll was sent. A poll waits up to 0.25 s for a run to end and the clock is read at the end of that wait, so the clock was estimated too fast by the wait; the slack of 0.1 s doesn't cover it. A reading now counts from when the answer arrived, which is a lower bound of the clock. Leases that are sent become shorter by no more than the delay of an answer.

--- a/baobabgap/upstreams/_clock.py
+++ b/baobabgap/upstreams/_clock.py
@@ -35,11 +35,12 @@
         """The last reading in milliseconds, a lower bound of the clock."""
         return self._clock_ms
 
-    def record_reading(self, clock_ms: int, sent_at: float) -> None:
-        """Record a reading from the answer to a call sent at `sent_at`.
+    def record_reading(self, clock_ms: int, answered_at: float) -> None:
+        """Record a reading from an answer that arrived at `answered_at`.
 
-        The upstream read its clock no earlier than `sent_at`. A reading
-        lower than the last one is ignored.
+        The upstream read its clock no later than that, which may be long
+        after the call was sent. A reading lower than the last one is
+        ignored.
         """
         if not self._is_known:
             # An earlier process may have renewed the lease just before.
@@ -47,10 +48,10 @@
             self._is_known = True
         if clock_ms >= self._clock_ms:
             self._clock_ms = clock_ms
-            self._read_at = sent_at
+            self._read_at = answered_at
 
     def estimate_ms(self, now: float) -> int:
-        """Return the estimated reading of the clock at local time `now`."""
+        """Return the reading of the clock at local time `now`, or less."""
         return self._clock_ms + int(1000 * (now - self._read_at))
 
     def record_lease(self, until_ms: int) -> None:
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -334,7 +334,7 @@
             outcome, clock_ms = self._client.start(
                 start.instance, start.order, start.fence, lease_until_ms
             )
-            self._handle_start_outcome(start, outcome, clock_ms, sent_at)
+            self._handle_start_outcome(start, outcome, clock_ms)
 
     def _lease_for_start(self, call: _StartCall, sent_at: float) -> int:
         """Return the end of the lease for a start, or 0 to not send it."""
@@ -362,13 +362,13 @@
         call: _StartCall,
         outcome: StartOutcome,
         clock_ms: int,
-        sent_at: float,
     ) -> None:
         order = call.order
+        answered_at = boottime_clock()
         self._metrics.count(f'baobabgap_starts_total{{end="{outcome}"}}')
         with self._lock:
             if clock_ms:
-                self._clock.record_reading(clock_ms, sent_at)
+                self._clock.record_reading(clock_ms, answered_at)
             run = self._table.get(order.task, order.run)
             if run is None:
                 return
@@ -486,6 +486,7 @@
         report: UpstreamReport,
         sent_at: float,
     ) -> None:
+        answered_at = boottime_clock()
         with self._lock:
             if self._upstream is not upstream:
                 current = self._upstream
@@ -512,7 +513,7 @@
                 )
                 self._report_upstream()
                 return
-            self._clock.record_reading(report.clock_ms, sent_at)
+            self._clock.record_reading(report.clock_ms, answered_at)
             self._handle_answered_poll()
             self._queue_due_stops()
             self._request_authority()
--- a/baobabgap/upstreams/tests/test_run_agent.py
+++ b/baobabgap/upstreams/tests/test_run_agent.py
@@ -1,5 +1,6 @@
 """Tests of the agent's polls, with an upstream and a leader in memory."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from queue import SimpleQueue
@@ -22,6 +23,7 @@
 from baobabgap.protocol import RunOrder
 from baobabgap.protocol import RunsEnded
 from baobabgap.protocol import RunsFound
+from baobabgap.protocol import RunsGone
 from baobabgap.protocol import StartRuns
 from baobabgap.protocol import UpstreamChanged
 from baobabgap.protocol import UpstreamState
@@ -55,6 +57,9 @@
         self._messages: SimpleQueue[object] = SimpleQueue()
         self.ended_numbers: set[int] = set()
         self.reports: list[object] = []
+        self.gone: list[RunsGone] = []
+        self.withholds_authority = False
+        self.authority_until_ms = 0
         self.has_granted = threading.Event()
 
     def send(self, *messages: object) -> None:
@@ -72,8 +77,15 @@
         match message:
             case FullReport() | RunsFound() | UpstreamChanged():
                 self.reports.append(message)
+            case RunsGone():
+                self.gone.append(message)
             case AuthorityRequest(clock_ms=clock_ms):
-                self.order(Authority(_FENCE, _INSTANCE, clock_ms + 4000))
+                if self.withholds_authority:
+                    return
+                self.authority_until_ms = clock_ms + 4000
+                self.order(
+                    Authority(_FENCE, _INSTANCE, self.authority_until_ms)
+                )
                 self.has_granted.set()
             case RunsEnded(ended=ended):
                 self.ended_numbers.update(row.number for row in ended)
@@ -155,6 +167,27 @@
         self.assertGreater(self.upstream.polls, 3)
         self.assertEqual([], leader.reports)
 
+    def test_lease_is_not_taken_for_lapsed_while_it_may_hold(self) -> None:
+        """Started again elsewhere too early, a task would run twice."""
+        self.upstream.run_ms = 60_000
+        leader = self._start_agent(acknowledges=True)
+        order = RunOrder(TaskId('a', 0, 0), 1, 'x', Demand(1000, 10, 0))
+        leader.order(StartRuns(_FENCE, _INSTANCE, 1, (order,)))
+        self._wait_until(lambda: self.upstream.running)
+        leader.withholds_authority = True
+        # The last lease that is renewed ends with the authority.
+        almost_ended_ms = leader.authority_until_ms - 300
+        self._wait_until(lambda: self.upstream.clock_ms > almost_ended_ms)
+        self.upstream.is_silent = True
+        self._wait_until(lambda: leader.gone)
+        self.assertEqual(set(), self.upstream.running)
+
+    def _wait_until(self, condition: Callable[[], object]) -> None:
+        give_up_at = time.monotonic() + _WAIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), give_up_at)
+            time.sleep(0.002)
+
     def test_later_ends_arrive_while_one_is_not_acknowledged(self) -> None:
         leader = self._start_agent(acknowledges=False)
         self._run(leader, 3)
