Let a lease lapse that the upstream can't have got

Callers of seven to ten tasks that did no harm waited 3.3 s each time an upstream crashed. The agent records the end of a lease before it sends it and, as an unanswered poll may have arrived, counts it. The runs were given up only when the next instance announced itself.

A call whose connection couldn't be opened has had no effect: the client says so (CallNotDelivered, NOT_DELIVERED), its lease doesn't count, and such a start is given up at once instead of waiting for a stop to be answered. A refused connection alone doesn't end a run: its last lease has to lapse.

Before (tests on the old code, refusals taken as unanswered): both new tests fail, the runs are reported after 4.26 s. After: 37 tests of the agent and of dispatch pass.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -42,7 +42,14 @@
 from baobabgap.transport import Connection
 
 # Reasons with which an upstream or its agent refuses a start.
-_REFUSALS: Final = ('room', 'unhealthy', 'late', 'no authority', 'not sent')
+_REFUSALS: Final = (
+    'room',
+    'unhealthy',
+    'late',
+    'no authority',
+    'not sent',
+    'not delivered',
+)
 
 
 class AgentHandler:
--- a/baobabgap/dispatch/tests/fake_upstream.py
+++ b/baobabgap/dispatch/tests/fake_upstream.py
@@ -10,6 +10,7 @@
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import RunOrder
 from baobabgap.upstreams import ActiveRun
+from baobabgap.upstreams import CallNotDelivered
 from baobabgap.upstreams import StartOutcome
 from baobabgap.upstreams import UpstreamReport
 from baobabgap.upstreams import UpstreamSuperseded
@@ -37,6 +38,8 @@
         self.fails = False
         # Whether `hold` requests get no answer.
         self.is_silent = False
+        # Whether no connection can be opened.
+        self.is_refusing = False
         # The longest wait of the last `hold` request, milliseconds.
         self.last_wait_ms = 0
         self.starts: list[tuple[TaskId, int]] = []
@@ -75,6 +78,8 @@
     def start(
         self, instance: str, order: RunOrder, fence: int, lease_until_ms: int
     ) -> tuple[StartOutcome, int]:
+        if self.is_refusing:
+            return StartOutcome.NOT_DELIVERED, 0
         if self.leaves_unanswered(order):
             return StartOutcome.UNANSWERED, 0
         return self.carry_out(order, fence, lease_until_ms), self.clock_ms
@@ -101,6 +106,8 @@
             return StartOutcome.STARTED
 
     def stop(self, instance: str, task: TaskId, run: int, fence: int) -> bool:
+        if self.is_refusing:
+            return False
         with self._lock:
             self._advance()
             if fence < self._fence:
@@ -121,6 +128,8 @@
         wait_ms: int,
     ) -> UpstreamReport | None:
         self.last_wait_ms = wait_ms
+        if self.is_refusing:
+            raise CallNotDelivered
         if self.is_silent:
             return None
         give_up_at = time.monotonic() + wait_ms / 1000
--- a/baobabgap/upstreams/__init__.py
+++ b/baobabgap/upstreams/__init__.py
@@ -1,6 +1,7 @@
 """Runs tasks on one upstream: start and stop calls, leases and results."""
 
 from baobabgap.upstreams._client import ActiveRun
+from baobabgap.upstreams._client import CallNotDelivered
 from baobabgap.upstreams._client import StartOutcome
 from baobabgap.upstreams._client import UpstreamClient
 from baobabgap.upstreams._client import UpstreamReport
@@ -9,6 +10,7 @@
 
 __all__ = [
     'ActiveRun',
+    'CallNotDelivered',
     'RunAgent',
     'StartOutcome',
     'UpstreamClient',
--- a/baobabgap/upstreams/_client.py
+++ b/baobabgap/upstreams/_client.py
@@ -29,6 +29,8 @@
     INVALID = 'invalid'
     # There was no answer: the call may still take effect, even later.
     UNANSWERED = 'unanswered'
+    # No connection could be opened: the call has certainly had no effect.
+    NOT_DELIVERED = 'not delivered'
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +59,10 @@
     """The upstream has seen the fence of a later leader."""
 
 
+class CallNotDelivered(Exception):
+    """No connection could be opened, so the call had no effect."""
+
+
 class UpstreamClient(Protocol):
     """Calls the upstream on this host; safe for use by several threads.
 
@@ -95,5 +101,6 @@
         answer, or if another incarnation answered.
 
         Raises:
+            CallNotDelivered: The upstream has certainly not got the call.
             UpstreamSuperseded: The upstream has seen a later fence.
         """
--- a/baobabgap/upstreams/_clock.py
+++ b/baobabgap/upstreams/_clock.py
@@ -1,5 +1,6 @@
 """Estimates the upstream's clock and bounds the end of its leases."""
 
+from dataclasses import dataclass
 import math
 from typing import Final
 
@@ -9,6 +10,14 @@
 _STOP_SLACK_MS: Final = 100
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class SentLease:
+    """A lease in a call to the upstream; equal to itself only."""
+
+    # The end of the lease, milliseconds of the upstream's clock.
+    until_ms: int
+
+
 class LeaseClock:
     """The last reading of the upstream's clock, and its latest lease.
 
@@ -21,8 +30,10 @@
         # Until the first reading, the latest lease counts from the start: an
         # earlier process of this agent may have sent one just before.
         self._read_at = started_at
-        # The latest end of any lease that was sent, whether answered or not.
+        # The latest end of any lease that the upstream may have got.
         self._latest_lease_end_ms = int(1000 * longest_lease_s)
+        # Leases in calls that are being sent.
+        self._leases_in_flight: set[SentLease] = set()
         self._is_known = False
 
     @property
@@ -54,9 +65,28 @@
         """Return the reading of the clock at local time `now`, or less."""
         return self._clock_ms + int(1000 * (now - self._read_at))
 
-    def record_lease(self, until_ms: int) -> None:
-        """Record a lease up to `until_ms`; call this before sending it."""
-        self._latest_lease_end_ms = max(self._latest_lease_end_ms, until_ms)
+    def begin_lease(self, until_ms: int) -> SentLease:
+        """Record a lease up to `until_ms`; call this before sending it.
+
+        Pass the result to `settle_lease` once the call has ended.
+        """
+        lease = SentLease(until_ms)
+        self._leases_in_flight.add(lease)
+        return lease
+
+    def settle_lease(self, lease: SentLease, *, was_delivered: bool) -> None:
+        """Record whether the upstream may have got a lease that was sent.
+
+        A call without an answer may have been delivered. Leases of an
+        earlier incarnation are ignored.
+        """
+        if lease not in self._leases_in_flight:
+            return
+        self._leases_in_flight.discard(lease)
+        if was_delivered:
+            self._latest_lease_end_ms = max(
+                self._latest_lease_end_ms, lease.until_ms
+            )
 
     def has_lapsed(self, now: float) -> bool:
         """Return whether every lease that was sent has certainly expired.
@@ -71,9 +101,13 @@
 
         In milliseconds of local time; negative once all have expired.
         """
-        longest_ms = (
-            self._latest_lease_end_ms - self._clock_ms + _STOP_SLACK_MS
+        lease_end_ms = max(
+            [
+                self._latest_lease_end_ms,
+                *(lease.until_ms for lease in self._leases_in_flight),
+            ]
         )
+        longest_ms = lease_end_ms - self._clock_ms + _STOP_SLACK_MS
         return math.floor(
             longest_ms * (1 + CLOCK_DRIFT) - 1000 * (now - self._read_at)
         )
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -31,11 +31,13 @@
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 from baobabgap.transport import Connection
+from baobabgap.upstreams._client import CallNotDelivered
 from baobabgap.upstreams._client import StartOutcome
 from baobabgap.upstreams._client import UpstreamClient
 from baobabgap.upstreams._client import UpstreamReport
 from baobabgap.upstreams._client import UpstreamSuperseded
 from baobabgap.upstreams._clock import LeaseClock
+from baobabgap.upstreams._clock import SentLease
 from baobabgap.upstreams._run_table import RunTable
 from baobabgap.upstreams._run_table import TrackedRun
 
@@ -329,33 +331,40 @@
 
     def _send_start(self, start: _StartCall) -> None:
         sent_at = boottime_clock()
-        lease_until_ms = self._lease_for_start(start, sent_at)
-        if lease_until_ms:
-            outcome, clock_ms = self._client.start(
-                start.instance, start.order, start.fence, lease_until_ms
+        lease = self._lease_for_start(start, sent_at)
+        if lease is None:
+            return
+        outcome, clock_ms = self._client.start(
+            start.instance, start.order, start.fence, lease.until_ms
+        )
+        with self._lock:
+            self._clock.settle_lease(
+                lease,
+                was_delivered=outcome is not StartOutcome.NOT_DELIVERED,
             )
-            self._handle_start_outcome(start, outcome, clock_ms)
+        self._handle_start_outcome(start, outcome, clock_ms)
 
-    def _lease_for_start(self, call: _StartCall, sent_at: float) -> int:
-        """Return the end of the lease for a start, or 0 to not send it."""
+    def _lease_for_start(
+        self, call: _StartCall, sent_at: float
+    ) -> SentLease | None:
+        """Return the lease for a start, or None to not send it."""
         order = call.order
         with self._lock:
             run = self._table.get(order.task, order.run)
             if run is None:
-                return 0
+                return None
             if call.link_number != self._link_number or run.must_stop:
                 self._table.remove(order.task, order.run)
                 self._send_runs_gone((run.row,), 'not sent')
-                return 0
+                return None
             until_ms = self._next_lease_end_ms()
             now_ms = self._clock.estimate_ms(sent_at)
             if until_ms - now_ms < _SHORTEST_LEASE_MS:
                 self._table.remove(order.task, order.run)
                 self._send_runs_gone((run.row,), 'no authority')
-                return 0
-            self._clock.record_lease(until_ms)
+                return None
             run.began_at = sent_at
-            return until_ms
+            return self._clock.begin_lease(until_ms)
 
     def _handle_start_outcome(
         self,
@@ -429,8 +438,6 @@
                 lease_end_ms = (
                     self._next_lease_end_ms() if self._clock.is_known else 0
                 )
-                if lease_end_ms:
-                    self._clock.record_lease(lease_end_ms)
                 is_full_report_due = self._is_full_report_due
             if not fence:
                 self._pause(_POLL_RETRY_PAUSE_S)
@@ -442,7 +449,7 @@
                 else self._poll_wait_ms()
             )
             try:
-                report = self._client.poll(
+                report = self._poll(
                     upstream.instance if upstream else '',
                     fence,
                     acknowledged_number,
@@ -464,6 +471,29 @@
             else:
                 self._wait_for_acknowledgement()
 
+    def _poll(
+        self,
+        instance: str,
+        fence: int,
+        acknowledged_number: int,
+        lease_end_ms: int,
+        wait_ms: int,
+    ) -> UpstreamReport | None:
+        """Poll the upstream; return None if it doesn't answer."""
+        with self._lock:
+            lease = self._clock.begin_lease(lease_end_ms)
+        was_delivered = True
+        try:
+            return self._client.poll(
+                instance, fence, acknowledged_number, lease_end_ms, wait_ms
+            )
+        except CallNotDelivered:
+            was_delivered = False
+            return None
+        finally:
+            with self._lock:
+                self._clock.settle_lease(lease, was_delivered=was_delivered)
+
     def _wait_for_acknowledgement(self) -> None:
         """Wait briefly while ended runs aren't acknowledged.
 
