Fail a job under whose task upstreams crash again and again

The agent, which outlives its upstream, is the witness: it reports which runs a crash ended and how long before it each had started, also to each later leader. A crash is a new instance without a drain or leave before it, or a host that refuses connections until the lease has lapsed. The leader weighs the evidence (accepted._crashes, no network or clock): the runs that started last are suspected. Crashes under tasks of stored jobs are stored by run, so that a repeated report counts once. A task is given up after three crashes, or after two if nothing else ran on the last upstream; never after one. Its job fails with a reason of its own in the answer, the log (job_ended, upstream_crashed) and the metrics.

--- a/baobabgap/accepted/__init__.py
+++ b/baobabgap/accepted/__init__.py
@@ -6,6 +6,11 @@
 from baobabgap.accepted._commands import EnrolMembers
 from baobabgap.accepted._commands import NoteEnds
 from baobabgap.accepted._commands import PutConfiguration
+from baobabgap.accepted._crashes import CrashEvidence
+from baobabgap.accepted._crashes import is_given_up
+from baobabgap.accepted._crashes import must_run_alone
+from baobabgap.accepted._crashes import UPSTREAM_CRASHES
+from baobabgap.accepted._crashes import weigh_crash
 from baobabgap.accepted._model import AcceptedJob
 from baobabgap.accepted._model import Demand
 from baobabgap.accepted._model import JobState
@@ -22,11 +27,14 @@
     'AcceptedState',
     'AcceptJobs',
     'CancelAccepted',
+    'CrashEvidence',
     'Demand',
     'DismissMembers',
     'EnrolMembers',
+    'is_given_up',
     'JobEnd',
     'JobState',
+    'must_run_alone',
     'NoteEnds',
     'PutConfiguration',
     'RunEnd',
@@ -34,4 +42,6 @@
     'TaskEnd',
     'TaskId',
     'UnfinishedJob',
+    'UPSTREAM_CRASHES',
+    'weigh_crash',
 ]
--- a/baobabgap/accepted/_commands.py
+++ b/baobabgap/accepted/_commands.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from baobabgap.accepted._crashes import CrashEvidence
 from baobabgap.accepted._model import AcceptedJob
 from baobabgap.accepted._model import JobState
 from baobabgap.accepted._model import TaskEnd
@@ -66,6 +67,8 @@
     done: tuple[tuple[int, int], ...]
     # Step, index and run of each failed run.
     failed_runs: tuple[tuple[int, int, int], ...]
+    # Step, index and run of each run that was lost in a crash.
+    crashed_runs: tuple[tuple[int, int, int, CrashEvidence], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +79,8 @@
     queue: str
     state: JobState
     ended_ms: int
+    # Why it failed, if not by failed runs; empty otherwise.
+    reason: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/accepted/_model.py
+++ b/baobabgap/accepted/_model.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from baobabgap.accepted._crashes import CrashEvidence
+
 
 class JobState(StrEnum):
     """The state of a job as reported to callers."""
@@ -116,3 +118,5 @@
     task: TaskId
     run: int
     end: RunEnd
+    # Set if the run was lost in a crash of its upstream.
+    crash: CrashEvidence | None = None
--- a/baobabgap/accepted/_state.py
+++ b/baobabgap/accepted/_state.py
@@ -15,6 +15,9 @@
 from baobabgap.accepted._commands import PutConfiguration
 from baobabgap.accepted._commands import StoredEnd
 from baobabgap.accepted._commands import StoredJob
+from baobabgap.accepted._crashes import CrashEvidence
+from baobabgap.accepted._crashes import is_given_up
+from baobabgap.accepted._crashes import UPSTREAM_CRASHES
 from baobabgap.accepted._model import AcceptedJob
 from baobabgap.accepted._model import JobState
 from baobabgap.accepted._model import RunEnd
@@ -34,6 +37,11 @@
     failed_runs_by_task: dict[tuple[int, int], set[int]] = field(
         default_factory=dict
     )
+    # Runs lost in crashes of their upstreams, with the evidence against
+    # them, by task.
+    crashes_by_task: dict[tuple[int, int], dict[int, CrashEvidence]] = field(
+        default_factory=dict
+    )
 
     @property
     def is_complete(self) -> bool:
@@ -52,6 +60,8 @@
 
     job_id: str
     state: JobState
+    # Why it failed, if not by failed runs; empty otherwise.
+    reason: str = ''
 
 
 class AcceptedState:
@@ -127,6 +137,11 @@
             return JobState.QUEUED
         return None
 
+    def failure_reason(self, job_id: str) -> str:
+        """Return why a job failed; empty if not or by failed runs."""
+        ended = self.ended_by_id.get(job_id)
+        return ended.reason if ended else ''
+
     def snapshot(self) -> bytes:
         """Encode the complete state."""
         return encode(
@@ -165,14 +180,15 @@
     def _note_ends(self, ends: tuple[TaskEnd, ...]) -> list[JobEnd]:
         job_ends = []
         for end in ends:
-            state = self._note_end(end)
-            if state is not None:
-                self._end_job(end.task.job_id, state)
-                job_ends.append(JobEnd(end.task.job_id, state))
+            job_end = self._note_end(end)
+            if job_end is not None:
+                self._end_job(job_end.job_id, job_end.state, job_end.reason)
+                job_ends.append(job_end)
         return job_ends
 
-    def _note_end(self, end: TaskEnd) -> JobState | None:
-        """Record one end; return the job's final state if it ends the job."""
+    def _note_end(self, end: TaskEnd) -> JobEnd | None:
+        """Record one end; return the end of the job if it ends the job."""
+        job_id = end.task.job_id
         unfinished = self.unfinished_by_id.get(end.task.job_id)
         if unfinished is None:
             return None
@@ -183,19 +199,24 @@
             case RunEnd.DONE:
                 unfinished.done.add(task)
                 if unfinished.is_complete:
-                    return JobState.COMPLETED
+                    return JobEnd(job_id, JobState.COMPLETED)
             case RunEnd.FAILED:
                 runs = unfinished.failed_runs_by_task.setdefault(task, set())
                 runs.add(end.run)
                 if len(runs) >= unfinished.job.attempts:
-                    return JobState.FAILED
+                    return JobEnd(job_id, JobState.FAILED)
+            case RunEnd.INTERRUPTED if end.crash is not None:
+                crashes = unfinished.crashes_by_task.setdefault(task, {})
+                crashes.setdefault(end.run, end.crash)
+                if is_given_up(crashes):
+                    return JobEnd(job_id, JobState.FAILED, UPSTREAM_CRASHES)
         return None
 
-    def _end_job(self, job_id: str, state: JobState) -> None:
+    def _end_job(self, job_id: str, state: JobState, reason: str = '') -> None:
         unfinished = self.unfinished_by_id.pop(job_id, None)
         if unfinished is not None:
             self.ended_by_id[job_id] = StoredEnd(
-                job_id, unfinished.job.queue, state, self.now_ms
+                job_id, unfinished.job.queue, state, self.now_ms, reason
             )
 
     def _put_configuration(self, configuration: QueueConfiguration) -> None:
@@ -226,6 +247,13 @@
             )
             for run in sorted(runs)
         ),
+        tuple(
+            (step, index, run, evidence)
+            for (step, index), crashes in sorted(
+                unfinished.crashes_by_task.items()
+            )
+            for run, evidence in sorted(crashes.items())
+        ),
     )
 
 
@@ -234,6 +262,9 @@
     for step, index, run in stored.failed_runs:
         runs = unfinished.failed_runs_by_task.setdefault((step, index), set())
         runs.add(run)
+    for step, index, run, evidence in stored.crashed_runs:
+        crashes = unfinished.crashes_by_task.setdefault((step, index), {})
+        crashes[run] = evidence
     return unfinished
 
 
--- a/baobabgap/accepted/tests/test_state.py
+++ b/baobabgap/accepted/tests/test_state.py
@@ -6,6 +6,7 @@
 from baobabgap.accepted import AcceptedState
 from baobabgap.accepted import AcceptJobs
 from baobabgap.accepted import CancelAccepted
+from baobabgap.accepted import CrashEvidence
 from baobabgap.accepted import Demand
 from baobabgap.accepted import DismissMembers
 from baobabgap.accepted import EnrolMembers
@@ -17,6 +18,7 @@
 from baobabgap.accepted import Step
 from baobabgap.accepted import TaskEnd
 from baobabgap.accepted import TaskId
+from baobabgap.accepted import UPSTREAM_CRASHES
 from baobabgap.messages import encode
 from baobabgap.queues import QueueConfiguration
 
@@ -77,6 +79,44 @@
         self.apply(AcceptJobs((make_job(),)))
         self.assertIs(JobState.COMPLETED, self.state.state_of('a'))
 
+    def note_crash(self, run: int, evidence: CrashEvidence) -> object:
+        end = TaskEnd(TaskId('a', 0, 0), run, RunEnd.INTERRUPTED, evidence)
+        return self.apply(NoteEnds((end,), 200))
+
+    def test_job_fails_once_a_task_is_given_up_for_crashes(self) -> None:
+        self.apply(AcceptJobs((make_job(),)))
+        self.assertEqual([], self.note_crash(1, CrashEvidence.STRONG))
+        # An agent reports a crash to each new leader.
+        self.assertEqual([], self.note_crash(1, CrashEvidence.STRONG))
+        self.assertEqual(
+            [JobEnd('a', JobState.FAILED, UPSTREAM_CRASHES)],
+            self.note_crash(2, CrashEvidence.ALONE),
+        )
+        self.assertIs(JobState.FAILED, self.state.state_of('a'))
+        self.assertEqual(UPSTREAM_CRASHES, self.state.failure_reason('a'))
+
+    def test_crashes_survive_a_snapshot(self) -> None:
+        self.apply(AcceptJobs((make_job(), make_job('b'))))
+        self.note_crash(1, CrashEvidence.WEAK)
+        restored = AcceptedState(RETENTION_MS)
+        restored.restore(1, self.state.snapshot())
+        self.state = restored
+        self.assertEqual(
+            {(0, 0): {1: CrashEvidence.WEAK}},
+            restored.unfinished_by_id['a'].crashes_by_task,
+        )
+        self.note_crash(2, CrashEvidence.ALONE)
+        self.assertIs(JobState.FAILED, restored.state_of('a'))
+        again = AcceptedState(RETENTION_MS)
+        again.restore(2, restored.snapshot())
+        self.assertEqual(UPSTREAM_CRASHES, again.failure_reason('a'))
+
+    def test_interrupted_run_without_a_crash_does_not_count(self) -> None:
+        self.apply(AcceptJobs((make_job(),)))
+        for run in range(1, 9):
+            self.note_end(0, RunEnd.INTERRUPTED, run)
+        self.assertIs(JobState.QUEUED, self.state.state_of('a'))
+
     def test_repeated_failed_run_counts_once(self) -> None:
         self.apply(AcceptJobs((make_job(),)))
         self.assertEqual([], self.note_end(0, RunEnd.FAILED, run=1))
--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -14,6 +14,7 @@
 from baobabgap.dispatch._agent_view import Run
 from baobabgap.dispatch._committer import Committer
 from baobabgap.dispatch._committer import ignore_result
+from baobabgap.dispatch._crash_recorder import CrashRecorder
 from baobabgap.dispatch._events import MembersEnrolled
 from baobabgap.dispatch._events import PostEvent
 from baobabgap.dispatch._job_closer import JobCloser
@@ -24,6 +25,7 @@
 from baobabgap.protocol import Authority
 from baobabgap.protocol import AuthorityRequest
 from baobabgap.protocol import boottime_clock
+from baobabgap.protocol import CRASHED
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import EndsNoted
 from baobabgap.protocol import FullReport
@@ -60,6 +62,7 @@
         term_state: TermState,
         runs: RunTracker,
         closer: JobCloser,
+        crashes: CrashRecorder,
         state: AcceptedState,
         committer: Committer,
         timing: LeaseTiming,
@@ -68,6 +71,7 @@
         self._term_state: Final = term_state
         self._runs: Final = runs
         self._closer: Final = closer
+        self._crashes: Final = crashes
         self._state: Final = state
         self._committer: Final = committer
         self._timing: Final = timing
@@ -118,13 +122,18 @@
             case UpstreamChanged(upstream=upstream):
                 self._change_upstream(view, upstream)
             case RunsEnded() | RunsGone() | RunsFound():
-                if view.is_current_instance(message.instance, message.born_ms):
-                    self._handle_run_message(view, message)
+                self._handle_run_message(view, message)
 
     def _handle_run_message(
         self, view: AgentView, message: RunsEnded | RunsGone | RunsFound
     ) -> None:
         match message:
+            case RunsGone(reason=reason) if reason == CRASHED:
+                self._handle_crash(view, message)
+            case _ if not view.is_current_instance(
+                message.instance, message.born_ms
+            ):
+                return
             case RunsEnded(ended=ended):
                 self._handle_ends(view, ended)
             case RunsGone():
@@ -168,6 +177,8 @@
     def _handle_full_report(self, view: AgentView, report: FullReport) -> None:
         if report.fence != self._term_state.term:
             return
+        for crash in report.crashes:
+            self._handle_crash(view, crash)
         self._change_upstream(view, report.upstream)
         if report.upstream is None:
             return
@@ -247,6 +258,15 @@
             and self._state.state_of(job_id) is None
         )
 
+    def _handle_crash(self, view: AgentView, message: RunsGone) -> None:
+        """Record a crash of the current instance or an earlier one."""
+        # Recorded first, so that no task starts again that is given up.
+        self._crashes.record(view.name, message)
+        for row in message.runs:
+            run = view.run_by_task.get(row.task)
+            if run is not None and run.number == row.run:
+                self._runs.drop(view, row.task, message.reason)
+
     def _handle_gone_runs(self, view: AgentView, message: RunsGone) -> None:
         if message.reason in _REFUSALS and view.target is not None:
             view.target.note_refused(time.monotonic())
--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -230,8 +230,13 @@
             plan = term_state.plan_by_id[job_id]
             plan.await_until(_awaited_until(call))
         elif job_id in term_state.ended_by_id:
-            state = term_state.ended_by_id[job_id].state
-            answer(arrived, CallOutcome.FOUND, state=state)
+            ended = term_state.ended_by_id[job_id]
+            answer(
+                arrived,
+                CallOutcome.FOUND,
+                state=ended.state,
+                detail=ended.reason,
+            )
         elif job_id in term_state.storing_by_id:
             term_state.storing_by_id[job_id][1].append(arrived)
         elif self._state.state_of(job_id) is not None:
@@ -338,7 +343,12 @@
         if state is None:
             answer(arrived, CallOutcome.NO_SUCH_JOB)
         else:
-            answer(arrived, CallOutcome.FOUND, state=state)
+            answer(
+                arrived,
+                CallOutcome.FOUND,
+                state=state,
+                detail=self._state.failure_reason(job_id),
+            )
 
     def _count_waiting(self, queue: str) -> int:
         return sum(
--- a/baobabgap/dispatch/_job_closer.py
+++ b/baobabgap/dispatch/_job_closer.py
@@ -9,6 +9,7 @@
 from baobabgap.accepted import JobState
 from baobabgap.accepted import NoteEnds
 from baobabgap.accepted import TaskEnd
+from baobabgap.accepted import UPSTREAM_CRASHES
 from baobabgap.dispatch._committer import Committer
 from baobabgap.dispatch._events import EndsStored
 from baobabgap.dispatch._events import PostEvent
@@ -89,7 +90,7 @@
     def store(self) -> None:
         """Store the next batch; notify at once if nothing is to be stored."""
         self._repeat_batches(time.monotonic())
-        if not self._noted_by_agent:
+        if not self._noted_by_agent and not self._unstored:
             return
         noted = self._noted_by_agent
         self._noted_by_agent = {}
@@ -133,7 +134,8 @@
                 state in _ENDED_STATES
                 and job_id in self._term_state.plan_by_id
             ):
-                self.close(JobEnd(job_id, state))
+                reason = self._state.failure_reason(job_id)
+                self.close(JobEnd(job_id, state, reason))
 
     def _repeat_batches(self, now: float) -> None:
         if now < self._repeat_at:
@@ -165,9 +167,11 @@
         now = time.monotonic()
         callers = term_state.callers_by_id.pop(job_id, [])
         if callers:
-            term_state.ended_by_id[job_id] = EndedJob(state, now)
+            term_state.ended_by_id[job_id] = EndedJob(
+                state, now, job_end.reason
+            )
         for call in (*callers, *term_state.readers_by_id.pop(job_id, [])):
-            answer(call, CallOutcome.FOUND, state=state)
+            answer(call, CallOutcome.FOUND, state=state, detail=job_end.reason)
         plan = term_state.pop_plan(job_id)
         if plan is None:
             return
@@ -178,11 +182,14 @@
                 )
         taken_s = now - plan.arrived_at
         self._metrics.count(f'baobabgap_jobs_total{{end="{state}"}}')
+        if job_end.reason == UPSTREAM_CRASHES:
+            self._metrics.count('baobabgap_jobs_failed_by_crashes_total')
         self._metrics.observe_seconds('baobabgap_job_seconds', taken_s)
         log_event(
             'job_ended',
             job=job_id,
             state=state,
+            reason=job_end.reason,
             taken_ms=round(1000 * taken_s),
             objective_ms=round(1000 * plan.objective_s),
         )
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -17,6 +17,7 @@
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._call_handler import CallHandler
 from baobabgap.dispatch._committer import Committer
+from baobabgap.dispatch._crash_recorder import CrashRecorder
 from baobabgap.dispatch._entry_registry import EntryRegistry
 from baobabgap.dispatch._events import AgentLinked
 from baobabgap.dispatch._events import AgentReported
@@ -96,6 +97,7 @@
             term_state,
             runs,
             self._closer,
+            CrashRecorder(term_state, self._closer, state, metrics),
             state,
             committer,
             timing,
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -30,6 +30,8 @@
 
     state: JobState
     ended_at: float
+    # Why it failed, if not by failed runs; empty otherwise.
+    reason: str = ''
 
 
 class TermState:
--- a/baobabgap/dispatch/tests/deployment.py
+++ b/baobabgap/dispatch/tests/deployment.py
@@ -1,8 +1,10 @@
 """A deployment in one process: control nodes, agents and an entry."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from pathlib import Path
 import socket
 import time
@@ -73,14 +75,22 @@
 class Deployment:
     """A deployment whose parts are connected by real links."""
 
-    def __init__(self, folder: Path, controls: int, agents: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        controls: int,
+        agents: int,
+        upstreams: Sequence[FakeUpstream] = (),
+    ) -> None:
         self.pool = ThreadPoolExecutor(512)
         self._hosts = tuple(
             ControlHost(f'control-{number}', HOST, free_port())
             for number in range(controls)
         )
         self.nodes = [self._node(folder, host) for host in self._hosts]
-        self.upstreams = [FakeUpstream() for _ in range(agents)]
+        self.upstreams = list(upstreams) or [
+            FakeUpstream() for _ in range(agents)
+        ]
         self.agents = [
             RunAgent(upstream, LeaseTiming(), self.pool, Metrics())
             for upstream in self.upstreams
@@ -128,9 +138,14 @@
         assert self.leader is not None
         self.leader.put_configuration(configuration(version)).result(WAIT_S)
 
-    def announced_state(self, number: int) -> UpstreamState:
+    def announced_state(
+        self, number: int, *, is_draining: bool = False, cores: int = CORES
+    ) -> UpstreamState:
         """Return the state that an upstream announces."""
-        return describe_upstream(number, self.upstreams[number].born_ms, CORES)
+        state = describe_upstream(
+            number, self.upstreams[number].born_ms, cores
+        )
+        return replace(state, is_draining=is_draining)
 
     def submit(
         self,
--- a/baobabgap/dispatch/tests/fake_upstream.py
+++ b/baobabgap/dispatch/tests/fake_upstream.py
@@ -10,8 +10,8 @@
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import RunOrder
 from baobabgap.upstreams import ActiveRun
-from baobabgap.upstreams import CallNotDelivered
 from baobabgap.upstreams import StartOutcome
+from baobabgap.upstreams import UpstreamNotListening
 from baobabgap.upstreams import UpstreamReport
 from baobabgap.upstreams import UpstreamSuperseded
 
@@ -129,7 +129,7 @@
     ) -> UpstreamReport | None:
         self.last_wait_ms = wait_ms
         if self.is_refusing:
-            raise CallNotDelivered
+            raise UpstreamNotListening
         if self.is_silent:
             return None
         give_up_at = time.monotonic() + wait_ms / 1000
@@ -142,6 +142,9 @@
             self._ended = [row for row in self._ended if row.number > noted]
             while not self._ended and time.monotonic() < give_up_at:
                 self._lock.wait(0.005)
+                if self.is_refusing:
+                    # The connection ends with the process.
+                    return None
                 self._advance()
             return UpstreamReport(
                 self.clock_ms,
--- /dev/null
+++ b/baobabgap/dispatch/tests/test_crashes.py
@@ -0,0 +1,145 @@
+"""Tests with tasks that make each upstream crash that starts them."""
+
+from functools import partial
+from pathlib import Path
+import tempfile
+import time
+import unittest
+
+from baobabgap.accepted import TaskId
+from baobabgap.accepted import UPSTREAM_CRASHES
+from baobabgap.dispatch.tests.crashing_upstream import CrashingUpstream
+from baobabgap.dispatch.tests.deployment import Deployment
+from baobabgap.dispatch.tests.deployment import step
+from baobabgap.dispatch.tests.deployment import WAIT_S
+from baobabgap.dispatch.tests.deployment import wait_until
+from baobabgap.protocol import CallAnswer
+
+HARMFUL = TaskId('harmful', 0, 0)
+
+
+class CrashTest(unittest.TestCase):
+    controls = 1
+    agents = 2
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.upstreams = [
+            CrashingUpstream(
+                lambda task: task == HARMFUL, partial(self._announce, number)
+            )
+            for number in range(self.agents)
+        ]
+        self.deployment = Deployment(
+            Path(folder.name),
+            self.controls,
+            self.agents,
+            upstreams=self.upstreams,
+        )
+        self.addCleanup(self.deployment.close)
+        self.deployment.start()
+
+    def _announce(self, number: int) -> None:
+        self.deployment.agents[number].announce(
+            self.deployment.announced_state(number)
+        )
+
+    def starts_of(self, job_id: str) -> list[tuple[TaskId, int]]:
+        return [
+            (task, run)
+            for upstream in self.upstreams
+            for task, run in upstream.all_starts
+            if task.job_id == job_id
+        ]
+
+    @property
+    def crashes(self) -> int:
+        return sum(upstream.crashes for upstream in self.upstreams)
+
+    def end_of(self, job_id: str) -> CallAnswer:
+        """Return the answer to a read once the job has ended."""
+        wait_until(
+            lambda: (
+                self.deployment.read(job_id).state
+                in ('completed', 'failed', 'cancelled')
+            ),
+            f'the end of {job_id}',
+        )
+        return self.deployment.read(job_id)
+
+
+class OneControlHostTest(CrashTest):
+    def test_stored_task_that_crashes_upstreams_is_given_up(self) -> None:
+        self.deployment.submit('harmful', step(1), volatile=False).result(
+            WAIT_S
+        )
+        answer = self.end_of('harmful')
+        self.assertEqual(
+            ('failed', UPSTREAM_CRASHES), (answer.state, answer.detail)
+        )
+        time.sleep(2.5)
+        self.assertEqual(2, len(self.starts_of('harmful')))
+        self.assertEqual(2, self.crashes)
+
+    def test_volatile_task_that_crashes_upstreams_is_given_up(self) -> None:
+        answer = self.deployment.submit(
+            'harmful', step(1), volatile=True
+        ).result(WAIT_S)
+        self.assertEqual(
+            ('failed', UPSTREAM_CRASHES), (answer.state, answer.detail)
+        )
+        self.assertEqual(2, self.crashes)
+
+    def test_run_that_ends_with_a_drained_upstream_is_no_crash(self) -> None:
+        """An upstream that leaves may end what still runs on it."""
+        upstream = self.upstreams[0]
+        for other in self.upstreams:
+            other.run_ms = 60_000
+        self.deployment.submit('job', step(8, 60_000), volatile=False).result(
+            WAIT_S
+        )
+        wait_until(lambda: len(self.starts_of('job')) == 8, 'full upstreams')
+        for _ in range(3):
+            self.deployment.agents[0].announce(
+                self.deployment.announced_state(0, is_draining=True)
+            )
+            time.sleep(0.1)
+            upstream.restart(upstream.born_ms + 1)
+            self._announce(0)
+            wait_until(lambda: len(upstream.starts) >= 4, 'repeated starts')
+        self.assertEqual('running', self.deployment.read('job').state)
+        self.deployment.cancel('job')
+
+
+class ThreeControlHostsTest(CrashTest):
+    controls = 3
+
+    def test_crashes_count_across_the_loss_of_leaders(self) -> None:
+        self.deployment.submit('harmful', step(1), volatile=False).result(
+            WAIT_S
+        )
+        wait_until(lambda: self.crashes == 1, 'the first crash')
+        # The leader may not know of the crash yet: the agent tells the next.
+        self._stop_leader()
+        self.assertEqual('failed', self.end_of('harmful').state)
+        self.assertEqual(2, len(self.starts_of('harmful')))
+
+    def test_stored_crash_counts_after_the_agent_has_forgotten(self) -> None:
+        self.deployment.submit('harmful', step(1), volatile=False).result(
+            WAIT_S
+        )
+        wait_until(lambda: self.crashes == 2, 'the second crash')
+        for agent in self.deployment.agents:
+            agent._crash_reports._crashes.clear()
+        self._stop_leader()
+        self.assertEqual('failed', self.end_of('harmful').state)
+        self.assertLessEqual(len(self.starts_of('harmful')), 3)
+
+    def _stop_leader(self) -> None:
+        leader = self.deployment.leader
+        assert leader is not None
+        leader.stop()
+        wait_until(
+            lambda: self.deployment.leader not in (None, leader), 'a leader'
+        )
--- a/baobabgap/protocol/__init__.py
+++ b/baobabgap/protocol/__init__.py
@@ -8,6 +8,7 @@
 from baobabgap.protocol._messages import CallAnswer
 from baobabgap.protocol._messages import CallOutcome
 from baobabgap.protocol._messages import CancelPath
+from baobabgap.protocol._messages import CRASHED
 from baobabgap.protocol._messages import DropCall
 from baobabgap.protocol._messages import EndRow
 from baobabgap.protocol._messages import EndsNoted
@@ -47,6 +48,7 @@
     'CLOCK_DRIFT',
     'CONTROL_ROLE',
     'ControlNodeOptions',
+    'CRASHED',
     'DropCall',
     'EndRow',
     'EndsNoted',
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Final
 
 from baobabgap.accepted import Demand
 from baobabgap.accepted import RunEnd
@@ -128,6 +129,9 @@
     # The resources it occupies; zero if only an earlier process of the
     # agent knew them.
     demand: Demand = Demand()
+    # Milliseconds from its start to the crash of its upstream; None if the
+    # start is unknown or the upstream has not crashed.
+    age_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,6 +163,22 @@
     is_reachable: bool
 
 
+# The reason of `RunsGone` after a crash of the upstream.
+CRASHED: Final = 'crashed'
+
+
+@dataclass(frozen=True, slots=True)
+class RunsGone:
+    """Reports runs that neither run nor will run: refused or lapsed."""
+
+    instance: str
+    born_ms: int
+    runs: tuple[RunRow, ...]
+    # room, late, unhealthy, unanswered or lapsed; used in logs. `CRASHED`
+    # if the upstream has crashed under all these runs.
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class FullReport:
     """Complete state of an agent; its first message to each leader."""
@@ -168,6 +188,8 @@
     upstream: UpstreamState | None
     running: tuple[RunRow, ...]
     ended: tuple[EndRow, ...]
+    # What the latest crashes of the upstream ended, also if reported before.
+    crashes: tuple[RunsGone, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,17 +222,6 @@
     ended: tuple[EndRow, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class RunsGone:
-    """Reports runs that neither run nor will run: refused or lapsed."""
-
-    instance: str
-    born_ms: int
-    runs: tuple[RunRow, ...]
-    # room, late, unhealthy, unanswered or lapsed; used in logs.
-    reason: str
-
-
 @dataclass(frozen=True, slots=True)
 class RunsFound:
     """Reports runs on the upstream that its agent did not order."""
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -8,6 +8,8 @@
 from typing import Final
 
 from baobabgap.accepted import AcceptedJob
+from baobabgap.accepted import CrashEvidence
+from baobabgap.accepted import is_given_up
 from baobabgap.accepted import TaskId
 from baobabgap.accepted import UnfinishedJob
 from baobabgap.scheduling._run_times import RunTimes
@@ -26,11 +28,18 @@
     # Upstreams on which a run of the task has failed or hung.
     avoided: set[str] = field(default_factory=set)
     failed_runs: set[int] = field(default_factory=set)
+    # Runs that were lost in crashes of their upstreams.
+    evidence_by_run: dict[int, CrashEvidence] = field(default_factory=dict)
     # Number of its runs that were stopped because they took too long.
     overdue_runs: int = 0
     # The upstream where the task runs or may run; empty while it waits.
     upstream: str = ''
 
+    @property
+    def is_given_up(self) -> bool:
+        """Whether it must not start again, as upstreams crash under it."""
+        return is_given_up(self.evidence_by_run)
+
 
 class JobPlan:
     """The remaining tasks of a job and the times by which they must start.
@@ -87,6 +96,10 @@
             task = plan.task_by_id[TaskId(plan.job.job_id, step, index)]
             task.failed_runs |= runs
             task.last_run = max(runs)
+        for (step, index), evidence in unfinished.crashes_by_task.items():
+            task = plan.task_by_id[TaskId(plan.job.job_id, step, index)]
+            task.evidence_by_run |= evidence
+            task.last_run = max(task.last_run, *evidence)
         for step, index in unfinished.done:
             plan.note_done(TaskId(plan.job.job_id, step, index))
         return plan
--- a/baobabgap/scheduling/_planner.py
+++ b/baobabgap/scheduling/_planner.py
@@ -68,7 +68,7 @@
     """Return whether the step could run on any upstream of its service."""
     step = waiting_step.plan.job.steps[waiting_step.step]
     waiting = waiting_step.plan.waiting_by_step[waiting_step.step]
-    avoids = any(task.avoided for task in waiting)
+    avoids = any(task.avoided or task.is_given_up for task in waiting)
     return not (step.required_label or step.most_per_upstream or avoids)
 
 
@@ -89,6 +89,8 @@
             if task.upstream and task.task.step == waiting_step.step
         )
     for task in tuple(plan.waiting_by_step[waiting_step.step]):
+        if task.is_given_up:
+            continue
         target = pool.choose(
             step,
             task.avoided,
--- a/baobabgap/upstreams/__init__.py
+++ b/baobabgap/upstreams/__init__.py
@@ -4,6 +4,7 @@
 from baobabgap.upstreams._client import CallNotDelivered
 from baobabgap.upstreams._client import StartOutcome
 from baobabgap.upstreams._client import UpstreamClient
+from baobabgap.upstreams._client import UpstreamNotListening
 from baobabgap.upstreams._client import UpstreamReport
 from baobabgap.upstreams._client import UpstreamSuperseded
 from baobabgap.upstreams._run_agent import RunAgent
@@ -14,6 +15,7 @@
     'RunAgent',
     'StartOutcome',
     'UpstreamClient',
+    'UpstreamNotListening',
     'UpstreamReport',
     'UpstreamSuperseded',
 ]
--- a/baobabgap/upstreams/_client.py
+++ b/baobabgap/upstreams/_client.py
@@ -63,6 +63,10 @@
     """No connection could be opened, so the call had no effect."""
 
 
+class UpstreamNotListening(CallNotDelivered):
+    """The connection was refused: no process listens at the address."""
+
+
 class UpstreamClient(Protocol):
     """Calls the upstream on this host; safe for use by several threads.
 
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -13,6 +13,7 @@
 from baobabgap.protocol import Authority
 from baobabgap.protocol import AuthorityRequest
 from baobabgap.protocol import boottime_clock
+from baobabgap.protocol import CRASHED
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import EndsNoted
 from baobabgap.protocol import FullReport
@@ -34,10 +35,14 @@
 from baobabgap.upstreams._client import CallNotDelivered
 from baobabgap.upstreams._client import StartOutcome
 from baobabgap.upstreams._client import UpstreamClient
+from baobabgap.upstreams._client import UpstreamNotListening
 from baobabgap.upstreams._client import UpstreamReport
 from baobabgap.upstreams._client import UpstreamSuperseded
 from baobabgap.upstreams._clock import LeaseClock
 from baobabgap.upstreams._clock import SentLease
+from baobabgap.upstreams._crash_reports import CrashReports
+from baobabgap.upstreams._crash_reports import log_lost_runs
+from baobabgap.upstreams._crash_reports import rows_with_ages
 from baobabgap.upstreams._run_table import RunTable
 from baobabgap.upstreams._run_table import TrackedRun
 
@@ -122,6 +127,7 @@
         self._link_number = 0
         self._fence = 0
         self._upstream: UpstreamState | None = None
+        self._crash_reports: Final = CrashReports()
         self._reset_incarnation()
 
     def start(self) -> None:
@@ -163,7 +169,11 @@
                 and current.born_ms == upstream.born_ms
             )
             if not is_same:
-                self._log_lost_runs('replaced' if upstream else 'left')
+                self._report_lost_runs(
+                    'replaced' if upstream else 'left',
+                    has_crashed=upstream is not None
+                    and not (current and current.is_draining),
+                )
                 self._reset_incarnation()
             self._upstream = upstream
             if current != upstream:
@@ -222,6 +232,10 @@
         # When the first of the latest unanswered polls failed.
         self._unanswered_since: float | None = None
         self._last_unanswered_at = float('-inf')
+        # Whether the last poll was refused for want of a listening process.
+        self._is_refused = False
+        # Runs whose lease has lapsed since the upstream's last answer.
+        self._lapsed_rows: tuple[RunRow, ...] = ()
         self._is_full_report_due = True
         self._authority_requested_at = float('-inf')
 
@@ -482,17 +496,19 @@
         """Poll the upstream; return None if it doesn't answer."""
         with self._lock:
             lease = self._clock.begin_lease(lease_end_ms)
-        was_delivered = True
+        was_delivered, is_refused = True, False
         try:
             return self._client.poll(
                 instance, fence, acknowledged_number, lease_end_ms, wait_ms
             )
-        except CallNotDelivered:
+        except CallNotDelivered as error:
             was_delivered = False
+            is_refused = isinstance(error, UpstreamNotListening)
             return None
         finally:
             with self._lock:
                 self._clock.settle_lease(lease, was_delivered=was_delivered)
+                self._is_refused = is_refused
 
     def _wait_for_acknowledgement(self) -> None:
         """Wait briefly while ended runs aren't acknowledged.
@@ -536,7 +552,9 @@
                 and report.born_ms != self._upstream.born_ms
             ):
                 # The upstream restarted under the same identity.
-                self._log_lost_runs('restarted')
+                self._report_lost_runs(
+                    'restarted', has_crashed=not self._upstream.is_draining
+                )
                 self._reset_incarnation()
                 self._upstream = replace(
                     self._upstream, born_ms=report.born_ms
@@ -579,6 +597,7 @@
                     self._unacknowledged_ends[n]
                     for n in sorted(self._unacknowledged_ends)
                 ),
+                self._crash_reports.latest,
             )
         )
 
@@ -622,48 +641,60 @@
                 self._report_reachability(False)
             if not self._clock.has_lapsed(boottime_clock()):
                 return
-            rows = self._table.rows()
-            if rows:
-                log_event('lease_lapsed', runs=len(rows))
-                self._log_lost_runs('lease lapsed')
-                self._table = RunTable()
-                self._send_runs_gone(rows, 'lapsed')
+            if self._table.run_by_task:
+                self._handle_lapsed_lease()
             if self._is_full_report_due and self._connection is not None:
                 # The upstream can't be polled, but with its lease expired it
                 # runs nothing.
                 self._connection.send(UpstreamQuiet(self._fence))
 
-    def _log_lost_runs(self, reason: str) -> None:
-        """Log the runs that end with the upstream, the latest start first."""
+    def _handle_lapsed_lease(self) -> None:
+        """Give up all runs; the caller holds the lock."""
+        rows = self._table.rows()
+        has_crashed = self._is_refused and not (
+            self._upstream and self._upstream.is_draining
+        )
+        log_event('lease_lapsed', runs=len(rows), crashed=has_crashed)
+        self._report_lost_runs('lease lapsed', has_crashed=has_crashed)
+        if not has_crashed:
+            # Whether the upstream has crashed shows when it is back.
+            self._lapsed_rows += rows_with_ages(
+                self._table.run_by_task.values(),
+                self._unanswered_since or boottime_clock(),
+            )
+        self._table = RunTable()
+        self._send_runs_gone(rows, 'lapsed')
+
+    def _report_lost_runs(self, reason: str, *, has_crashed: bool) -> None:
+        """Log and report the runs that ended with the upstream.
+
+        The caller holds the lock, and discards the runs afterwards.
+        """
         upstream = self._upstream
-        runs = self._table.run_by_task.values()
-        if upstream is None or not runs:
-            return
         now = boottime_clock()
-        lost_at = self._unanswered_since or now
-        ages_ms = {
-            f'{run.task.job_id}.{run.task.step}.{run.task.index}#{run.run}': (
-                round(1000 * (lost_at - run.began_at))
-            )
-            for run in runs
-            if run.began_at is not None
-        }
-        log_event(
-            'runs_lost',
-            instance=upstream.instance,
-            born_ms=upstream.born_ms,
-            draining=upstream.is_draining,
-            reason=reason,
-            unanswered_ms=round(1000 * (now - lost_at)),
-            lease_left_ms=self._clock.remaining_ms(now),
-            ages_ms=dict(sorted(ages_ms.items(), key=lambda age: age[1])),
+        ended_at = self._unanswered_since or now
+        rows = self._lapsed_rows + rows_with_ages(
+            self._table.run_by_task.values(), ended_at
+        )
+        if upstream is None or not rows:
+            return
+        log_lost_runs(
+            upstream,
+            rows,
+            reason,
+            round(1000 * (now - ended_at)),
+            self._clock.remaining_ms(now),
         )
+        if has_crashed:
+            self._crash_reports.add(upstream, rows)
+            self._send_runs_gone(rows, CRASHED)
 
     def _handle_answered_poll(self) -> None:
         if self._unanswered_polls >= _UNREACHABLE_AFTER_POLLS:
             self._report_reachability(True)
         self._unanswered_polls = 0
         self._unanswered_since = None
+        self._lapsed_rows = ()
 
     def _report_reachability(self, is_reachable: bool) -> None:
         log_event('upstream_reachable', reachable=is_reachable)
--- a/baobabgap/upstreams/_run_table.py
+++ b/baobabgap/upstreams/_run_table.py
@@ -28,10 +28,16 @@
     stopped_at: float | None = None
     # The reason to report once the upstream no longer lists the run.
     reason: str = 'stopped'
-    # When its start was sent or it was found, seconds of `boottime_clock`;
-    # None before that.
+    # When its start was sent, seconds of `boottime_clock`; None before that
+    # and for a run of an earlier process of the agent.
     began_at: float | None = None
 
+    def age_ms(self, now: float) -> int | None:
+        """Return the milliseconds since its start; None if unknown."""
+        if self.began_at is None:
+            return None
+        return max(0, round(1000 * (now - self.began_at)))
+
     @property
     def row(self) -> RunRow:
         """The run in the form that is reported to the leader."""
--- a/baobabgap/web/_client.py
+++ b/baobabgap/web/_client.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
+import errno
 from io import BytesIO
 import json
 import select
@@ -38,6 +39,10 @@
     """No byte of the request was sent, so the server can't have acted."""
 
 
+class ConnectionRefused(RequestNeverSent):
+    """The host refused the connection: no process listens there."""
+
+
 class WebClient:
     """HTTP client with one persistent connection.
 
@@ -108,9 +113,7 @@
         try:
             curl.perform()
         except pycurl.error as error:
-            was_sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
-            error_class = ConnectionLost if was_sent else RequestNeverSent
-            raise error_class(
+            raise self._error_class()(
                 str(error.args[-1]), step='request', peer=self._address
             ) from error
         status = int(curl.getinfo(pycurl.RESPONSE_CODE))
@@ -118,6 +121,14 @@
             status, _parse_headers(header_lines), body.getvalue()
         )
 
+    def _error_class(self) -> type[ConnectionLost]:
+        """Return the exception for the request that has just failed."""
+        if self._curl.getinfo(pycurl.REQUEST_SIZE) > 0:
+            return ConnectionLost
+        if self._curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED:
+            return ConnectionRefused
+        return RequestNeverSent
+
 
 def _parse_headers(lines: list[bytes]) -> dict[str, str]:
     header_by_name: dict[str, str] = {}
