Run a task that an upstream crashed under alone

Callers of tasks that did no harm saw their job fail: they were lost with their upstream, started again together with the task that had crashed it, and lost again (seven to eleven runs with the same age in runs_lost, and test_tasks_beside_a_harmful_one_complete: failed instead of completed).

A suspect (one of the last starts before a crash, or a task with two crashes) now starts only on an idle upstream, and nothing starts beside it: run alone it is cleared, or found, at the cost of no other run. If none is idle, one upstream is kept from new runs until it is. At most a quarter of the upstreams are used for this at a time, a tenth while the service is busy, one at least; one that a suspect has crashed counts until it is back. No upstream is risked for a caller that will have left.

--- a/baobabgap/dispatch/_crash_recorder.py
+++ b/baobabgap/dispatch/_crash_recorder.py
@@ -59,8 +59,7 @@
         plan, task = found
         if row.run in task.evidence_by_run:
             return False
-        task.evidence_by_run[row.run] = evidence
-        task.last_run = max(task.last_run, row.run)
+        plan.note_crash(task, row.run, evidence)
         if self._state.state_of(row.task.job_id) is not None:
             self._closer.add_end(
                 TaskEnd(row.task, row.run, RunEnd.INTERRUPTED, evidence)
--- a/baobabgap/dispatch/_run_tracker.py
+++ b/baobabgap/dispatch/_run_tracker.py
@@ -51,6 +51,7 @@
                 plan.expected_s[step],
                 was_found,
             ),
+            is_exclusive=task.must_run_alone,
         )
 
     def add_unwanted(self, view: AgentView, row: RunRow) -> None:
@@ -118,10 +119,12 @@
             if run.is_stopping:
                 self._send_stop(view, run)
 
-    def _occupy(self, view: AgentView, run: Run) -> None:
+    def _occupy(
+        self, view: AgentView, run: Run, *, is_exclusive: bool = False
+    ) -> None:
         view.run_by_task[run.task] = run
         if view.target is not None:
-            view.target.occupy(run.demand)
+            view.target.occupy(run.demand, is_exclusive=is_exclusive)
 
     def _send_stop(self, view: AgentView, run: Run) -> None:
         if view.connection is None:
--- a/baobabgap/dispatch/tests/test_crashes.py
+++ b/baobabgap/dispatch/tests/test_crashes.py
@@ -91,6 +91,20 @@
         )
         self.assertEqual(2, self.crashes)
 
+    def test_tasks_beside_a_harmful_one_complete(self) -> None:
+        for upstream in self.upstreams:
+            upstream.run_ms = 600
+        for number in range(6):
+            self.deployment.submit(
+                f'job-{number}', step(1, 600), volatile=False
+            ).result(WAIT_S)
+        self.deployment.submit('harmful', step(1), volatile=False).result(
+            WAIT_S
+        )
+        self.assertEqual('failed', self.end_of('harmful').state)
+        for number in range(6):
+            self.assertEqual('completed', self.end_of(f'job-{number}').state)
+
     def test_run_that_ends_with_a_drained_upstream_is_no_crash(self) -> None:
         """An upstream that leaves may end what still runs on it."""
         upstream = self.upstreams[0]
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -10,6 +10,7 @@
 from baobabgap.accepted import AcceptedJob
 from baobabgap.accepted import CrashEvidence
 from baobabgap.accepted import is_given_up
+from baobabgap.accepted import must_run_alone
 from baobabgap.accepted import TaskId
 from baobabgap.accepted import UnfinishedJob
 from baobabgap.scheduling._run_times import RunTimes
@@ -40,6 +41,11 @@
         """Whether it must not start again, as upstreams crash under it."""
         return is_given_up(self.evidence_by_run)
 
+    @property
+    def must_run_alone(self) -> bool:
+        """Whether it must not endanger other runs on its upstream."""
+        return must_run_alone(self.evidence_by_run)
+
 
 class JobPlan:
     """The remaining tasks of a job and the times by which they must start.
@@ -96,10 +102,10 @@
             task = plan.task_by_id[TaskId(plan.job.job_id, step, index)]
             task.failed_runs |= runs
             task.last_run = max(runs)
-        for (step, index), evidence in unfinished.crashes_by_task.items():
+        for (step, index), crashes in unfinished.crashes_by_task.items():
             task = plan.task_by_id[TaskId(plan.job.job_id, step, index)]
-            task.evidence_by_run |= evidence
-            task.last_run = max(task.last_run, *evidence)
+            for run, evidence in crashes.items():
+                plan.note_crash(task, run, evidence)
         for step, index in unfinished.done:
             plan.note_done(TaskId(plan.job.job_id, step, index))
         return plan
@@ -143,6 +149,13 @@
         expires_at = self.arrived_at + LATE_FACTOR * self.objective_s
         return min(expires_at, self.awaited_until) - self._remaining_s(step)
 
+    def latest_awaited_start(self, step: int) -> float:
+        """Return the latest start with which a caller gets the answer.
+
+        Infinity for a job whose end no caller waits for.
+        """
+        return self.awaited_until - self._remaining_s(step)
+
     def begun_and_awaited_until(self, step: int) -> float:
         """Return until when the job has begun and its caller awaits its end.
 
@@ -152,7 +165,7 @@
         """
         if not self.has_started:
             return -math.inf
-        return self.awaited_until - self._remaining_s(step)
+        return self.latest_awaited_start(step)
 
     def _remaining_s(self, step: int) -> float:
         """Return the expected time from the start of a step to the end."""
@@ -178,6 +191,15 @@
         longest_s = self.longest_done_s[step]
         self.longest_done_s[step] = max(longest_s or 0.0, run_s)
 
+    def note_crash(
+        self, task: PlannedTask, run: int, evidence: CrashEvidence
+    ) -> None:
+        """Record that a run, perhaps an earlier leader's, was in a crash."""
+        task.evidence_by_run.setdefault(run, evidence)
+        task.last_run = max(task.last_run, run)
+        self.has_started = True
+        self.on_change(self)
+
     def requeue(self, task: PlannedTask) -> None:
         """Let a task wait again after a run that ended without success."""
         if task.upstream:
--- a/baobabgap/scheduling/_planner.py
+++ b/baobabgap/scheduling/_planner.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Final
 
 from baobabgap.accepted import Demand
 from baobabgap.scheduling._job_plan import JobPlan
@@ -17,6 +18,9 @@
 from baobabgap.scheduling._target_pool import TargetPool
 from baobabgap.scheduling._targets import PlacementTarget
 
+# A target is made idle only for a task that can wait this long, seconds.
+_SHORTEST_RESERVED_PATIENCE_S: Final = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
@@ -52,6 +56,7 @@
     """
     queue.advance(now)
     pool.lift_common_suspensions(now, may_start)
+    pool.lift_expired_reservations(now)
     previous: WaitingStep | None = None
     while (waiting_step := queue.first_after(previous)) is not None:
         is_unconstrained = _is_unconstrained(waiting_step)
@@ -65,10 +70,10 @@
 
 
 def _is_unconstrained(waiting_step: WaitingStep) -> bool:
-    """Return whether the step could run on any upstream of its service."""
+    """Return whether its tasks could run on any upstream of its service."""
     step = waiting_step.plan.job.steps[waiting_step.step]
     waiting = waiting_step.plan.waiting_by_step[waiting_step.step]
-    avoids = any(task.avoided or task.is_given_up for task in waiting)
+    avoids = any(task.avoided or task.evidence_by_run for task in waiting)
     return not (step.required_label or step.most_per_upstream or avoids)
 
 
@@ -89,7 +94,10 @@
             if task.upstream and task.task.step == waiting_step.step
         )
     for task in tuple(plan.waiting_by_step[waiting_step.step]):
-        if task.is_given_up:
+        if task.evidence_by_run and task.must_run_alone:
+            target = _isolated_target(waiting_step, task, pool, now, may_start)
+            if target is not None:
+                yield Placement(plan, task, target)
             continue
         target = pool.choose(
             step,
@@ -113,3 +121,27 @@
             return
         task_count_by_upstream[target.name] += 1
         yield Placement(plan, task, target)
+
+
+def _isolated_target(
+    waiting_step: WaitingStep,
+    task: PlannedTask,
+    pool: TargetPool,
+    now: float,
+    may_start: Callable[[PlacementTarget], bool],
+) -> PlacementTarget | None:
+    """Return an idle target for a task that must run alone, or None.
+
+    A task whose caller will have left is not worth an upstream.
+    """
+    plan, step_number = waiting_step.plan, waiting_step.step
+    patience_s = plan.latest_awaited_start(step_number) - now
+    if task.is_given_up or patience_s < 0:
+        return None
+    step = plan.job.steps[step_number]
+    target = pool.choose_idle(step, task.avoided, now, may_start)
+    if target is None:
+        target = pool.choose_idle(step, (), now, may_start)
+    if target is None and patience_s > _SHORTEST_RESERVED_PATIENCE_S:
+        pool.reserve_idle(step, now, may_start)
+    return target
--- a/baobabgap/scheduling/_target_pool.py
+++ b/baobabgap/scheduling/_target_pool.py
@@ -23,6 +23,16 @@
 # Seconds between checks whether most upstreams are suspended.
 _SUSPENSION_CHECK_INTERVAL_S: Final = 0.02
 
+# Shares of the targets that may be used for runs that must be alone, at
+# least one; the smaller one while over half of the processors are in use.
+_ISOLATED_SHARE: Final = 0.25
+_ISOLATED_SHARE_BUSY: Final = 0.1
+# Seconds after which a target with such a run no longer counts: others must
+# not wait for an upstream that never returns or for a very long task.
+_LONGEST_ISOLATION_S: Final = 10.0
+# Seconds for which a target gets no new runs, to become idle.
+_RESERVATION_S: Final = 1.0
+
 # Slowness and processors of equal targets, among which the one with the most
 # free processors also has the largest free share.
 _GroupKey = tuple[float, int]
@@ -45,6 +55,13 @@
         self._ranks_by_group: SortedDict = SortedDict()
         self._place_by_name: dict[str, tuple[_GroupKey, _Rank]] = {}
         self._open_millicores = 0
+        self._free_millicores = 0
+        # Open targets without a run.
+        self._idle_by_name: dict[str, PlacementTarget] = {}
+        # When runs that must be alone were last placed, by target.
+        self._isolated_at_by_name: dict[str, float] = {}
+        # Targets that get no new runs, to become idle, until a time.
+        self._reserved_until_by_name: dict[str, float] = {}
         # Targets with a suspension that may not be over.
         self._suspended_names: set[str] = set()
         self._next_suspension_check_at = float('-inf')
@@ -86,6 +103,8 @@
         del self.target_by_name[target.name]
         self._take_out(target)
         self._suspended_names.discard(target.name)
+        self._isolated_at_by_name.pop(target.name, None)
+        self._reserved_until_by_name.pop(target.name, None)
 
     def could_fit(self, demand: Demand) -> bool:
         """Return whether an idle target could run a task."""
@@ -159,11 +178,98 @@
                     break
         return best
 
+    def choose_idle(
+        self,
+        step: Step,
+        avoided: Collection[str],
+        now: float,
+        may_start: Callable[[PlacementTarget], bool],
+    ) -> PlacementTarget | None:
+        """Choose a target without a run for a task that must run alone.
+
+        Such a task may cost its upstream, so that only few upstreams are
+        used for them at a time. Returns None if there is no such target.
+        """
+        if not self._idle_by_name or not self._may_isolate(now):
+            return None
+        for target in self._idle_by_name.values():
+            if may_start(target) and _is_eligible(
+                target, step, avoided, {}, now
+            ):
+                self._isolated_at_by_name[target.name] = now
+                return target
+        return None
+
+    def reserve_idle(
+        self,
+        step: Step,
+        now: float,
+        may_start: Callable[[PlacementTarget], bool],
+    ) -> None:
+        """Let a target become idle for a task that must run alone.
+
+        It gets no other runs for a while. A repeated call extends that.
+        """
+        if not self._may_isolate(now):
+            return
+        until = now + _RESERVATION_S
+        if self._reserved_until_by_name:
+            for name in self._reserved_until_by_name:
+                self._reserved_until_by_name[name] = until
+            return
+        target = self._with_least_running(step, now, may_start)
+        if target is not None:
+            self._reserved_until_by_name[target.name] = until
+            self._update(target)
+
+    def lift_expired_reservations(self, now: float) -> None:
+        """Let reserved targets that no task waits for get runs again."""
+        for name, until in list(self._reserved_until_by_name.items()):
+            if until < now:
+                del self._reserved_until_by_name[name]
+                self._update(self.target_by_name[name])
+
+    def _may_isolate(self, now: float) -> bool:
+        """Return whether one more target may be used for a single run."""
+        is_busy = 2 * self._free_millicores < self._open_millicores
+        share = _ISOLATED_SHARE_BUSY if is_busy else _ISOLATED_SHARE
+        isolated = sum(
+            1
+            for name, at in self._isolated_at_by_name.items()
+            if self.target_by_name[name].is_exclusive
+            and now - at < _LONGEST_ISOLATION_S
+        )
+        return isolated < max(1, int(share * len(self.target_by_name)))
+
+    def _with_least_running(
+        self,
+        step: Step,
+        now: float,
+        may_start: Callable[[PlacementTarget], bool],
+    ) -> PlacementTarget | None:
+        candidates = [
+            target
+            for name in self._place_by_name
+            if may_start(target := self.target_by_name[name])
+            and target.health.accepts_run(target.running, now)
+            and step.demand.fits_in(target.capacity)
+            and step.required_label in ('', *target.labels)
+        ]
+        return min(
+            candidates,
+            key=lambda target: (target.running, target.name),
+            default=None,
+        )
+
     def _update(self, target: PlacementTarget) -> None:
         self._take_out(target)
         if target.health.suspended_until:
             self._suspended_names.add(target.name)
-        if not target.is_open:
+        if not target.is_open or target.is_exclusive:
+            return
+        if not target.running:
+            self._idle_by_name[target.name] = target
+        if target.name in self._reserved_until_by_name:
             return
         group = (target.slowness, target.capacity.cpu_millicores)
         rank = (-target.free.cpu_millicores, target.name)
@@ -173,8 +279,10 @@
         ranks.add(rank)
         self._place_by_name[target.name] = (group, rank)
         self._open_millicores += target.capacity.cpu_millicores
+        self._free_millicores += target.free.cpu_millicores
 
     def _take_out(self, target: PlacementTarget) -> None:
+        self._idle_by_name.pop(target.name, None)
         place = self._place_by_name.pop(target.name, None)
         if place is None:
             return
@@ -184,6 +292,7 @@
         if not ranks:
             del self._ranks_by_group[group]
         self._open_millicores -= target.capacity.cpu_millicores
+        self._free_millicores += rank[0]
 
 
 def _cost(
--- a/baobabgap/scheduling/_targets.py
+++ b/baobabgap/scheduling/_targets.py
@@ -29,6 +29,8 @@
     # Whether new runs may start: reachable, and not draining.
     is_open: bool = True
     running: int = 0
+    # Whether nothing may start beside the run that it has.
+    is_exclusive: bool = False
     # Run time factor of its kind of upstream; 1 is average.
     kind_slowness: float = 1.0
     health: TargetHealth = field(default_factory=TargetHealth)
@@ -50,24 +52,35 @@
         """The free fraction of the processors."""
         return self.free.cpu_millicores / max(1, self.capacity.cpu_millicores)
 
-    def occupy(self, demand: Demand) -> None:
-        """Reserve capacity for a run."""
+    def occupy(self, demand: Demand, *, is_exclusive: bool = False) -> None:
+        """Reserve capacity for a run, exclusively if it must run alone."""
         self.free = self.free.minus(demand)
         self.running += 1
+        self.is_exclusive = self.is_exclusive or is_exclusive
         self.on_change(self)
 
     def release(self, demand: Demand) -> None:
         """Release the capacity of a run that has ended."""
         self.free = self.free.plus(demand)
         self.running -= 1
+        self._end_exclusive_use()
         self.on_change(self)
 
     def set_open(self, is_open: bool) -> None:
         """Set whether new runs may start."""
         if self.is_open != is_open:
             self.is_open = is_open
+            self._end_exclusive_use()
             self.on_change(self)
 
+    def _end_exclusive_use(self) -> None:
+        """Let other runs start again once nothing runs.
+
+        An upstream that has crashed counts as used until it is back.
+        """
+        if self.is_open and not self.running:
+            self.is_exclusive = False
+
     def set_kind_slowness(self, slowness: float) -> None:
         """Set the run time factor of its kind of upstream."""
         before = self.slowness
