Follow the capacity that an upstream announces

An upstream may announce less or more capacity while it runs. The leader read it once an instance, so that one which doesn't guard its capacity was brought over it, and room that was added stayed unused. The capacity of a target now changes with each report; what runs stays counted.

Before: test_upstream_with_less_capacity_gets_no_more_than_that fails (one run at a time where six fit). After: it passes with 1, 6 and 2 cores.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -219,6 +219,7 @@
         if view.target is None:
             self._term_state.set_target(view, _target_of(view, upstream))
         assert view.target is not None
+        view.target.set_capacity(upstream.capacity)
         view.target.set_open(
             upstream.is_reachable and not upstream.is_draining
         )
@@ -229,6 +230,8 @@
                 instance=upstream.instance,
                 born_ms=upstream.born_ms,
                 service=upstream.service,
+                cpu_millicores=upstream.capacity.cpu_millicores,
+                memory_mb=upstream.capacity.memory_mb,
                 draining=upstream.is_draining,
                 reachable=upstream.is_reachable,
             )
--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -168,6 +168,28 @@
             )
         wait_until(lambda: len(deployment.upstreams[1].starts) >= 4, 'starts')
 
+    def test_upstream_with_less_capacity_gets_no_more_than_that(self) -> None:
+        """Upstreams need not refuse what exceeds their capacity."""
+        deployment = self.deployment
+        deployment.agents[1].drain()
+        wait_until(lambda: deployment.agents[1].is_idle, 'an idle agent')
+        upstream = deployment.upstreams[0]
+        upstream.run_ms = 150
+        for cores in (1, 6, 2):
+            deployment.agents[0].announce(
+                deployment.announced_state(0, cores=cores)
+            )
+            time.sleep(0.2)
+            most = 0
+            answer = deployment.submit(
+                f'job-{cores}', step(9, 150), volatile=True
+            )
+            while not answer.done():
+                most = max(most, len(upstream.running))
+                time.sleep(0.005)
+            self.assertEqual('completed', answer.result(WAIT_S).state)
+            self.assertEqual(cores, most)
+
     def test_restarted_upstream_runs_its_tasks_again(self) -> None:
         deployment = self.deployment
         for upstream in deployment.upstreams:
--- a/baobabgap/scheduling/_target_pool.py
+++ b/baobabgap/scheduling/_target_pool.py
@@ -291,7 +291,8 @@
         ranks.remove(rank)
         if not ranks:
             del self._ranks_by_group[group]
-        self._open_millicores -= target.capacity.cpu_millicores
+        # The capacity may have changed since.
+        self._open_millicores -= group[1]
         self._free_millicores += rank[0]
 
 
--- a/baobabgap/scheduling/_targets.py
+++ b/baobabgap/scheduling/_targets.py
@@ -81,6 +81,13 @@
         if self.is_open and not self.running:
             self.is_exclusive = False
 
+    def set_capacity(self, capacity: Demand) -> None:
+        """Change the capacity; less than is occupied is possible."""
+        if self.capacity != capacity:
+            self.free = self.free.plus(capacity.minus(self.capacity))
+            self.capacity = capacity
+            self.on_change(self)
+
     def set_kind_slowness(self, slowness: float) -> None:
         """Set the run time factor of its kind of upstream."""
         before = self.slowness
--- a/baobabgap/scheduling/tests/test_decisions.py
+++ b/baobabgap/scheduling/tests/test_decisions.py
@@ -177,6 +177,24 @@
         self.assertEqual(8, len(planned_starts([plan], targets, now=0.1)))
 
 
+class ChangedCapacityTest(unittest.TestCase):
+    def test_starts_follow_the_capacity(self) -> None:
+        target = make_target('t', 4)
+        pool = TargetPool.from_targets([target])
+        step = Step(1, TASK, 100)
+        for _ in range(3):
+            target.occupy(TASK)
+        cases = [(2, False), (3, False), (4, True), (8, True), (1, False)]
+        for cores, may_start in cases:
+            with self.subTest(cores=cores):
+                target.set_capacity(Demand(1000 * cores, 1024, 0))
+                self.assertEqual(float(cores), pool.open_cores)
+                chosen = pool.choose(step, (), {}, 1.0, 0.0, lambda _: True)
+                self.assertIs(target if may_start else None, chosen)
+        target.set_open(False)
+        self.assertEqual(0.0, pool.open_cores)
+
+
 class JobPlanTest(unittest.TestCase):
     def test_inherited_job_keeps_recorded_ends(self) -> None:
         job = make_job('a', (Step(3, TASK, 100),))
