Keep the log going after a line that can't be encoded

Such a message is now replaced by a line that names it; keys that are no strings are encoded.

Before: test_message_that_cannot_be_encoded_does_not_end_the_log finds no line in any of its three cases.

--- a/baobabgap/telemetry/_bounded_sink.py
+++ b/baobabgap/telemetry/_bounded_sink.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+_ENCODING: Final = orjson.OPT_APPEND_NEWLINE | orjson.OPT_NON_STR_KEYS
 # Messages that may wait for the writer thread.
 _MAX_QUEUED_MESSAGES: Final = 5_000
 # Token bucket: average rate of written lines, and largest burst.
@@ -103,4 +104,17 @@
 
 
 def _encode(message: dict[str, Any]) -> bytes:
-    return orjson.dumps(message, default=str, option=orjson.OPT_APPEND_NEWLINE)
+    try:
+        return orjson.dumps(message, default=str, option=_ENCODING)
+    except TypeError as error:
+        # For example text with a lone surrogate. Without this line, one such
+        # message would end the writer thread.
+        return orjson.dumps(
+            {
+                'timestamp': time.time(),
+                'message_type': 'log_line_not_encodable',
+                'event': repr(message.get('message_type')),
+                'error': repr(error),
+            },
+            option=_ENCODING,
+        )
--- a/baobabgap/telemetry/tests/test_bounded_sink.py
+++ b/baobabgap/telemetry/tests/test_bounded_sink.py
@@ -7,6 +7,7 @@
 from typing import Any
 import unittest
 
+from baobabgap.accepted import JobState
 from baobabgap.telemetry import BoundedSink
 
 TIMEOUT_S = 20.0
@@ -40,6 +41,25 @@
             ['a', 'b'], [line['message_type'] for line in parse_lines(stream)]
         )
 
+    def test_message_that_cannot_be_encoded_does_not_end_the_log(
+        self,
+    ) -> None:
+        cases = [
+            ('path', 'lone surrogate \udc80'),
+            ('number', 2**70),
+            ('runs', {JobState.FAILED: 1, None: 2}),
+        ]
+        for name, value in cases:
+            with self.subTest(name=name):
+                stream = io.BytesIO()
+                sink = BoundedSink(stream)
+                sink({'message_type': 'a', name: value})
+                sink({'message_type': 'b'})
+                sink.flush(TIMEOUT_S)
+                lines = parse_lines(stream)
+                self.assertEqual(2, len(lines))
+                self.assertEqual('b', lines[-1]['message_type'])
+
     def test_blocked_reader_blocks_no_caller_and_drops_are_counted(
         self,
     ) -> None:
