Count crashes under a volatile job that is submitted again

A volatile job is forgotten when its caller leaves. Submitted again, to the same leader or the next one, a task that makes upstreams crash was started as if nothing had happened, by each submission. The log of a crash has plain keys.

Before: test_crashes_count_across_submissions_of_a_volatile_job (written with this change) needs the history; without it each of its four submissions crashes an upstream.

--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -10,6 +10,7 @@
 from baobabgap.accepted import CancelAccepted
 from baobabgap.accepted import JobEnd
 from baobabgap.accepted import JobState
+from baobabgap.accepted import UPSTREAM_CRASHES
 from baobabgap.dispatch._committer import Committer
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._events import CallDropped
@@ -186,9 +187,20 @@
             plan.awaited_until = _awaited_until(call)
         # A refusal states that nothing has run, which may be wrong for a
         # job that may have begun.
-        plan.may_have_begun = call.is_repeat or (
-            self._term_state.takeover.may_have_begun(job_id)
+        has_crashed = self._note_earlier_crashes(plan)
+        plan.may_have_begun = (
+            has_crashed
+            or call.is_repeat
+            or self._term_state.takeover.may_have_begun(job_id)
         )
+        if any(task.is_given_up for task in plan.task_by_id.values()):
+            answer(
+                arrived,
+                CallOutcome.FOUND,
+                state=JobState.FAILED,
+                detail=UPSTREAM_CRASHES,
+            )
+            return
         if not plan.may_have_begun and not self._admit(arrived, plan):
             return
         if job.is_volatile:
@@ -203,6 +215,17 @@
             ),
         )
 
+    def _note_earlier_crashes(self, plan: JobPlan) -> bool:
+        """Apply the crashes under an earlier submission; return if any."""
+        if not plan.job.is_volatile:
+            return False
+        history = self._term_state.crash_history.of_job(plan.job.job_id)
+        for (task_id, run), evidence in history.items():
+            task = plan.task_by_id.get(task_id)
+            if task is not None:
+                plan.note_crash(task, run, evidence)
+        return bool(history)
+
     def _job_from(self, call: SubmitJob, match: QueueMatch) -> AcceptedJob:
         queue = match.queue
         return AcceptedJob(
--- a/baobabgap/dispatch/_crash_recorder.py
+++ b/baobabgap/dispatch/_crash_recorder.py
@@ -1,5 +1,6 @@
 """Records crashes of upstreams against the tasks that ran there."""
 
+import time
 from typing import Final
 
 from baobabgap.accepted import AcceptedState
@@ -53,21 +54,31 @@
 
     def _record_run(self, row: RunRow, evidence: CrashEvidence) -> bool:
         """Record a crash against one run; return whether it is news."""
+        if self._state.state_of(row.task.job_id) is not None:
+            return self._record_stored(row, evidence)
+        is_news = self._term_state.crash_history.add(
+            row.task, row.run, evidence, time.monotonic()
+        )
         found = self._term_state.find(row.task)
-        if found is None:
+        if is_news and found is not None:
+            plan, task = found
+            plan.note_crash(task, row.run, evidence)
+            if task.is_given_up:
+                self._closer.close(
+                    JobEnd(plan.job.job_id, JobState.FAILED, UPSTREAM_CRASHES)
+                )
+        return is_news
+
+    def _record_stored(self, row: RunRow, evidence: CrashEvidence) -> bool:
+        """Record a crash against a run of a stored job."""
+        found = self._term_state.find(row.task)
+        if found is None or row.run in found[1].evidence_by_run:
             return False
         plan, task = found
-        if row.run in task.evidence_by_run:
-            return False
         plan.note_crash(task, row.run, evidence)
-        if self._state.state_of(row.task.job_id) is not None:
-            self._closer.add_end(
-                TaskEnd(row.task, row.run, RunEnd.INTERRUPTED, evidence)
-            )
-        elif task.is_given_up:
-            self._closer.close(
-                JobEnd(plan.job.job_id, JobState.FAILED, UPSTREAM_CRASHES)
-            )
+        self._closer.add_end(
+            TaskEnd(row.task, row.run, RunEnd.INTERRUPTED, evidence)
+        )
         return True
 
     def _log(
@@ -79,10 +90,10 @@
         """Log a crash with the runs by the evidence against them."""
         self._metrics.count('baobabgap_upstream_crashes_total')
         runs_by_evidence: dict[str, list[str]] = {
-            evidence: [] for evidence in reversed(CrashEvidence)
+            str(evidence): [] for evidence in reversed(CrashEvidence)
         }
         for row, evidence in new:
-            runs_by_evidence[evidence].append(
+            runs_by_evidence[str(evidence)].append(
                 f'{row.task.job_id}.{task_text(row.task)}#{row.run}'
             )
             self._metrics.count(
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -8,6 +8,7 @@
 from baobabgap.accepted import JobState
 from baobabgap.accepted import TaskId
 from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch._crash_history import CrashHistory
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._orphans import Orphans
 from baobabgap.dispatch._takeover import Takeover
@@ -68,6 +69,8 @@
         # Runs and ends of jobs that have not been submitted to this leader
         # but may have been to its predecessor.
         self.orphans = Orphans()
+        # The agents tell each leader anew.
+        self.crash_history = CrashHistory()
         self.view_by_name: dict[str, AgentView] = {}
 
     def waiting_calls(self) -> list[CallArrived]:
--- a/baobabgap/dispatch/_timeout_monitor.py
+++ b/baobabgap/dispatch/_timeout_monitor.py
@@ -43,6 +43,7 @@
             if view is not None:
                 self._runs.stop(view, row.task)
         self._forget_ended(now)
+        term_state.crash_history.expire(now)
         for view in list(term_state.view_by_name.values()):
             if view.connection is None:
                 self._check_unlinked(view)
--- a/baobabgap/dispatch/tests/test_crashes.py
+++ b/baobabgap/dispatch/tests/test_crashes.py
@@ -91,6 +91,24 @@
         )
         self.assertEqual(2, self.crashes)
 
+    def test_crashes_count_across_submissions_of_a_volatile_job(self) -> None:
+        for _ in range(4):
+            # The caller leaves before its task can have started again.
+            self.deployment.submit(
+                'harmful', step(1), volatile=True, patience_s=1.0
+            ).result(WAIT_S)
+            wait_until(self._all_are_up, 'the upstreams')
+        answer = self.deployment.submit(
+            'harmful', step(1), volatile=True
+        ).result(WAIT_S)
+        self.assertEqual(
+            ('failed', UPSTREAM_CRASHES), (answer.state, answer.detail)
+        )
+        self.assertEqual(2, self.crashes)
+
+    def _all_are_up(self) -> bool:
+        return not any(upstream.is_refusing for upstream in self.upstreams)
+
     def test_tasks_beside_a_harmful_one_complete(self) -> None:
         for upstream in self.upstreams:
             upstream.run_ms = 600
@@ -139,6 +157,13 @@
         self.assertEqual('failed', self.end_of('harmful').state)
         self.assertEqual(2, len(self.starts_of('harmful')))
 
+    def test_crashes_count_for_a_volatile_job_across_leaders(self) -> None:
+        submission = self.deployment.submit('harmful', step(1), volatile=True)
+        wait_until(lambda: self.crashes == 1, 'the first crash')
+        self._stop_leader()
+        self.assertEqual('failed', submission.result(WAIT_S).state)
+        self.assertEqual(2, len(self.starts_of('harmful')))
+
     def test_stored_crash_counts_after_the_agent_has_forgotten(self) -> None:
         self.deployment.submit('harmful', step(1), volatile=False).result(
             WAIT_S
