Isolate more tasks at a time when many wait

The limit now follows the number of tasks that must run alone: up to half of the upstreams, or a quarter and one for each four tasks while the service is busy.

--- a/baobabgap/accepted/_crashes.py
+++ b/baobabgap/accepted/_crashes.py
@@ -8,7 +8,7 @@
 # A task that makes an upstream crash mostly does so soon after its start. A
 # run that started up to this long before the last one may be the cause, too,
 # as starts are sent in parallel and a crash takes a moment.
-_LAST_STARTS_MS: Final = 50
+_LAST_STARTS_MS: Final = 25
 # Crashes of upstreams under a task after which it is given up.
 _CRASHES_TO_GIVE_UP: Final = 3
 # The same if nothing else ran on the last of these upstreams.
--- a/baobabgap/scheduling/_planner.py
+++ b/baobabgap/scheduling/_planner.py
@@ -56,7 +56,7 @@
     """
     queue.advance(now)
     pool.lift_common_suspensions(now, may_start)
-    pool.lift_expired_reservations(now)
+    pool.begin_isolation_pass(now)
     previous: WaitingStep | None = None
     while (waiting_step := queue.first_after(previous)) is not None:
         is_unconstrained = _is_unconstrained(waiting_step)
--- a/baobabgap/scheduling/_target_pool.py
+++ b/baobabgap/scheduling/_target_pool.py
@@ -23,10 +23,12 @@
 # Seconds between checks whether most upstreams are suspended.
 _SUSPENSION_CHECK_INTERVAL_S: Final = 0.02
 
-# Shares of the targets that may be used for runs that must be alone, at
-# least one; the smaller one while over half of the processors are in use.
-_ISOLATED_SHARE: Final = 0.25
-_ISOLATED_SHARE_BUSY: Final = 0.1
+# Largest shares of the targets that may be used for runs that must be alone,
+# at least one; the smaller one while over half of the processors are in use.
+_ISOLATED_SHARE: Final = 0.5
+_ISOLATED_SHARE_BUSY: Final = 0.25
+# Tasks that must run alone for each such target while busy.
+_TASKS_FOR_EACH: Final = 4
 # Seconds after which a target with such a run no longer counts: others must
 # not wait for an upstream that never returns or for a very long task.
 _LONGEST_ISOLATION_S: Final = 10.0
@@ -62,6 +64,9 @@
         self._isolated_at_by_name: dict[str, float] = {}
         # Targets that get no new runs, to become idle, until a time.
         self._reserved_until_by_name: dict[str, float] = {}
+        # Tasks that found no idle target in the current and the last pass.
+        self._isolation_waiting = 0
+        self._isolation_waiting_before = 0
         # Targets with a suspension that may not be over.
         self._suspended_names: set[str] = set()
         self._next_suspension_check_at = float('-inf')
@@ -208,22 +213,30 @@
     ) -> None:
         """Let a target become idle for a task that must run alone.
 
-        It gets no other runs for a while. A repeated call extends that.
+        It gets no other runs for a while. Each pass calls this once for each
+        task that waits for an idle target, which extends that.
         """
+        self._isolation_waiting += 1
         if not self._may_isolate(now):
             return
         until = now + _RESERVATION_S
-        if self._reserved_until_by_name:
-            for name in self._reserved_until_by_name:
-                self._reserved_until_by_name[name] = until
+        for name in self._reserved_until_by_name:
+            self._reserved_until_by_name[name] = until
+        isolated = self._isolated_count(now)
+        room = self._isolation_limit(isolated) - isolated
+        if len(self._reserved_until_by_name) >= min(
+            room, self._isolation_waiting
+        ):
             return
         target = self._with_least_running(step, now, may_start)
         if target is not None:
             self._reserved_until_by_name[target.name] = until
             self._update(target)
 
-    def lift_expired_reservations(self, now: float) -> None:
+    def begin_isolation_pass(self, now: float) -> None:
         """Let reserved targets that no task waits for get runs again."""
+        self._isolation_waiting_before = self._isolation_waiting
+        self._isolation_waiting = 0
         for name, until in list(self._reserved_until_by_name.items()):
             if until < now:
                 del self._reserved_until_by_name[name]
@@ -231,15 +244,31 @@
 
     def _may_isolate(self, now: float) -> bool:
         """Return whether one more target may be used for a single run."""
-        is_busy = 2 * self._free_millicores < self._open_millicores
-        share = _ISOLATED_SHARE_BUSY if is_busy else _ISOLATED_SHARE
-        isolated = sum(
+        isolated = self._isolated_count(now)
+        return isolated < self._isolation_limit(isolated)
+
+    def _isolated_count(self, now: float) -> int:
+        return sum(
             1
             for name, at in self._isolated_at_by_name.items()
             if self.target_by_name[name].is_exclusive
             and now - at < _LONGEST_ISOLATION_S
         )
-        return isolated < max(1, int(share * len(self.target_by_name)))
+
+    def _isolation_limit(self, isolated: int) -> int:
+        """Return how many targets may be used for runs that must be alone.
+
+        More are used the more tasks wait, as each one that harms its
+        upstream holds up the others until that is back.
+        """
+        tasks = isolated + max(
+            self._isolation_waiting, self._isolation_waiting_before
+        )
+        share = _ISOLATED_SHARE
+        if 2 * self._free_millicores < self._open_millicores:
+            share = _ISOLATED_SHARE_BUSY
+            tasks //= _TASKS_FOR_EACH
+        return max(1, min(int(share * len(self.target_by_name)), tasks))
 
     def _with_least_running(
         self,
