--- a/tools/job_history/_callers.py
+++ b/tools/job_history/_callers.py
@@ -18,6 +18,7 @@
 from tools.job_history._control_group import ControlGroup
 from tools.job_history._injection_points import InjectionPoint
 from tools.job_history._injection_points import InjectionPoints
+from tools.job_history._recorded_upstream import HARMFUL_SUFFIX
 from tools.job_history._records import Called
 from tools.job_history._records import ConfigurationRead
 from tools.job_history._records import JobHistory
@@ -27,6 +28,7 @@
 _PAUSE_S: Final = 0.15
 _CANCELLED_SHARE: Final = 0.1
 _STORED_SHARE: Final = 0.6
+_HARMFUL_SHARE: Final = 0.03
 _RETRIED_OUTCOMES: Final = (CallOutcome.UNKNOWN, CallOutcome.UNAVAILABLE)
 # Time for all accepted jobs to end after the last fault.
 _SETTLE_TIMEOUT_S: Final = 25.0
@@ -53,7 +55,9 @@
         for count in itertools.count():
             if stopping.wait(rng.uniform(0.0, 2 * _PAUSE_S)):
                 return
-            self._run_job(f'{number}-{count}', rng)
+            is_harmful = rng.random() < _HARMFUL_SHARE
+            suffix = HARMFUL_SUFFIX if is_harmful else ''
+            self._run_job(f'{number}-{count}{suffix}', rng)
 
     def _run_job(self, job: str, rng: random.Random) -> None:
         is_stored = rng.random() < _STORED_SHARE
