Don't report a silent upstream of a restarted agent as gone

The leader started tasks a second time while their first runs went on: an agent that has just restarted doesn't know its upstream until that announces itself again, up to a heartbeat later. If the upstream left three polls unanswered meanwhile, the agent reported the loss of contact as the change to no upstream, which the leader reads as a leave, after which nothing runs. It gave up all runs there at once, though their lease held for up to a second more. A planned stop of such an agent had the same effect. Only the leave of an upstream is now reported as one.

Found by a test that replaces an agent beside a crashed upstream. Before: test_silent_upstream_of_a_restarted_agent_has_not_left fails, the agent sends UpstreamChanged(None).

--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -183,7 +183,10 @@
                     born_ms=upstream.born_ms if upstream else 0,
                     draining=bool(upstream and upstream.is_draining),
                 )
-                self._report_upstream()
+                if upstream is None:
+                    self._report_leave()
+                else:
+                    self._report_upstream()
             self._poll_wakeup.notify_all()
 
     def session(
@@ -711,13 +714,17 @@
         )
 
     def _report_upstream(self) -> None:
-        if self._connection is None:
+        if self._connection is None or self._upstream is None:
             return
-        # A full report that is due covers the change, but a full report needs
-        # an upstream that has announced itself.
-        if not self._is_full_report_due or self._upstream is None:
+        # A full report that is due covers the change.
+        if not self._is_full_report_due:
             self._connection.send(UpstreamChanged(self._reported_upstream()))
 
+    def _report_leave(self) -> None:
+        """Report that the upstream has left; it certainly runs nothing."""
+        if self._connection is not None:
+            self._connection.send(UpstreamChanged(None))
+
     def _send_runs_gone(self, rows: tuple[RunRow, ...], reason: str) -> None:
         upstream = self._upstream
         if self._connection is not None and upstream is not None:
--- a/baobabgap/upstreams/tests/test_run_agent.py
+++ b/baobabgap/upstreams/tests/test_run_agent.py
@@ -103,22 +103,27 @@
         self.upstream = CountingUpstream()
 
     def _start_agent(
-        self, acknowledges: bool, *, is_answered: bool = True
+        self,
+        acknowledges: bool,
+        *,
+        is_answered: bool = True,
+        is_announced: bool = True,
     ) -> LeaderInMemory:
         agent = RunAgent(self.upstream, LeaseTiming(), self.pool, Metrics())
         leader = LeaderInMemory(acknowledges)
-        agent.announce(
-            UpstreamState(
-                _INSTANCE,
-                1,
-                'desk',
-                'zone',
-                ('a', 'r1'),
-                Demand(4000, 4000, 0),
-                False,
-                True,
+        if is_announced:
+            agent.announce(
+                UpstreamState(
+                    _INSTANCE,
+                    1,
+                    'desk',
+                    'zone',
+                    ('a', 'r1'),
+                    Demand(4000, 4000, 0),
+                    False,
+                    True,
+                )
             )
-        )
         agent.start()
         ready = Mock(LeaderReady, fence=_FENCE)
         connection = cast(Connection, leader)
@@ -167,6 +172,16 @@
         self.assertGreater(self.upstream.polls, 3)
         self.assertEqual([], leader.reports)
 
+    def test_silent_upstream_of_a_restarted_agent_has_not_left(self) -> None:
+        """The leader would start its tasks elsewhere while they run."""
+        self.upstream.is_silent = True
+        leader = self._start_agent(
+            acknowledges=True, is_answered=False, is_announced=False
+        )
+        time.sleep(1.0)
+        self.assertGreater(self.upstream.polls, 3)
+        self.assertEqual([], leader.reports)
+
     def test_lease_is_not_taken_for_lapsed_while_it_may_hold(self) -> None:
         """Started again elsewhere too early, a task would run twice."""
         leader, _ = self._start_long_run()
