Count the crash of a whole host against the tasks that ran there

A task that takes its host down, with the agent, was started without bound: the agent is the witness of crashes, and a restarted one has no record. The leader knows what it ordered there. If an agent's process and its upstream's instance are both others than before, and the upstream hadn't drained, the leader records the crash itself, also if the host's runs had been given up meanwhile because their lease had lapsed.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -84,6 +84,7 @@
         if view is None:
             view = self._term_state.view_by_name[name] = AgentView(name)
         view.connection = connection
+        view.linked_incarnation = connection.peer.incarnation
         view.has_reported = False
         self._enrol(view)
 
@@ -94,6 +95,7 @@
             return
         log_event('agent_lost', agent=view.name, runs=len(view.run_by_task))
         view.connection = None
+        view.unlinked_at = time.monotonic()
         view.has_reported = False
 
     def handle_enrolled(self, event: MembersEnrolled) -> None:
@@ -179,6 +181,10 @@
             return
         for crash in report.crashes:
             self._handle_crash(view, crash)
+        host_crash = self._term_state.host_losses.find_crash(view, report)
+        if host_crash is not None:
+            self._handle_crash(view, host_crash)
+        view.unlinked_at = 0.0
         self._change_upstream(view, report.upstream)
         if report.upstream is None:
             return
--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -38,6 +38,11 @@
 
     name: str
     connection: Connection | None = None
+    # The agent's process on the latest link, and the one that reported last.
+    linked_incarnation: str = ''
+    reporting_incarnation: str = ''
+    # When the link was lost, monotonic clock; 0 while there is one.
+    unlinked_at: float = 0.0
     # Whether the full report has arrived on the current link.
     has_reported: bool = False
     # Whether the enrolment is durable, which is required for runs.
--- /dev/null
+++ b/baobabgap/dispatch/_host_losses.py
@@ -0,0 +1,71 @@
+"""Crashes that no agent reports, as the agent went with its host."""
+
+import time
+
+from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.protocol import CRASHED
+from baobabgap.protocol import FullReport
+from baobabgap.protocol import RunRow
+from baobabgap.protocol import RunsGone
+from baobabgap.protocol import UpstreamState
+
+
+class HostLosses:
+    """Finds out whether runs were lost in a crash of their whole host.
+
+    An agent that restarted has no record of what its upstream ran before.
+    If the upstream is another instance, too, and had not drained, what the
+    leader knows to have run there was lost in a crash.
+    """
+
+    def __init__(self) -> None:
+        # What ran on upstreams when their lease lapsed, by agent.
+        self._lapsed_by_agent: dict[str, RunsGone] = {}
+
+    def note_lapsed(self, view: AgentView) -> None:
+        """Remember the runs of an agent that is about to be forgotten."""
+        crash = _possible_crash(view)
+        if crash is not None:
+            self._lapsed_by_agent[view.name] = crash
+
+    def find_crash(
+        self, view: AgentView, report: FullReport
+    ) -> RunsGone | None:
+        """Return the crash that an agent's first report shows, or None.
+
+        Call this before the report changes the view.
+        """
+        lapsed = self._lapsed_by_agent.pop(view.name, None)
+        is_new_process = view.reporting_incarnation != view.linked_incarnation
+        view.reporting_incarnation = view.linked_incarnation
+        if not is_new_process or report.upstream is None:
+            return None
+        crash = lapsed or _possible_crash(view)
+        if crash is None or _is_instance(crash, report.upstream):
+            return None
+        return crash
+
+
+def _possible_crash(view: AgentView) -> RunsGone | None:
+    upstream = view.upstream
+    if upstream is None or upstream.is_draining or not view.run_by_task:
+        return None
+    last_heard_at = view.unlinked_at or time.monotonic()
+    rows = tuple(
+        RunRow(
+            run.task,
+            run.number,
+            True,
+            run.demand,
+            max(0, round(1000 * (last_heard_at - run.started_at))),
+        )
+        for run in view.run_by_task.values()
+    )
+    return RunsGone(upstream.instance, upstream.born_ms, rows, CRASHED)
+
+
+def _is_instance(crash: RunsGone, upstream: UpstreamState) -> bool:
+    return (crash.instance, crash.born_ms) == (
+        upstream.instance,
+        upstream.born_ms,
+    )
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -10,6 +10,7 @@
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._crash_history import CrashHistory
 from baobabgap.dispatch._events import CallArrived
+from baobabgap.dispatch._host_losses import HostLosses
 from baobabgap.dispatch._orphans import Orphans
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.queues import QueueTable
@@ -71,6 +72,7 @@
         self.orphans = Orphans()
         # The agents tell each leader anew.
         self.crash_history = CrashHistory()
+        self.host_losses = HostLosses()
         self.view_by_name: dict[str, AgentView] = {}
 
     def waiting_calls(self) -> list[CallArrived]:
--- a/baobabgap/dispatch/_timeout_monitor.py
+++ b/baobabgap/dispatch/_timeout_monitor.py
@@ -60,6 +60,7 @@
     def _check_unlinked(self, view: AgentView) -> None:
         since_grant_s = boottime_clock() - view.authority_granted_at
         if since_grant_s > self._timing.lapse_s:
+            self._term_state.host_losses.note_lapsed(view)
             self._runs.drop_all(view, 'lease lapsed')
             self._term_state.takeover.note_agent_report(view.name)
             # Later takeovers needn't wait for it.
--- a/baobabgap/dispatch/tests/deployment.py
+++ b/baobabgap/dispatch/tests/deployment.py
@@ -96,11 +96,14 @@
             for upstream in self.upstreams
         ]
         self.calls = LeaderCalls()
-        self._links = [self._link('entry-1', ENTRY_ROLE, self.calls.session)]
+        self._entry_link = self._link(
+            'entry-1', ENTRY_ROLE, self.calls.session
+        )
+        self._agent_links = [
+            self._link(f'agent-{number}', AGENT_ROLE, agent.session)
+            for number, agent in enumerate(self.agents)
+        ]
         for number, agent in enumerate(self.agents):
-            self._links.append(
-                self._link(f'agent-{number}', AGENT_ROLE, agent.session)
-            )
             agent.announce(self.announced_state(number))
 
     def start(self) -> None:
@@ -132,6 +135,25 @@
                 return node
         return None
 
+    def replace_agent(self, number: int, silent_s: float) -> None:
+        """Stop an agent at once; start another one in its place later."""
+        self._agent_links[number].stop()
+        self.agents[number].stop()
+        time.sleep(silent_s)
+        agent = RunAgent(
+            self.upstreams[number], LeaseTiming(), self.pool, Metrics()
+        )
+        self.agents[number] = agent
+        self._agent_links[number] = self._link(
+            f'agent-{number}', AGENT_ROLE, agent.session
+        )
+        agent.start()
+        self._agent_links[number].start()
+
+    @property
+    def _links(self) -> list[LeaderLink]:
+        return [self._entry_link, *self._agent_links]
+
     def configure(self, version: int) -> None:
         """Put a configuration in force."""
         wait_until(lambda: self.leader is not None, 'a leader')
--- a/baobabgap/dispatch/tests/test_crashes.py
+++ b/baobabgap/dispatch/tests/test_crashes.py
@@ -123,6 +123,36 @@
         for number in range(6):
             self.assertEqual('completed', self.end_of(f'job-{number}').state)
 
+    def test_task_that_crashes_whole_hosts_is_given_up(self) -> None:
+        """The agents crash, too, so that no report tells of it."""
+        self.deployment.submit('harmful', step(1), volatile=False).result(
+            WAIT_S
+        )
+        for _ in range(2):
+            self._replace_agent_of_crashed_upstream(0.3)
+            wait_until(self._all_are_up, 'the upstreams')
+        self.assertEqual('failed', self.end_of('harmful').state)
+        self.assertEqual(2, len(self.starts_of('harmful')))
+
+    def test_crash_of_a_host_counts_after_its_lease_has_lapsed(self) -> None:
+        self.deployment.submit('harmful', step(1), volatile=False).result(
+            WAIT_S
+        )
+        self._replace_agent_of_crashed_upstream(6.0)
+        self.assertEqual('failed', self.end_of('harmful').state)
+        self.assertLessEqual(len(self.starts_of('harmful')), 3)
+
+    def _replace_agent_of_crashed_upstream(self, silent_s: float) -> None:
+        wait_until(lambda: not self._all_are_up(), 'a crash')
+        (number,) = (
+            number
+            for number, upstream in enumerate(self.upstreams)
+            if upstream.is_refusing
+        )
+        self.deployment.replace_agent(number, silent_s)
+        if not self.upstreams[number].is_refusing:
+            self._announce(number)
+
     def test_run_that_ends_with_a_drained_upstream_is_no_crash(self) -> None:
         """An upstream that leaves may end what still runs on it."""
         upstream = self.upstreams[0]
