Count a host's crash only if its agent was restarted, too

An agent that was cut off for longer than the lease, and still runs, reports by itself what its upstream's crash ended, and knows of a planned stop meanwhile. The leader took such a stop for a crash of the host. It now compares the agent's process with the one that had the runs. Agents tell a new leader the crashes of the last five minutes instead of the last sixteen of any age, so that logs and counters of each leader don't repeat old ones.

Before: test_both_processes_must_be_others_than_before finds a crash for the same agent after a lapse (the condition compared the new view's empty process name).

--- a/baobabgap/dispatch/_host_losses.py
+++ b/baobabgap/dispatch/_host_losses.py
@@ -19,14 +19,15 @@
     """
 
     def __init__(self) -> None:
-        # What ran on upstreams when their lease lapsed, by agent.
-        self._lapsed_by_agent: dict[str, RunsGone] = {}
+        # What ran on upstreams when their lease lapsed, with the process of
+        # the agent, by the agent's name.
+        self._lapsed_by_agent: dict[str, tuple[str, RunsGone]] = {}
 
     def note_lapsed(self, view: AgentView) -> None:
         """Remember the runs of an agent that is about to be forgotten."""
         crash = _possible_crash(view)
         if crash is not None:
-            self._lapsed_by_agent[view.name] = crash
+            self._lapsed_by_agent[view.name] = view.linked_incarnation, crash
 
     def find_crash(
         self, view: AgentView, report: FullReport
@@ -35,12 +36,13 @@
 
         Call this before the report changes the view.
         """
-        lapsed = self._lapsed_by_agent.pop(view.name, None)
-        is_new_process = view.reporting_incarnation != view.linked_incarnation
+        incarnation, crash = self._lapsed_by_agent.pop(
+            view.name, (view.reporting_incarnation, _possible_crash(view))
+        )
         view.reporting_incarnation = view.linked_incarnation
-        if not is_new_process or report.upstream is None:
+        if incarnation == view.linked_incarnation or report.upstream is None:
+            # An agent that still runs reports crashes by itself.
             return None
-        crash = lapsed or _possible_crash(view)
         if crash is None or _is_instance(crash, report.upstream):
             return None
         return crash
--- a/baobabgap/upstreams/_crash_reports.py
+++ b/baobabgap/upstreams/_crash_reports.py
@@ -12,8 +12,9 @@
 from baobabgap.telemetry import log_event
 from baobabgap.upstreams._run_table import TrackedRun
 
-# Latest crashes that each new leader is told.
+# Latest crashes that each new leader is told, and for how many seconds.
 _KEPT_CRASHES: Final = 16
+_RETENTION_S: Final = 300.0
 
 
 class CrashReports:
@@ -24,18 +25,25 @@
     """
 
     def __init__(self) -> None:
-        self._crashes: deque[RunsGone] = deque(maxlen=_KEPT_CRASHES)
+        # With the times at which they were found.
+        self._crashes: deque[tuple[float, RunsGone]] = deque(
+            maxlen=_KEPT_CRASHES
+        )
 
-    @property
-    def latest(self) -> tuple[RunsGone, ...]:
-        """The latest crashes, the oldest first."""
-        return tuple(self._crashes)
+    def latest(self, now: float) -> tuple[RunsGone, ...]:
+        """Return the latest crashes, the oldest first."""
+        return tuple(
+            crash
+            for found_at, crash in self._crashes
+            if now - found_at < _RETENTION_S
+        )
 
-    def add(self, upstream: UpstreamState, rows: tuple[RunRow, ...]) -> None:
+    def add(
+        self, upstream: UpstreamState, rows: tuple[RunRow, ...], now: float
+    ) -> None:
         """Add a crash that ended the given runs."""
-        self._crashes.append(
-            RunsGone(upstream.instance, upstream.born_ms, rows, CRASHED)
-        )
+        crash = RunsGone(upstream.instance, upstream.born_ms, rows, CRASHED)
+        self._crashes.append((now, crash))
 
 
 def rows_with_ages(
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -600,7 +600,7 @@
                     self._unacknowledged_ends[n]
                     for n in sorted(self._unacknowledged_ends)
                 ),
-                self._crash_reports.latest,
+                self._crash_reports.latest(boottime_clock()),
             )
         )
 
@@ -689,7 +689,7 @@
             self._clock.remaining_ms(now),
         )
         if has_crashed:
-            self._crash_reports.add(upstream, rows)
+            self._crash_reports.add(upstream, rows, now)
             self._send_runs_gone(rows, CRASHED)
 
     def _handle_answered_poll(self) -> None:
