--- a/baobabgap/accepted/tests/test_state.py
+++ b/baobabgap/accepted/tests/test_state.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import cbor2
+
 from baobabgap.accepted import AcceptedJob
 from baobabgap.accepted import AcceptedState
 from baobabgap.accepted import AcceptJobs
@@ -111,6 +113,25 @@
         again.restore(2, restored.snapshot())
         self.assertEqual(UPSTREAM_CRASHES, again.failure_reason('a'))
 
+    def test_snapshot_without_crashes_is_restored(self) -> None:
+        """Builds that don't count crashes write such snapshots."""
+        self.apply(AcceptJobs((make_job(), make_job('b', 1))))
+        self.note_end(0, RunEnd.FAILED)
+        self.apply(
+            NoteEnds((TaskEnd(TaskId('b', 0, 0), 1, RunEnd.DONE),), 200)
+        )
+        ((name, fields),) = cbor2.loads(self.state.snapshot())
+        for job in fields['jobs']:
+            del job['crashed_runs']
+        for end in fields['ended']:
+            del end['reason']
+        restored = AcceptedState(RETENTION_MS)
+        restored.restore(1, cbor2.dumps([[name, fields]]))
+        self.assertEqual(
+            self.state.unfinished_by_id, restored.unfinished_by_id
+        )
+        self.assertEqual('', restored.failure_reason('b'))
+
     def test_interrupted_run_without_a_crash_does_not_count(self) -> None:
         self.apply(AcceptJobs((make_job(),)))
         for run in range(1, 9):
