--- a/baobabgap/scheduling/_target_pool.py
+++ b/baobabgap/scheduling/_target_pool.py
@@ -17,21 +17,13 @@
 
 from baobabgap.accepted import Demand
 from baobabgap.accepted import Step
+from baobabgap.scheduling._isolation import IsolationLimit
 from baobabgap.scheduling._targets import _ignore_change
 from baobabgap.scheduling._targets import PlacementTarget
 
 # Seconds between checks whether most upstreams are suspended.
 _SUSPENSION_CHECK_INTERVAL_S: Final = 0.02
 
-# Largest shares of the targets that may be used for runs that must be alone,
-# at least one; the smaller one while over half of the processors are in use.
-_ISOLATED_SHARE: Final = 0.5
-_ISOLATED_SHARE_BUSY: Final = 0.25
-# Tasks that must run alone for each such target while busy.
-_TASKS_FOR_EACH: Final = 4
-# Seconds after which a target with such a run no longer counts: others must
-# not wait for an upstream that never returns or for a very long task.
-_LONGEST_ISOLATION_S: Final = 10.0
 # Seconds for which a target gets no new runs, to become idle.
 _RESERVATION_S: Final = 1.0
 
@@ -60,13 +52,9 @@
         self._free_millicores = 0
         # Open targets without a run.
         self._idle_by_name: dict[str, PlacementTarget] = {}
-        # When runs that must be alone were last placed, by target.
-        self._isolated_at_by_name: dict[str, float] = {}
+        self._isolation = IsolationLimit()
         # Targets that get no new runs, to become idle, until a time.
         self._reserved_until_by_name: dict[str, float] = {}
-        # Tasks that found no idle target in the current and the last pass.
-        self._isolation_waiting = 0
-        self._isolation_waiting_before = 0
         # Targets with a suspension that may not be over.
         self._suspended_names: set[str] = set()
         self._next_suspension_check_at = float('-inf')
@@ -108,7 +96,7 @@
         del self.target_by_name[target.name]
         self._take_out(target)
         self._suspended_names.discard(target.name)
-        self._isolated_at_by_name.pop(target.name, None)
+        self._isolation.forget(target.name)
         self._reserved_until_by_name.pop(target.name, None)
 
     def could_fit(self, demand: Demand) -> bool:
@@ -195,13 +183,13 @@
         Such a task may cost its upstream, so that only few upstreams are
         used for them at a time. Returns None if there is no such target.
         """
-        if not self._idle_by_name or not self._may_isolate(now):
+        if not self._idle_by_name or self._isolation_room(now) <= 0:
             return None
         for target in self._idle_by_name.values():
             if may_start(target) and _is_eligible(
                 target, step, avoided, {}, now
             ):
-                self._isolated_at_by_name[target.name] = now
+                self._isolation.note_placed(target.name, now)
                 return target
         return None
 
@@ -216,17 +204,15 @@
         It gets no other runs for a while. Each pass calls this once for each
         task that waits for an idle target, which extends that.
         """
-        self._isolation_waiting += 1
-        if not self._may_isolate(now):
+        self._isolation.waiting += 1
+        room = self._isolation_room(now)
+        if room <= 0:
             return
         until = now + _RESERVATION_S
         for name in self._reserved_until_by_name:
             self._reserved_until_by_name[name] = until
-        isolated = self._isolated_count(now)
-        room = self._isolation_limit(isolated) - isolated
-        if len(self._reserved_until_by_name) >= min(
-            room, self._isolation_waiting
-        ):
+        wanted = min(room, self._isolation.waiting)
+        if len(self._reserved_until_by_name) >= wanted:
             return
         target = self._with_least_running(step, now, may_start)
         if target is not None:
@@ -235,40 +221,16 @@
 
     def begin_isolation_pass(self, now: float) -> None:
         """Let reserved targets that no task waits for get runs again."""
-        self._isolation_waiting_before = self._isolation_waiting
-        self._isolation_waiting = 0
+        self._isolation.begin_pass()
         for name, until in list(self._reserved_until_by_name.items()):
             if until < now:
                 del self._reserved_until_by_name[name]
                 self._update(self.target_by_name[name])
 
-    def _may_isolate(self, now: float) -> bool:
-        """Return whether one more target may be used for a single run."""
-        isolated = self._isolated_count(now)
-        return isolated < self._isolation_limit(isolated)
-
-    def _isolated_count(self, now: float) -> int:
-        return sum(
-            1
-            for name, at in self._isolated_at_by_name.items()
-            if self.target_by_name[name].is_exclusive
-            and now - at < _LONGEST_ISOLATION_S
-        )
-
-    def _isolation_limit(self, isolated: int) -> int:
-        """Return how many targets may be used for runs that must be alone.
-
-        More are used the more tasks wait, as each one that harms its
-        upstream holds up the others until that is back.
-        """
-        tasks = isolated + max(
-            self._isolation_waiting, self._isolation_waiting_before
-        )
-        share = _ISOLATED_SHARE
-        if 2 * self._free_millicores < self._open_millicores:
-            share = _ISOLATED_SHARE_BUSY
-            tasks //= _TASKS_FOR_EACH
-        return max(1, min(int(share * len(self.target_by_name)), tasks))
+    def _isolation_room(self, now: float) -> int:
+        """Return how many more targets may get a run of their own."""
+        is_busy = 2 * self._free_millicores < self._open_millicores
+        return self._isolation.room(self.target_by_name, is_busy, now)
 
     def _with_least_running(
         self,
