Show a control host as a voter only once that is committed

The group could lose its majority for good though an operator had waited as told: a host that returns with an empty disk was shown as a voter as soon as the leader had appended its promotion. If the leader was lost before the entry had reached another host, the two that were left could not elect.

A probe of the old code saw the voter shown before the commit in 6 of 6 repairs; the window is as long as the entry takes to a follower. The status now shows the voters of the committed membership; who counts for elections is as before.

Before: test_host_is_shown_as_voter_only_once_that_is_committed fails (commit 4, membership at 5). After: the 7 tests of the module pass.

--- a/baobabgap/replication/_status.py
+++ b/baobabgap/replication/_status.py
@@ -22,7 +22,7 @@
     address: str
     # The identity of its data folder; empty if not known yet.
     store: str
-    # Whether it counts toward a quorum.
+    # Whether it counts toward a quorum, by a committed membership.
     voter: bool
     # The last index known to be durable there; 0 if unknown.
     durable: int
--- a/baobabgap/replication/_status_view.py
+++ b/baobabgap/replication/_status_view.py
@@ -33,12 +33,15 @@
 def _member_statuses(
     state: GroupState, peers: Peers
 ) -> tuple[MemberStatus, ...]:
+    # A promotion that is not committed can be lost with the leader.
+    committed = state.window.membership_at(state.commit_index)
     return tuple(
         MemberStatus(
             name=member.name,
             address=member.control_host.address,
             store=member.store,
-            voter=member.voter,
+            voter=member.voter
+            and committed.is_voting_store(member.name, member.store),
             durable=_durable_index_of(member.name, state, peers),
         )
         for member in state.membership.members
--- a/baobabgap/replication/tests/test_store_identity.py
+++ b/baobabgap/replication/tests/test_store_identity.py
@@ -71,6 +71,25 @@
         future.result(WAIT_LIMIT_S)
         wait_until(lambda: self.is_repaired(group, lost), 'repair')
 
+    def test_host_is_shown_as_voter_only_once_that_is_committed(self) -> None:
+        """Operators wait for it before they touch the next host."""
+        group = self.make_group()
+        group.start()
+        group.propose(b'first')
+        for _ in range(3):
+            lost, _ = group.followers()
+            lost.kill()
+            lost.lose_disk()
+            lost.start()
+            leader = group.leader().running
+            give_up_at = time.monotonic() + WAIT_LIMIT_S
+            while not self.is_repaired(group, lost):
+                self.assertLess(time.monotonic(), give_up_at)
+            state = leader._state
+            self.assertGreaterEqual(
+                state.commit_index, state.window.membership_index
+            )
+
     def test_second_failure_right_after_the_repair(self) -> None:
         group = self.make_group()
         group.start()
