--- a/baobabgap/accepted/_crashes.py
+++ b/baobabgap/accepted/_crashes.py
@@ -70,7 +70,7 @@
 def must_run_alone(evidence_by_run: Mapping[int, CrashEvidence]) -> bool:
     """Return whether the next run of a task must not endanger others.
 
-    Run alone, a task that did no harm is cleared, and one that makes its
+    Run alone, a task that did no harm can complete, and one that makes its
     upstream crash is found, at the cost of no other run.
     """
     if not evidence_by_run:
