--- a/baobabgap/accepted/__init__.py
+++ b/baobabgap/accepted/__init__.py
@@ -6,21 +6,21 @@
 from baobabgap.accepted._commands import EnrolMembers
 from baobabgap.accepted._commands import NoteEnds
 from baobabgap.accepted._commands import PutConfiguration
-from baobabgap.accepted._crashes import CrashEvidence
-from baobabgap.accepted._crashes import is_given_up
-from baobabgap.accepted._crashes import must_run_alone
-from baobabgap.accepted._crashes import UPSTREAM_CRASHES
-from baobabgap.accepted._crashes import weigh_crash
-from baobabgap.accepted._model import AcceptedJob
-from baobabgap.accepted._model import Demand
-from baobabgap.accepted._model import JobState
-from baobabgap.accepted._model import RunEnd
-from baobabgap.accepted._model import Step
-from baobabgap.accepted._model import TaskEnd
-from baobabgap.accepted._model import TaskId
 from baobabgap.accepted._state import AcceptedState
 from baobabgap.accepted._state import JobEnd
 from baobabgap.accepted._state import UnfinishedJob
+from baobabgap.jobmodel._crashes import CrashEvidence
+from baobabgap.jobmodel._crashes import is_given_up
+from baobabgap.jobmodel._crashes import must_run_alone
+from baobabgap.jobmodel._crashes import UPSTREAM_CRASHES
+from baobabgap.jobmodel._crashes import weigh_crash
+from baobabgap.jobmodel._model import AcceptedJob
+from baobabgap.jobmodel._model import Demand
+from baobabgap.jobmodel._model import JobState
+from baobabgap.jobmodel._model import RunEnd
+from baobabgap.jobmodel._model import Step
+from baobabgap.jobmodel._model import TaskEnd
+from baobabgap.jobmodel._model import TaskId
 
 __all__ = [
     'AcceptedJob',
--- a/baobabgap/accepted/_commands.py
+++ b/baobabgap/accepted/_commands.py
@@ -2,12 +2,12 @@
 
 from dataclasses import dataclass
 
-from baobabgap.accepted._crashes import CrashEvidence
-from baobabgap.accepted._model import AcceptedJob
-from baobabgap.accepted._model import JobState
-from baobabgap.accepted._model import TaskEnd
-from baobabgap.messages import register
+from baobabgap.jobmodel._crashes import CrashEvidence
+from baobabgap.jobmodel._model import AcceptedJob
+from baobabgap.jobmodel._model import JobState
+from baobabgap.jobmodel._model import TaskEnd
 from baobabgap.queues import QueueConfiguration
+from baobabgap.wire import register
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/accepted/_state.py
+++ b/baobabgap/accepted/_state.py
@@ -15,17 +15,17 @@
 from baobabgap.accepted._commands import PutConfiguration
 from baobabgap.accepted._commands import StoredEnd
 from baobabgap.accepted._commands import StoredJob
-from baobabgap.accepted._crashes import CrashEvidence
-from baobabgap.accepted._crashes import is_given_up
-from baobabgap.accepted._crashes import UPSTREAM_CRASHES
-from baobabgap.accepted._model import AcceptedJob
-from baobabgap.accepted._model import JobState
-from baobabgap.accepted._model import RunEnd
-from baobabgap.accepted._model import TaskEnd
-from baobabgap.accepted._model import TaskId
-from baobabgap.messages import decode
-from baobabgap.messages import encode
+from baobabgap.jobmodel._crashes import CrashEvidence
+from baobabgap.jobmodel._crashes import is_given_up
+from baobabgap.jobmodel._crashes import UPSTREAM_CRASHES
+from baobabgap.jobmodel._model import AcceptedJob
+from baobabgap.jobmodel._model import JobState
+from baobabgap.jobmodel._model import RunEnd
+from baobabgap.jobmodel._model import TaskEnd
+from baobabgap.jobmodel._model import TaskId
 from baobabgap.queues import QueueConfiguration
+from baobabgap.wire import decode
+from baobabgap.wire import encode
 
 
 @dataclass(slots=True)
--- a/baobabgap/accepted/tests/test_state.py
+++ b/baobabgap/accepted/tests/test_state.py
@@ -21,8 +21,8 @@
 from baobabgap.accepted import TaskEnd
 from baobabgap.accepted import TaskId
 from baobabgap.accepted import UPSTREAM_CRASHES
-from baobabgap.messages import encode
 from baobabgap.queues import QueueConfiguration
+from baobabgap.wire import encode
 
 RETENTION_MS = 1000
 
--- a/baobabgap/agent/_lease_client.py
+++ b/baobabgap/agent/_lease_client.py
@@ -19,9 +19,9 @@
 from baobabgap.agent._upstream_reports import StartUnknown
 from baobabgap.agent._upstream_reports import StoppedLeases
 from baobabgap.agent._upstream_reports import UpstreamUnreachable
-from baobabgap.web import RequestNeverSent
-from baobabgap.web import WebClient
-from baobabgap.web import WebResponse
+from baobabgap.webclient import RequestNeverSent
+from baobabgap.webclient import WebClient
+from baobabgap.webclient import WebResponse
 
 _OK: Final = 200
 # Statuses that mean that the task was not started. 409 is not among them:
--- a/baobabgap/agent/_monitor.py
+++ b/baobabgap/agent/_monitor.py
@@ -15,7 +15,7 @@
 from baobabgap.agent._upstream_reports import RenewalReport
 from baobabgap.settings import AgentSettings
 from baobabgap.telemetry import log_event
-from baobabgap.web import RequestNeverSent
+from baobabgap.webclient import RequestNeverSent
 
 # Seconds between attempts to list the leases of a new upstream.
 _ADOPTION_RETRY_S: Final = 0.02
--- a/baobabgap/agent/tests/deployment.py
+++ b/baobabgap/agent/tests/deployment.py
@@ -8,7 +8,7 @@
 from baobabgap.messages import Changes
 from baobabgap.messages import ConfigurationEntry
 from baobabgap.settings import Settings
-from baobabgap.settings import settings_from_document
+from baobabgap.settingsfile import settings_from_document
 from baobabgap.standin import StandInUpstream
 
 _CONTROL_HOSTS = [{'name': 'control-1', 'host': '127.0.0.1', 'port': 9}]
--- a/baobabgap/agent/tests/test_agent.py
+++ b/baobabgap/agent/tests/test_agent.py
@@ -18,7 +18,7 @@
 from baobabgap.messages import ResumeTasks
 from baobabgap.messages import TaskOutcome
 from baobabgap.standin import Behaviour
-from baobabgap.web import WebClient
+from baobabgap.webclient import WebClient
 
 
 class AgentTest(unittest.TestCase):
--- a/baobabgap/api/tests/test_served.py
+++ b/baobabgap/api/tests/test_served.py
@@ -10,8 +10,8 @@
 from baobabgap.api import create_application
 from baobabgap.api.tests.fake_service import FakeService
 from baobabgap.api.tests.fake_service import JOB_ID
-from baobabgap.web import WebClient
 from baobabgap.web import WebServer
+from baobabgap.webclient import WebClient
 
 _LARGEST_BODY_BYTES: Final = 4096
 _READ_TIMEOUT_S: Final = 1
--- a/baobabgap/control/tests/test_single_host.py
+++ b/baobabgap/control/tests/test_single_host.py
@@ -5,7 +5,7 @@
 from baobabgap.control.tests._group import WAIT_LIMIT_S
 from baobabgap.messages import ClaimStatus
 from baobabgap.messages import TicketStatus
-from baobabgap.web import WebClient
+from baobabgap.webclient import WebClient
 
 
 class SingleHostTest(GroupTest):
--- a/baobabgap/daemon/_main.py
+++ b/baobabgap/daemon/_main.py
@@ -6,9 +6,9 @@
 
 from baobabgap._exceptions import BaobabgapError
 from baobabgap.daemon._run import run_role
-from baobabgap.settings import load_settings
 from baobabgap.settings import Settings
-from baobabgap.settings import settings_from_document
+from baobabgap.settingsfile import load_settings
+from baobabgap.settingsfile import settings_from_document
 
 
 def main() -> int:
--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -7,9 +7,6 @@
 from baobabgap.accepted import DismissMembers
 from baobabgap.accepted import EnrolMembers
 from baobabgap.accepted import JobEnd
-from baobabgap.accepted import JobState
-from baobabgap.accepted import RunEnd
-from baobabgap.accepted import TaskEnd
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._agent_view import Run
 from baobabgap.dispatch._committer import Committer
@@ -21,6 +18,9 @@
 from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._run_tracker import task_text
 from baobabgap.dispatch._term_state import TermState
+from baobabgap.jobmodel import JobState
+from baobabgap.jobmodel import RunEnd
+from baobabgap.jobmodel import TaskEnd
 from baobabgap.protocol import AGENT_ROLE
 from baobabgap.protocol import Authority
 from baobabgap.protocol import AuthorityRequest
--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from baobabgap.accepted import Demand
-from baobabgap.accepted import TaskId
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import boottime_clock
 from baobabgap.protocol import UpstreamState
 from baobabgap.scheduling import PlacementTarget
--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -4,13 +4,10 @@
 import time
 from typing import Final
 
-from baobabgap.accepted import AcceptedJob
 from baobabgap.accepted import AcceptedState
 from baobabgap.accepted import AcceptJobs
 from baobabgap.accepted import CancelAccepted
 from baobabgap.accepted import JobEnd
-from baobabgap.accepted import JobState
-from baobabgap.accepted import UPSTREAM_CRASHES
 from baobabgap.dispatch._committer import Committer
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._events import CallDropped
@@ -22,6 +19,9 @@
 from baobabgap.dispatch._replies import answer_unavailable
 from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._term_state import TermState
+from baobabgap.jobmodel import AcceptedJob
+from baobabgap.jobmodel import JobState
+from baobabgap.jobmodel import UPSTREAM_CRASHES
 from baobabgap.protocol import CallOutcome
 from baobabgap.protocol import CancelPath
 from baobabgap.protocol import ReadPath
--- a/baobabgap/dispatch/_committer.py
+++ b/baobabgap/dispatch/_committer.py
@@ -5,9 +5,9 @@
 from typing import Any
 from typing import Final
 
-from baobabgap.messages import encode
 from baobabgap.replication import ReplicatedLog
 from baobabgap.telemetry import log_event
+from baobabgap.wire import encode
 
 # The result passed on for a command that has none of its own.
 STORED: Final = 'stored'
--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -25,8 +25,6 @@
 from baobabgap.dispatch._leadership import Leadership
 from baobabgap.dispatch._membership_manager import MembershipManager
 from baobabgap.dispatch._scheduler import Scheduler
-from baobabgap.messages import Hello
-from baobabgap.messages import LeaderHint
 from baobabgap.protocol import CancelPath
 from baobabgap.protocol import CONTROL_ROLE
 from baobabgap.protocol import ControlNodeOptions
@@ -49,6 +47,8 @@
 from baobabgap.transport import LinkTiming
 from baobabgap.transport import Listener
 from baobabgap.transport import PROCESS_TRAFFIC
+from baobabgap.wire import Hello
+from baobabgap.wire import LeaderHint
 
 _MAX_THREADS: Final = 4096
 
--- a/baobabgap/dispatch/_crash_history.py
+++ b/baobabgap/dispatch/_crash_history.py
@@ -4,8 +4,8 @@
 from dataclasses import field
 from typing import Final
 
-from baobabgap.accepted import CrashEvidence
-from baobabgap.accepted import TaskId
+from baobabgap.jobmodel import CrashEvidence
+from baobabgap.jobmodel import TaskId
 
 # Seconds for which the crashes under a job's tasks are kept: longer than a
 # client takes to submit a job again whose answer it didn't get.
--- a/baobabgap/dispatch/_crash_recorder.py
+++ b/baobabgap/dispatch/_crash_recorder.py
@@ -4,16 +4,16 @@
 from typing import Final
 
 from baobabgap.accepted import AcceptedState
-from baobabgap.accepted import CrashEvidence
 from baobabgap.accepted import JobEnd
-from baobabgap.accepted import JobState
-from baobabgap.accepted import RunEnd
-from baobabgap.accepted import TaskEnd
-from baobabgap.accepted import UPSTREAM_CRASHES
-from baobabgap.accepted import weigh_crash
 from baobabgap.dispatch._job_closer import JobCloser
 from baobabgap.dispatch._run_tracker import task_text
 from baobabgap.dispatch._term_state import TermState
+from baobabgap.jobmodel import CrashEvidence
+from baobabgap.jobmodel import JobState
+from baobabgap.jobmodel import RunEnd
+from baobabgap.jobmodel import TaskEnd
+from baobabgap.jobmodel import UPSTREAM_CRASHES
+from baobabgap.jobmodel import weigh_crash
 from baobabgap.protocol import RunRow
 from baobabgap.protocol import RunsGone
 from baobabgap.telemetry import log_event
--- a/baobabgap/dispatch/_job_closer.py
+++ b/baobabgap/dispatch/_job_closer.py
@@ -6,10 +6,7 @@
 
 from baobabgap.accepted import AcceptedState
 from baobabgap.accepted import JobEnd
-from baobabgap.accepted import JobState
 from baobabgap.accepted import NoteEnds
-from baobabgap.accepted import TaskEnd
-from baobabgap.accepted import UPSTREAM_CRASHES
 from baobabgap.dispatch._committer import Committer
 from baobabgap.dispatch._events import EndsStored
 from baobabgap.dispatch._events import PostEvent
@@ -17,6 +14,9 @@
 from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._term_state import EndedJob
 from baobabgap.dispatch._term_state import TermState
+from baobabgap.jobmodel import JobState
+from baobabgap.jobmodel import TaskEnd
+from baobabgap.jobmodel import UPSTREAM_CRASHES
 from baobabgap.protocol import CallOutcome
 from baobabgap.protocol import EndsNoted
 from baobabgap.telemetry import log_event
--- a/baobabgap/dispatch/_orphans.py
+++ b/baobabgap/dispatch/_orphans.py
@@ -5,8 +5,8 @@
 from dataclasses import field
 from typing import Final
 
-from baobabgap.accepted import RunEnd
-from baobabgap.accepted import TaskId
+from baobabgap.jobmodel import RunEnd
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import RunRow
 
--- a/baobabgap/dispatch/_run_tracker.py
+++ b/baobabgap/dispatch/_run_tracker.py
@@ -4,10 +4,10 @@
 import time
 from typing import Final
 
-from baobabgap.accepted import TaskId
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._agent_view import Run
 from baobabgap.dispatch._term_state import TermState
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import RunRow
 from baobabgap.protocol import StopRuns
 from baobabgap.scheduling import JobPlan
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -4,11 +4,11 @@
 import time
 from typing import Final
 
-from baobabgap.accepted import AcceptedJob
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._run_tracker import task_text
 from baobabgap.dispatch._term_state import TermState
+from baobabgap.jobmodel import AcceptedJob
 from baobabgap.protocol import LeaseTiming
 from baobabgap.protocol import RunOrder
 from baobabgap.protocol import StartRuns
--- a/baobabgap/dispatch/_takeover.py
+++ b/baobabgap/dispatch/_takeover.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from baobabgap.accepted import AcceptedJob
+from baobabgap.jobmodel import AcceptedJob
 from baobabgap.protocol import AGENT_ROLE
 from baobabgap.protocol import ENTRY_ROLE
 from baobabgap.telemetry import log_event
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -5,14 +5,14 @@
 import time
 from typing import Final
 
-from baobabgap.accepted import JobState
-from baobabgap.accepted import TaskId
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._crash_history import CrashHistory
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._host_losses import HostLosses
 from baobabgap.dispatch._orphans import Orphans
 from baobabgap.dispatch._takeover import Takeover
+from baobabgap.jobmodel import JobState
+from baobabgap.jobmodel import TaskId
 from baobabgap.queues import QueueTable
 from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import PlacementTarget
--- a/baobabgap/dispatch/tests/crashing_upstream.py
+++ b/baobabgap/dispatch/tests/crashing_upstream.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 import threading
 
-from baobabgap.accepted import TaskId
 from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import RunOrder
 from baobabgap.upstreams import StartOutcome
 
--- a/baobabgap/dispatch/tests/deployment.py
+++ b/baobabgap/dispatch/tests/deployment.py
@@ -10,13 +10,12 @@
 import time
 import uuid
 
-from baobabgap.accepted import Demand
-from baobabgap.accepted import Step
 from baobabgap.dispatch import ControlNode
 from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import Step
 from baobabgap.leaderlink import LeaderCalls
 from baobabgap.leaderlink import LeaderLink
-from baobabgap.messages import Hello
 from baobabgap.protocol import AGENT_ROLE
 from baobabgap.protocol import CallAnswer
 from baobabgap.protocol import CancelPath
@@ -38,6 +37,7 @@
 from baobabgap.telemetry import Metrics
 from baobabgap.transport import LinkTiming
 from baobabgap.upstreams import RunAgent
+from baobabgap.wire import Hello
 
 HOST = '127.0.0.1'
 QUEUE_HOST = 'desk.example'
--- a/baobabgap/dispatch/tests/fake_upstream.py
+++ b/baobabgap/dispatch/tests/fake_upstream.py
@@ -5,8 +5,8 @@
 import threading
 import time
 
-from baobabgap.accepted import RunEnd
-from baobabgap.accepted import TaskId
+from baobabgap.jobmodel import RunEnd
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import RunOrder
 from baobabgap.upstreams import ActiveRun
--- a/baobabgap/dispatch/tests/test_crash_history.py
+++ b/baobabgap/dispatch/tests/test_crash_history.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from baobabgap.accepted import CrashEvidence
-from baobabgap.accepted import TaskId
 from baobabgap.dispatch import _crash_history
 from baobabgap.dispatch._crash_history import CrashHistory
+from baobabgap.jobmodel import CrashEvidence
+from baobabgap.jobmodel import TaskId
 
 TASK = TaskId('a', 0, 0)
 
--- a/baobabgap/dispatch/tests/test_crashes.py
+++ b/baobabgap/dispatch/tests/test_crashes.py
@@ -6,13 +6,13 @@
 import time
 import unittest
 
-from baobabgap.accepted import TaskId
-from baobabgap.accepted import UPSTREAM_CRASHES
 from baobabgap.dispatch.tests.crashing_upstream import CrashingUpstream
 from baobabgap.dispatch.tests.deployment import Deployment
 from baobabgap.dispatch.tests.deployment import step
 from baobabgap.dispatch.tests.deployment import WAIT_S
 from baobabgap.dispatch.tests.deployment import wait_until
+from baobabgap.jobmodel import TaskId
+from baobabgap.jobmodel import UPSTREAM_CRASHES
 from baobabgap.protocol import CallAnswer
 
 HARMFUL = TaskId('harmful', 0, 0)
--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -6,11 +6,11 @@
 from typing import Final
 import unittest
 
-from baobabgap.accepted import TaskId
 from baobabgap.dispatch.tests.deployment import Deployment
 from baobabgap.dispatch.tests.deployment import step
 from baobabgap.dispatch.tests.deployment import WAIT_S
 from baobabgap.dispatch.tests.deployment import wait_until
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import CallOutcome
 from baobabgap.protocol import RunOrder
 
--- a/baobabgap/dispatch/tests/test_host_losses.py
+++ b/baobabgap/dispatch/tests/test_host_losses.py
@@ -3,11 +3,11 @@
 from dataclasses import replace
 import unittest
 
-from baobabgap.accepted import Demand
-from baobabgap.accepted import TaskId
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._agent_view import Run
 from baobabgap.dispatch._host_losses import HostLosses
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import FullReport
 from baobabgap.protocol import UpstreamState
 
--- a/baobabgap/dispatch/tests/test_job_closer.py
+++ b/baobabgap/dispatch/tests/test_job_closer.py
@@ -8,14 +8,14 @@
 
 from baobabgap.accepted import AcceptedState
 from baobabgap.accepted import JobEnd
-from baobabgap.accepted import JobState
 from baobabgap.accepted import NoteEnds
-from baobabgap.accepted import RunEnd
-from baobabgap.accepted import TaskEnd
-from baobabgap.accepted import TaskId
 from baobabgap.dispatch._events import EndsStored
 from baobabgap.dispatch._job_closer import JobCloser
 from baobabgap.dispatch._term_state import TermState
+from baobabgap.jobmodel import JobState
+from baobabgap.jobmodel import RunEnd
+from baobabgap.jobmodel import TaskEnd
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import EndsNoted
 from baobabgap.telemetry import Metrics
 
--- a/baobabgap/dispatch/tests/test_takeover.py
+++ b/baobabgap/dispatch/tests/test_takeover.py
@@ -4,14 +4,14 @@
 from typing import cast
 import unittest
 
-from baobabgap.accepted import AcceptedJob
-from baobabgap.accepted import RunEnd
-from baobabgap.accepted import TaskId
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._orphans import Orphans
 from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch._term_state import TermState
+from baobabgap.jobmodel import AcceptedJob
+from baobabgap.jobmodel import RunEnd
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import LeaseTiming
 from baobabgap.protocol import RunRow
--- a/baobabgap/accepted/_model.py
+++ b/baobabgap/jobmodel/_model.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from baobabgap.accepted._crashes import CrashEvidence
+from baobabgap.jobmodel._crashes import CrashEvidence
 
 
 class JobState(StrEnum):
--- a/baobabgap/accepted/tests/test_crashes.py
+++ b/baobabgap/jobmodel/tests/test_crashes.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from baobabgap.accepted import CrashEvidence
-from baobabgap.accepted import is_given_up
-from baobabgap.accepted import must_run_alone
-from baobabgap.accepted import weigh_crash
+from baobabgap.jobmodel import CrashEvidence
+from baobabgap.jobmodel import is_given_up
+from baobabgap.jobmodel import must_run_alone
+from baobabgap.jobmodel import weigh_crash
 
 WEAK, STRONG, ALONE = (
     CrashEvidence.WEAK,
--- a/baobabgap/leaderlink/_guide.py
+++ b/baobabgap/leaderlink/_guide.py
@@ -10,14 +10,14 @@
 
 from baobabgap._exceptions import BaobabgapError
 from baobabgap._exceptions import ConnectionLost
-from baobabgap.messages import Hello
-from baobabgap.messages import LeaderHint
 from baobabgap.protocol import ENTRY_ROLE
 from baobabgap.settings import Settings
 from baobabgap.telemetry import log_event
 from baobabgap.transport import Connection
 from baobabgap.transport import LinkTiming
 from baobabgap.transport import Listener
+from baobabgap.wire import Hello
+from baobabgap.wire import LeaderHint
 
 
 class LeaderGuide:
--- a/baobabgap/leaderlink/_link.py
+++ b/baobabgap/leaderlink/_link.py
@@ -10,13 +10,13 @@
 from typing import Final
 
 from baobabgap._exceptions import BaobabgapError
-from baobabgap.messages import Hello
-from baobabgap.messages import LeaderHint
 from baobabgap.protocol import LeaderReady
 from baobabgap.telemetry import log_event
 from baobabgap.transport import Connection
 from baobabgap.transport import dial
 from baobabgap.transport import LinkTiming
+from baobabgap.wire import Hello
+from baobabgap.wire import LeaderHint
 
 # Seconds between rounds over all known control hosts; a few rounds fit into
 # the shortest election.
--- a/baobabgap/leaderlink/tests/test_guide.py
+++ b/baobabgap/leaderlink/tests/test_guide.py
@@ -4,14 +4,14 @@
 import unittest
 
 from baobabgap.leaderlink import LeaderGuide
-from baobabgap.messages import Hello
-from baobabgap.messages import LeaderHint
 from baobabgap.settings import Links
 from baobabgap.settings import Listen
 from baobabgap.settings import Role
 from baobabgap.settings import Settings
 from baobabgap.transport import dial
 from baobabgap.transport import LinkTiming
+from baobabgap.wire import Hello
+from baobabgap.wire import LeaderHint
 
 _TIMING = LinkTiming(0.1, 2.0)
 
--- a/baobabgap/leaderlink/tests/test_link.py
+++ b/baobabgap/leaderlink/tests/test_link.py
@@ -11,8 +11,8 @@
 from baobabgap.control._relay import LeaderRelay
 from baobabgap.leaderlink import _link
 from baobabgap.leaderlink import LeaderLink
-from baobabgap.messages import Hello
 from baobabgap.transport import LinkTiming
+from baobabgap.wire import Hello
 
 _WAIT_S = 20.0
 
--- a/baobabgap/messages/__init__.py
+++ b/baobabgap/messages/__init__.py
@@ -1,4 +1,4 @@
-"""Typed messages between the processes, and their codec.
+"""Typed messages of the standalone processes, with those of every link.
 
 Importing this package registers every message with the codec.
 """
@@ -14,13 +14,6 @@
 from baobabgap.messages._agent import TaskResults
 from baobabgap.messages._agent import UpstreamLoad
 from baobabgap.messages._agent import UpstreamOffer
-from baobabgap.messages._codec import decode
-from baobabgap.messages._codec import encode
-from baobabgap.messages._codec import MAXIMUM_FRAME_BYTES
-from baobabgap.messages._codec import PROTOCOL_VERSION
-from baobabgap.messages._codec import register
-from baobabgap.messages._common import Heartbeat
-from baobabgap.messages._common import Hello
 from baobabgap.messages._control import Changes
 from baobabgap.messages._control import Claim
 from baobabgap.messages._control import ClaimJobs
@@ -30,7 +23,6 @@
 from baobabgap.messages._control import ConfigurationEntry
 from baobabgap.messages._control import ControlPage
 from baobabgap.messages._control import ControlUnavailable
-from baobabgap.messages._control import LeaderHint
 from baobabgap.messages._control import Leave
 from baobabgap.messages._control import MemberRecord
 from baobabgap.messages._control import MemberReport
@@ -51,6 +43,14 @@
 from baobabgap.messages._relay import RelayCommand
 from baobabgap.messages._relay import RelayReports
 from baobabgap.messages._relay import RelayResult
+from baobabgap.wire import decode
+from baobabgap.wire import encode
+from baobabgap.wire import Heartbeat
+from baobabgap.wire import Hello
+from baobabgap.wire import LeaderHint
+from baobabgap.wire import MAXIMUM_FRAME_BYTES
+from baobabgap.wire import PROTOCOL_VERSION
+from baobabgap.wire import register
 
 register(
     AcknowledgeResults,
@@ -65,11 +65,8 @@
     ControlPage,
     ControlUnavailable,
     EntryState,
-    Heartbeat,
-    Hello,
     JoinJob,
     JoinedAnswer,
-    LeaderHint,
     Leave,
     MemberRecord,
     MemberReport,
--- a/baobabgap/messages/_control.py
+++ b/baobabgap/messages/_control.py
@@ -247,16 +247,6 @@
     unchanged: bool
 
 
-@dataclass(frozen=True, slots=True)
-class LeaderHint:
-    """The address of the leader; requests sent there save one hop."""
-
-    # The leader's name.
-    leader: str
-    # Where it listens for internal links, as host:port.
-    address: str
-
-
 @dataclass(frozen=True, slots=True)
 class Leave:
     """The member is about to shut down and takes no new work."""
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -4,11 +4,11 @@
 from enum import StrEnum
 from typing import Final
 
-from baobabgap.accepted import Demand
-from baobabgap.accepted import RunEnd
-from baobabgap.accepted import Step
-from baobabgap.accepted import TaskId
-from baobabgap.messages import register
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import RunEnd
+from baobabgap.jobmodel import Step
+from baobabgap.jobmodel import TaskId
+from baobabgap.wire import register
 
 
 class CallOutcome(StrEnum):
--- a/baobabgap/queues/_model.py
+++ b/baobabgap/queues/_model.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from baobabgap.messages import register
+from baobabgap.wire import register
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/replication/_messages.py
+++ b/baobabgap/replication/_messages.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from baobabgap.messages import register
+from baobabgap.wire import register
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/replication/_parts.py
+++ b/baobabgap/replication/_parts.py
@@ -3,7 +3,6 @@
 from concurrent.futures import Executor
 from dataclasses import dataclass
 
-from baobabgap.messages import Hello
 from baobabgap.replication._applier import Applier
 from baobabgap.replication._election import Election
 from baobabgap.replication._folder import DataFolder
@@ -20,6 +19,7 @@
 from baobabgap.settings import ControlHost
 from baobabgap.settings import Settings
 from baobabgap.transport import LinkTiming
+from baobabgap.wire import Hello
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/replication/_peer.py
+++ b/baobabgap/replication/_peer.py
@@ -9,7 +9,6 @@
 
 from baobabgap._exceptions import BaobabgapError
 from baobabgap._exceptions import ProtocolMismatch
-from baobabgap.messages import Hello
 from baobabgap.replication._errors import StorageUnavailable
 from baobabgap.replication._limits import LogLimits
 from baobabgap.replication._messages import AppendAnswer
@@ -26,6 +25,7 @@
 from baobabgap.transport import Connection
 from baobabgap.transport import Dialer
 from baobabgap.transport import LinkTiming
+from baobabgap.wire import Hello
 
 _IDLE_POLL_INTERVAL_S: Final = 1.0
 
--- a/baobabgap/replication/_peers.py
+++ b/baobabgap/replication/_peers.py
@@ -6,11 +6,11 @@
 import time
 from typing import Final
 
-from baobabgap.messages import Hello
 from baobabgap.replication._peer import Peer
 from baobabgap.replication._state import GroupState
 from baobabgap.settings import ControlHost
 from baobabgap.transport import LinkTiming
+from baobabgap.wire import Hello
 
 
 class Peers:
--- a/baobabgap/replication/tests/_group.py
+++ b/baobabgap/replication/tests/_group.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from baobabgap._exceptions import ConnectionLost
-from baobabgap.messages import Hello
 from baobabgap.replication._limits import LogLimits
 from baobabgap.replication._log import ReplicatedLog
 from baobabgap.replication.tests._faults import FaultyFolder
@@ -20,6 +19,7 @@
 from baobabgap.transport import Connection
 from baobabgap.transport import LinkTiming
 from baobabgap.transport import Listener
+from baobabgap.wire import Hello
 
 ELECTION_TIMEOUT_S = 0.4
 WAIT_LIMIT_S = 15.0
--- a/baobabgap/scheduling/_admission.py
+++ b/baobabgap/scheduling/_admission.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from baobabgap.accepted import Step
+from baobabgap.jobmodel import Step
 from baobabgap.scheduling._job_plan import JobPlan
 from baobabgap.scheduling._start_queue import StartQueue
 from baobabgap.scheduling._target_pool import TargetPool
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -7,12 +7,12 @@
 import math
 from typing import Final
 
-from baobabgap.accepted import AcceptedJob
-from baobabgap.accepted import CrashEvidence
-from baobabgap.accepted import is_given_up
-from baobabgap.accepted import must_run_alone
-from baobabgap.accepted import TaskId
 from baobabgap.accepted import UnfinishedJob
+from baobabgap.jobmodel import AcceptedJob
+from baobabgap.jobmodel import CrashEvidence
+from baobabgap.jobmodel import is_given_up
+from baobabgap.jobmodel import must_run_alone
+from baobabgap.jobmodel import TaskId
 from baobabgap.scheduling._run_times import RunTimes
 
 # Multiple of the objective of a job after which it is hardly worth running.
--- a/baobabgap/scheduling/_planner.py
+++ b/baobabgap/scheduling/_planner.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from baobabgap.accepted import Demand
+from baobabgap.jobmodel import Demand
 from baobabgap.scheduling._job_plan import JobPlan
 from baobabgap.scheduling._job_plan import PlannedTask
 from baobabgap.scheduling._start_queue import StartQueue
--- a/baobabgap/scheduling/_target_pool.py
+++ b/baobabgap/scheduling/_target_pool.py
@@ -15,8 +15,8 @@
 from sortedcontainers import SortedDict
 from sortedcontainers import SortedList
 
-from baobabgap.accepted import Demand
-from baobabgap.accepted import Step
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import Step
 from baobabgap.scheduling._isolation import IsolationLimit
 from baobabgap.scheduling._targets import _ignore_change
 from baobabgap.scheduling._targets import PlacementTarget
--- a/baobabgap/scheduling/_targets.py
+++ b/baobabgap/scheduling/_targets.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from baobabgap.accepted import Demand
+from baobabgap.jobmodel import Demand
 from baobabgap.scheduling._health import TargetHealth
 
 
--- a/baobabgap/scheduling/tests/load_player.py
+++ b/baobabgap/scheduling/tests/load_player.py
@@ -12,9 +12,9 @@
 import random
 import time
 
-from baobabgap.accepted import AcceptedJob
-from baobabgap.accepted import Demand
-from baobabgap.accepted import Step
+from baobabgap.jobmodel import AcceptedJob
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import Step
 from baobabgap.scheduling import AdmissionInput
 from baobabgap.scheduling import admit
 from baobabgap.scheduling import JobPlan
--- a/baobabgap/scheduling/tests/reference_planner.py
+++ b/baobabgap/scheduling/tests/reference_planner.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from baobabgap.accepted import Step
+from baobabgap.jobmodel import Step
 from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import Placement
 from baobabgap.scheduling import PlacementTarget
--- a/baobabgap/scheduling/tests/test_decisions.py
+++ b/baobabgap/scheduling/tests/test_decisions.py
@@ -3,11 +3,11 @@
 import random
 import unittest
 
-from baobabgap.accepted import AcceptedJob
-from baobabgap.accepted import Demand
-from baobabgap.accepted import Step
-from baobabgap.accepted import TaskId
 from baobabgap.accepted import UnfinishedJob
+from baobabgap.jobmodel import AcceptedJob
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import Step
+from baobabgap.jobmodel import TaskId
 from baobabgap.scheduling import AdmissionInput
 from baobabgap.scheduling import admit
 from baobabgap.scheduling import is_overdue
--- a/baobabgap/scheduling/tests/test_isolation.py
+++ b/baobabgap/scheduling/tests/test_isolation.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from baobabgap.accepted import CrashEvidence
-from baobabgap.accepted import Demand
-from baobabgap.accepted import Step
 from baobabgap.accepted import UnfinishedJob
+from baobabgap.jobmodel import CrashEvidence
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import Step
 from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import place_waiting
 from baobabgap.scheduling import PlacementTarget
--- a/baobabgap/settings/_model.py
+++ b/baobabgap/settings/_model.py
@@ -4,20 +4,16 @@
 from enum import StrEnum
 from ipaddress import IPv4Address
 from typing import Annotated
-from typing import Final
-
-from pydantic import AfterValidator
-from pydantic import ConfigDict
-from pydantic import Field
 
 from baobabgap.settings._agent import AgentSettings
 from baobabgap.settings._control import ControlSettings
 from baobabgap.settings._entry import EntrySettings
+from baobabgap.settings._limits import CheckedBy
+from baobabgap.settings._limits import Limits
+from baobabgap.settings._limits import NO_OTHER_KEYS
 from baobabgap.settings._standin import StandInSettings
 
-STRICT: Final = ConfigDict(extra='forbid')
-
-Port = Annotated[int, Field(ge=0, le=65535)]
+Port = Annotated[int, Limits(ge=0, le=65535)]
 
 
 def _require_ip_number(text: str) -> str:
@@ -29,8 +25,8 @@
     return text
 
 
-IpNumber = Annotated[str, AfterValidator(_require_ip_number)]
-Name = Annotated[str, Field(pattern=r'^[a-z][a-z0-9-]{0,39}$')]
+IpNumber = Annotated[str, CheckedBy(_require_ip_number)]
+Name = Annotated[str, Limits(pattern=r'^[a-z][a-z0-9-]{0,39}$')]
 
 
 class Role(StrEnum):
@@ -49,7 +45,7 @@
 class Place:
     """The location of the process."""
 
-    __pydantic_config__ = STRICT
+    __pydantic_config__ = NO_OTHER_KEYS
 
     region: Name = 'local'
     availability_zone: Name = 'local-a'
@@ -60,7 +56,7 @@
 class Listen:
     """The addresses that the process listens on."""
 
-    __pydantic_config__ = STRICT
+    __pydantic_config__ = NO_OTHER_KEYS
 
     host: IpNumber = '127.0.0.1'
     # For links between the system's processes.
@@ -73,7 +69,7 @@
 class ControlHost:
     """One initial member of the control group."""
 
-    __pydantic_config__ = STRICT
+    __pydantic_config__ = NO_OTHER_KEYS
 
     name: Name
     host: IpNumber
@@ -89,19 +85,19 @@
 class Links:
     """Timing of the links between processes."""
 
-    __pydantic_config__ = STRICT
+    __pydantic_config__ = NO_OTHER_KEYS
 
     # Seconds between heartbeats on an idle link.
-    heartbeat_s: Annotated[float, Field(gt=0, le=10)] = 1.0
+    heartbeat_s: Annotated[float, Limits(gt=0, le=10)] = 1.0
     # Seconds of silence after which a link is closed.
-    silence_s: Annotated[float, Field(gt=0, le=60)] = 2.5
+    silence_s: Annotated[float, Limits(gt=0, le=60)] = 2.5
 
 
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of a process; read them with `load_settings`."""
 
-    __pydantic_config__ = STRICT
+    __pydantic_config__ = NO_OTHER_KEYS
 
     role: Role
     name: Name
--- a/baobabgap/settings/_load.py
+++ b/baobabgap/settingsfile/_load.py
@@ -9,10 +9,10 @@
 from pydantic import ValidationError
 
 from baobabgap._exceptions import SettingsError
-from baobabgap.settings._explain import explain
 from baobabgap.settings._model import Role
 from baobabgap.settings._model import Settings
-from baobabgap.settings._yaml import read_yaml
+from baobabgap.settingsfile._explain import explain
+from baobabgap.settingsfile._yaml import read_yaml
 
 _MAX_CONTROL_HOSTS: Final = 7
 
--- a/baobabgap/settings/tests/test_load.py
+++ b/baobabgap/settingsfile/tests/test_load.py
@@ -6,8 +6,8 @@
 
 from baobabgap import SettingsError
 from baobabgap.settings import Links
-from baobabgap.settings import load_settings
 from baobabgap.settings import Role
+from baobabgap.settingsfile import load_settings
 
 _EXAMPLES = Path(__file__).parents[3] / 'examples' / 'local'
 _ENTRY = """
--- a/baobabgap/standin/_standin.py
+++ b/baobabgap/standin/_standin.py
@@ -12,8 +12,8 @@
 from baobabgap.standin._application import StandInApplication
 from baobabgap.standin._behaviour import Behaviour
 from baobabgap.standin._leases import LeaseTable
-from baobabgap.web import WebClient
 from baobabgap.web import WebServer
+from baobabgap.webclient import WebClient
 
 _ANNOUNCE_INTERVAL_S: Final = 1.0
 _ANNOUNCE_RETRY_INTERVAL_S: Final = 0.1
--- a/baobabgap/standin/tests/test_standin.py
+++ b/baobabgap/standin/tests/test_standin.py
@@ -6,11 +6,11 @@
 from typing import Any
 import unittest
 
-from baobabgap.settings import settings_from_document
+from baobabgap.settingsfile import settings_from_document
 from baobabgap.standin import Behaviour
 from baobabgap.standin import StandInUpstream
-from baobabgap.web import WebClient
-from baobabgap.web import WebResponse
+from baobabgap.webclient import WebClient
+from baobabgap.webclient import WebResponse
 
 _TIMEOUT_S = 20.0
 
--- a/baobabgap/tool/_client.py
+++ b/baobabgap/tool/_client.py
@@ -7,8 +7,8 @@
 from baobabgap._exceptions import InvalidInput
 from baobabgap.tool._exit import ExitCode
 from baobabgap.tool._exit import ToolError
-from baobabgap.web import WebClient
-from baobabgap.web import WebResponse
+from baobabgap.webclient import WebClient
+from baobabgap.webclient import WebResponse
 
 
 class EntryClient:
--- a/baobabgap/tool/_jobs_file.py
+++ b/baobabgap/tool/_jobs_file.py
@@ -9,7 +9,7 @@
 
 from baobabgap._exceptions import InvalidInput
 from baobabgap.jobs import JobSubmission
-from baobabgap.settings import read_yaml
+from baobabgap.settingsfile import read_yaml
 
 _JSON_LINES_SUFFIXES: Final = ('.jsonl', '.ndjson')
 _NONCE_BYTES: Final = 6
--- a/baobabgap/tool/_operator_actions.py
+++ b/baobabgap/tool/_operator_actions.py
@@ -8,7 +8,7 @@
 from baobabgap._exceptions import ConnectionLost
 from baobabgap._exceptions import InvalidInput
 from baobabgap.configuration import Configuration
-from baobabgap.settings import load_settings
+from baobabgap.settingsfile import load_settings
 from baobabgap.tool._client import document_of
 from baobabgap.tool._client import EntryClient
 from baobabgap.tool._exit import ExitCode
@@ -16,7 +16,7 @@
 from baobabgap.tool._jobs_file import read_document
 from baobabgap.tool._tables import render_error
 from baobabgap.tool._tables import render_page
-from baobabgap.web import WebResponse
+from baobabgap.webclient import WebResponse
 
 _TICKET_ATTEMPTS: Final = 10
 _TICKET_RETRY_PAUSE_S: Final = 1.0
--- a/baobabgap/tool/_submitter.py
+++ b/baobabgap/tool/_submitter.py
@@ -15,8 +15,8 @@
 from baobabgap.tool._client import document_of
 from baobabgap.tool._client import EntryClient
 from baobabgap.tool._exit import ExitCode
-from baobabgap.web import RequestNeverSent
-from baobabgap.web import WebResponse
+from baobabgap.webclient import RequestNeverSent
+from baobabgap.webclient import WebResponse
 
 _MAX_ATTEMPTS: Final = 30
 _RETRY_PAUSE_S: Final = 0.2
--- a/baobabgap/transport/_connection.py
+++ b/baobabgap/transport/_connection.py
@@ -22,13 +22,13 @@
 
 from baobabgap._exceptions import ConnectionLost
 from baobabgap._exceptions import ProtocolMismatch
-from baobabgap.messages import decode
-from baobabgap.messages import encode
-from baobabgap.messages import Heartbeat
-from baobabgap.messages import Hello
-from baobabgap.messages import PROTOCOL_VERSION
 from baobabgap.transport._link_loop import PROCESS_LOOP
 from baobabgap.transport._traffic import PROCESS_TRAFFIC
+from baobabgap.wire import decode
+from baobabgap.wire import encode
+from baobabgap.wire import Heartbeat
+from baobabgap.wire import Hello
+from baobabgap.wire import PROTOCOL_VERSION
 
 _MAXIMUM_MESSAGES_IN_FRAME: Final = 256
 # Idle links send mostly this frame, so it is encoded only once.
--- a/baobabgap/transport/_dialer.py
+++ b/baobabgap/transport/_dialer.py
@@ -10,10 +10,10 @@
 
 from baobabgap._exceptions import BaobabgapError
 from baobabgap._exceptions import ConnectionLost
-from baobabgap.messages import Hello
 from baobabgap.transport._connection import Connection
 from baobabgap.transport._connection import LinkTiming
 from baobabgap.transport._link_socket import connect
+from baobabgap.wire import Hello
 
 _INITIAL_RETRY_DELAY_S: Final = 0.05
 _MAX_RETRY_DELAY_S: Final = 1.0
--- a/baobabgap/transport/_link_socket.py
+++ b/baobabgap/transport/_link_socket.py
@@ -21,7 +21,7 @@
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
-from baobabgap.messages import MAXIMUM_FRAME_BYTES
+from baobabgap.wire import MAXIMUM_FRAME_BYTES
 
 _READ_BYTES: Final = 65536
 _LISTEN_BACKLOG: Final = 512
--- a/baobabgap/transport/_listener.py
+++ b/baobabgap/transport/_listener.py
@@ -12,13 +12,13 @@
 
 from baobabgap._exceptions import BaobabgapError
 from baobabgap._exceptions import ConnectionLost
-from baobabgap.messages import Hello
 from baobabgap.telemetry import log_event
 from baobabgap.transport._connection import Connection
 from baobabgap.transport._connection import LinkTiming
 from baobabgap.transport._link_loop import PROCESS_LOOP
 from baobabgap.transport._link_socket import accept_handshake
 from baobabgap.transport._link_socket import listen
+from baobabgap.wire import Hello
 
 # Seconds between visits of the link loop, which resume accepting after an
 # error such as too many open files.
--- a/baobabgap/transport/tests/test_connection.py
+++ b/baobabgap/transport/tests/test_connection.py
@@ -10,12 +10,12 @@
 
 from baobabgap import ConnectionLost
 from baobabgap.messages import CancelJobs
-from baobabgap.messages import Hello
 from baobabgap.transport import Connection
 from baobabgap.transport import dial
 from baobabgap.transport import LinkTiming
 from baobabgap.transport import Listener
 from baobabgap.transport._link_socket import LinkSocket
+from baobabgap.wire import Hello
 
 _WAIT_S = 20.0
 _TIMING = LinkTiming(0.2, 3.0)
--- a/baobabgap/transport/tests/test_link_loop.py
+++ b/baobabgap/transport/tests/test_link_loop.py
@@ -14,15 +14,15 @@
 from baobabgap import ConnectionLost
 from baobabgap import ProtocolMismatch
 from baobabgap.messages import CancelJobs
-from baobabgap.messages import encode
-from baobabgap.messages import Hello
-from baobabgap.messages import LeaderHint
 from baobabgap.transport import Connection
 from baobabgap.transport import dial
 from baobabgap.transport import LinkTiming
 from baobabgap.transport import Listener
 from baobabgap.transport._link_loop import LinkLoop
 from baobabgap.transport._link_socket import connect
+from baobabgap.wire import encode
+from baobabgap.wire import Hello
+from baobabgap.wire import LeaderHint
 
 _WAIT_S = 20.0
 _TIMING = LinkTiming(0.05, 1.0)
--- a/baobabgap/upstreams/_client.py
+++ b/baobabgap/upstreams/_client.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import Protocol
 
-from baobabgap.accepted import TaskId
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import RunOrder
 
--- a/baobabgap/upstreams/_run_table.py
+++ b/baobabgap/upstreams/_run_table.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from baobabgap.accepted import Demand
-from baobabgap.accepted import TaskId
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import RunRow
 from baobabgap.upstreams._client import ActiveRun
 from baobabgap.upstreams._client import UpstreamReport
--- a/baobabgap/upstreams/tests/test_crash_reports.py
+++ b/baobabgap/upstreams/tests/test_crash_reports.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from baobabgap.accepted import Demand
-from baobabgap.accepted import TaskId
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import UpstreamState
 from baobabgap.upstreams import _crash_reports
 from baobabgap.upstreams._crash_reports import CrashReports
--- a/baobabgap/upstreams/tests/test_run_agent.py
+++ b/baobabgap/upstreams/tests/test_run_agent.py
@@ -11,9 +11,9 @@
 import unittest
 from unittest.mock import Mock
 
-from baobabgap.accepted import Demand
-from baobabgap.accepted import TaskId
 from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import Authority
 from baobabgap.protocol import AuthorityRequest
 from baobabgap.protocol import EndsNoted
--- a/baobabgap/upstreams/tests/test_run_table.py
+++ b/baobabgap/upstreams/tests/test_run_table.py
@@ -6,8 +6,8 @@
 
 import unittest
 
-from baobabgap.accepted import RunEnd
-from baobabgap.accepted import TaskId
+from baobabgap.jobmodel import RunEnd
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import RunRow
 from baobabgap.upstreams import ActiveRun
--- a/baobabgap/web/tests/test_client.py
+++ b/baobabgap/webclient/tests/test_client.py
@@ -5,8 +5,8 @@
 import unittest
 
 from baobabgap import ConnectionLost
-from baobabgap.web import RequestNeverSent
-from baobabgap.web import WebClient
+from baobabgap.webclient import RequestNeverSent
+from baobabgap.webclient import WebClient
 
 _OK = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
 
--- a/baobabgap/messages/_common.py
+++ b/baobabgap/wire/_common.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from baobabgap.messages._codec import PROTOCOL_VERSION
+from baobabgap.wire._codec import PROTOCOL_VERSION
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,3 +29,13 @@
     availability_zone: str = ''
     # The protocol version of the sender.
     protocol_version: int = PROTOCOL_VERSION
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderHint:
+    """The address of the leader; requests sent there save one hop."""
+
+    # The leader's name.
+    leader: str
+    # Where it listens for internal links, as host:port.
+    address: str
--- a/tools/_local_control_group.py
+++ b/tools/_local_control_group.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from baobabgap.control import ControlHostProcess
-from baobabgap.settings import settings_from_document
+from baobabgap.settingsfile import settings_from_document
 
 _STOP_LIMIT_S: Final = 20.0
 
--- a/tools/bench/_answers.py
+++ b/tools/bench/_answers.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import Any
 
-from baobabgap.web import WebResponse
+from baobabgap.webclient import WebResponse
 from tools.bench._trace import TraceJob
 from tools.bench._trace import TraceTask
 
--- a/tools/bench/_counters.py
+++ b/tools/bench/_counters.py
@@ -9,7 +9,7 @@
 from typing import Self
 
 from baobabgap import ConnectionLost
-from baobabgap.web import WebClient
+from baobabgap.webclient import WebClient
 from tools.launcher import Launcher
 from tools.launcher import read_json
 
--- a/tools/bench/_faults.py
+++ b/tools/bench/_faults.py
@@ -5,7 +5,7 @@
 from typing import Any
 from typing import Final
 
-from baobabgap.web import WebClient
+from baobabgap.webclient import WebClient
 from tools.bench._cases import ChangeBehaviour
 from tools.bench._cases import Fault
 from tools.bench._cases import KillUpstream
--- a/tools/bench/_run.py
+++ b/tools/bench/_run.py
@@ -8,7 +8,7 @@
 from typing import Any
 from typing import Final
 
-from baobabgap.web import WebClient
+from baobabgap.webclient import WebClient
 from tools.bench._cases import Case
 from tools.bench._cases import PolicyChoice
 from tools.bench._cases import SLOTS
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -17,7 +17,7 @@
 
 from baobabgap import ConnectionLost
 from baobabgap.telemetry import read_records
-from baobabgap.web import WebClient
+from baobabgap.webclient import WebClient
 
 _START_LIMIT_S: Final = 30.0
 _STOP_LIMIT_S: Final = 30.0
--- a/tools/history/_callers.py
+++ b/tools/history/_callers.py
@@ -10,8 +10,8 @@
 from typing import Final
 
 from baobabgap import ConnectionLost
-from baobabgap.web import WebClient
-from baobabgap.web import WebResponse
+from baobabgap.webclient import WebClient
+from baobabgap.webclient import WebResponse
 from tools.history._deployment import Deployment
 from tools.history._events import Failed
 from tools.history._events import JobAction
--- a/tools/history/_operators.py
+++ b/tools/history/_operators.py
@@ -9,8 +9,8 @@
 from typing import Final
 
 from baobabgap import ConnectionLost
-from baobabgap.web import WebClient
-from baobabgap.web import WebResponse
+from baobabgap.webclient import WebClient
+from baobabgap.webclient import WebResponse
 from tools.history._deployment import Deployment
 from tools.history._events import Accepted
 from tools.history._events import Lost
--- a/tools/job_history/_control_daemon.py
+++ b/tools/job_history/_control_daemon.py
@@ -14,7 +14,7 @@
 from baobabgap.dispatch.tests.deployment import configuration
 from baobabgap.protocol import ControlNodeOptions
 from baobabgap.protocol import LeaseTiming
-from baobabgap.settings import settings_from_document
+from baobabgap.settingsfile import settings_from_document
 from tools.matrix._daemon import install_faulty_disk
 
 # Longer than any run, as states of ended jobs may be discarded after it.
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -27,7 +27,7 @@
 import yaml
 
 from baobabgap import ConnectionLost
-from baobabgap.web import WebClient
+from baobabgap.webclient import WebClient
 from tools.deployment_plan import DeploymentPlan
 from tools.deployment_plan import PlannedProcess
 
--- a/tools/matrix/_callers.py
+++ b/tools/matrix/_callers.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from baobabgap import ConnectionLost
-from baobabgap.web import WebClient
+from baobabgap.webclient import WebClient
 from tools.bench._answers import classify_response
 from tools.bench._answers import End
 from tools.bench._answers import Outcome
--- a/tools/matrix/_deployment.py
+++ b/tools/matrix/_deployment.py
@@ -12,7 +12,7 @@
 from typing import Self
 
 from baobabgap import ConnectionLost
-from baobabgap.web import WebClient
+from baobabgap.webclient import WebClient
 from tools.deployment_plan import DeploymentPlan
 from tools.launcher import Launcher
 from tools.launcher import LaunchError
--- a/tools/slopes_links.py
+++ b/tools/slopes_links.py
@@ -16,7 +16,7 @@
 from baobabgap.messages import SlotGrant
 from baobabgap.messages import UpstreamOffer
 from baobabgap.settings import Links
-from baobabgap.web import WebClient
+from baobabgap.webclient import WebClient
 from tools._simulated_members import SimulatedMembers
 from tools.deployment_plan import DeploymentPlan
 from tools.launcher import Launcher
--- a/tools/slopes_members.py
+++ b/tools/slopes_members.py
@@ -19,7 +19,7 @@
 from baobabgap.settings import ControlSettings
 from baobabgap.transport import dial
 from baobabgap.transport import LinkTiming
-from baobabgap.web import WebClient
+from baobabgap.webclient import WebClient
 from tools._local_control_group import LocalControlGroup
 from tools._local_control_group import LocalControlHost
 from tools._local_control_group import process_usage
--- a/tools/tests/dummy_daemon.py
+++ b/tools/tests/dummy_daemon.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-from baobabgap.settings import load_settings
+from baobabgap.settingsfile import load_settings
 
 
 class _Handler(BaseHTTPRequestHandler):
--- a/tools/tests/test_answers.py
+++ b/tools/tests/test_answers.py
@@ -4,7 +4,7 @@
 from typing import Any
 import unittest
 
-from baobabgap.web import WebResponse
+from baobabgap.webclient import WebResponse
 from tools.bench._answers import classify_response
 from tools.bench._answers import End
 from tools.bench._answers import task_payload
--- a/tools/tests/test_launcher.py
+++ b/tools/tests/test_launcher.py
@@ -4,7 +4,7 @@
 import sys
 import unittest
 
-from baobabgap.settings import load_settings
+from baobabgap.settingsfile import load_settings
 from tools.deployment_plan import DeploymentPlan
 from tools.launcher import Launcher
 from tools.launcher import LaunchError
--- a/tools/tests/test_whole_path.py
+++ b/tools/tests/test_whole_path.py
@@ -13,7 +13,7 @@
 import unittest
 
 from baobabgap import ConnectionLost
-from baobabgap.web import WebClient
+from baobabgap.webclient import WebClient
 from tools.bench._answers import classify_response
 from tools.bench._answers import End
 from tools.bench._answers import Outcome
