--- a/baobabgap/tool/_commands.py
+++ b/baobabgap/tool/_commands.py
@@ -27,6 +27,7 @@
 from baobabgap.tool._operator_actions import put_ticket
 from baobabgap.tool._operator_actions import show_metrics
 from baobabgap.tool._operator_actions import show_page
+from baobabgap.tool._ticket_check import check_ticket
 from baobabgap.tool._timeline_action import show_timeline
 
 Action = Callable[[], ExitCode]
@@ -106,7 +107,8 @@
     comes from BAOBABGAP_ENTRIES. --json prints JSON lines for programs.
 
     Exit codes: 0 all whole or done, 1 a job failed, 2 wrong usage or
-    input, 3 no entry answered, 4 refused, 5 not ended yet.
+    input, 3 no entry answered, 4 refused, 5 not ended yet, 6 valid with
+    warnings.
     """
 
     def __init__(self, deferred_action: DeferredAction) -> None:
@@ -192,6 +194,29 @@
             show_timeline, job_and_files, _parse_flag(json)
         )
 
+    @_with_string_arguments
+    def check_ticket(
+        self,
+        file: str,
+        *,
+        entries: str = DEFAULT_ENTRIES,
+        offline: str = 'False',
+        upstreams: str = '',
+        json: str = 'False',
+    ) -> None:
+        """Check the ticket in FILE against the state in force; send nothing.
+
+        With --offline, it is checked by itself. UPSTREAMS is a list
+        name,name of all upstreams, to find limits that match none.
+        """
+        self._deferred_action.store(
+            check_ticket,
+            file,
+            '' if _parse_flag(offline) else entries,
+            upstreams,
+            _parse_flag(json),
+        )
+
     @_with_string_arguments
     def check_config(self, *files: str) -> None:
         """Check settings files without starting anything."""
--- a/baobabgap/tool/_exit.py
+++ b/baobabgap/tool/_exit.py
@@ -20,6 +20,8 @@
     REFUSED = 4
     # The job has not ended yet.
     PENDING = 5
+    # The input would be accepted, but parts of it can hardly be meant.
+    WARNINGS = 6
 
 
 class ToolError(BaobabgapError):
--- a/baobabgap/tool/_operator_actions.py
+++ b/baobabgap/tool/_operator_actions.py
@@ -31,12 +31,7 @@
 
     Retries are idempotent: an accepted ticket gets its first answer.
     """
-    state = read_document(file)
-    if not isinstance(state, dict) or not state:
-        raise InvalidInput(
-            f'{file}: a ticket is a map of keys and their whole new state',
-            step='ticket',
-        )
+    state = read_ticket(file)
     Configuration.from_state(number, state)
     ticket = {'number': number, 'state': state}
     client = EntryClient.from_text(entries)
@@ -59,14 +54,28 @@
     raise tool_error
 
 
-def show_page(topic: str, entries: str, as_json: bool) -> ExitCode:
-    """Print a page of the control group."""
-    response = EntryClient.from_text(entries).request(
-        'GET', f'/v1/control/{topic}'
-    )
+def read_ticket(file: str) -> dict[str, Any]:
+    """Read the states that a ticket sets; raise `InvalidInput`."""
+    state = read_document(file)
+    if not isinstance(state, dict) or not state:
+        raise InvalidInput(
+            f'{file}: a ticket is a map of keys and their whole new state',
+            step='ticket',
+        )
+    return state
+
+
+def read_page(topic: str, client: EntryClient) -> Any:
+    """Return a page of the control group."""
+    response = client.request('GET', f'/v1/control/{topic}')
     if response.status != 200:
         raise _unexpected_response(response)
-    page = response.document()
+    return response.document()
+
+
+def show_page(topic: str, entries: str, as_json: bool) -> ExitCode:
+    """Print a page of the control group."""
+    page = read_page(topic, EntryClient.from_text(entries))
     print(json.dumps(page) if as_json else render_page(page))
     return ExitCode.DONE
 
--- a/baobabgap/tool/tests/test_tool.py
+++ b/baobabgap/tool/tests/test_tool.py
@@ -320,6 +320,22 @@
         self.assertEqual(0, code)
         self.assertFalse(self.service.accepting)
 
+    def test_check_ticket(self) -> None:
+        path = self.write('ticket.json', {'upstream/u9': {'slots': 2}})
+        bad = self.write('bad.json', {'quota/rowing': {'tasks': 5}})
+        cases: Sequence[tuple[list[str], int, str]] = [
+            ([path, '--offline'], 0, 'upstream/u9: (none) -> {"slots": 2}'),
+            ([path, '--offline', '--upstreams=u1'], 6, 'no upstream has'),
+            ([bad, '--offline'], 2, 'error: quota/rowing'),
+            ([path, '--entries=127.0.0.1:1'], 3, ''),
+        ]
+        for arguments, exit_code, expected in cases:
+            with self.subTest(arguments):
+                code, output, _ = self.run_tool('check-ticket', *arguments)
+                self.assertEqual(exit_code, code)
+                self.assertIn(expected, output)
+        self.assertEqual([], self.service.tickets)
+
     def test_check_config(self) -> None:
         valid_file = self.write('good.yaml', _VALID_SETTINGS)
         invalid_file = self.write('bad.yaml', _VALID_SETTINGS + 'nmae: b\n')
