Learn the speed of each upstream from its own runs

Cause: a factor for each kind hides two speeds that share a kind, and an upstream counted as slow only from 1.9 times its kind. Jobs end with their slowest task.

Now: the logarithm of each run's ratio to the usual one, clipped, averaged over the latest runs, weighed against the kind by the number and the age of the runs. A change is passed on from a tenth. Switched on by what is measured; equal upstreams keep the factor 1.

Ruled out: median of a window for each upstream (more state, later).

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -394,7 +394,9 @@
             # Its total run time is unknown.
             target.note_done(run.expected_s, run.expected_s)
             return
-        target.note_done(run_s, run.expected_s * target.kind_slowness)
+        expected_s = run.expected_s * target.kind_slowness
+        target.note_done(run_s, expected_s)
+        self._record_speed(target, run_s, expected_s)
         plan = self._term_state.plan_by_id.get(row.task.job_id)
         if plan is not None:
             step = plan.job.steps[row.task.step]
@@ -403,6 +405,20 @@
                 plan.job.queue, target.kind, step.estimate_ms, run_s
             )
 
+    def _record_speed(
+        self, target: PlacementTarget, run_s: float, expected_s: float
+    ) -> None:
+        log_ratio = self._term_state.speed_baseline.relative(run_s, expected_s)
+        if target.note_speed(log_ratio, time.monotonic()):
+            log_event(
+                'upstream_speed_changed',
+                agent=target.name,
+                kind=target.kind,
+                kind_slowness=round(target.kind_slowness, 2),
+                factor=target.speed.factor,
+                confidence=round(target.speed.confidence, 2),
+            )
+
 
 def _target_of(view: AgentView, upstream: UpstreamState) -> PlacementTarget:
     target = PlacementTarget(
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -18,6 +18,7 @@
 from baobabgap.scheduling import PlacementTarget
 from baobabgap.scheduling import PlannedTask
 from baobabgap.scheduling import RunTimes
+from baobabgap.scheduling import SpeedBaseline
 from baobabgap.scheduling import StartQueue
 from baobabgap.scheduling import TargetPool
 
@@ -43,9 +44,10 @@
     """
 
     def __init__(self) -> None:
-        # Both are kept across terms.
+        # Kept across terms.
         self.queue_table: QueueTable | None = None
         self.run_times = RunTimes()
+        self.speed_baseline = SpeedBaseline()
         self.begin_term(0, Takeover.none())
 
     def begin_term(self, term: int, takeover: Takeover) -> None:
--- a/baobabgap/scheduling/__init__.py
+++ b/baobabgap/scheduling/__init__.py
@@ -18,6 +18,7 @@
 from baobabgap.scheduling._start_queue import StartQueue
 from baobabgap.scheduling._target_pool import TargetPool
 from baobabgap.scheduling._targets import PlacementTarget
+from baobabgap.scheduling._upstream_speed import SpeedBaseline
 
 __all__ = [
     'AdmissionInput',
@@ -32,6 +33,7 @@
     'Refusal',
     'retry_after',
     'RunTimes',
+    'SpeedBaseline',
     'StartQueue',
     'TargetHealth',
     'TargetPool',
--- a/baobabgap/scheduling/_target_pool.py
+++ b/baobabgap/scheduling/_target_pool.py
@@ -292,9 +292,7 @@
 ) -> tuple[float, float]:
     slowness = target.slowness
     if step.data_rack and step.data_rack not in target.labels:
-        slowness = round(
-            target.kind_slowness * target.health.slowdown * off_rack_factor, 1
-        )
+        slowness = target.slowness_on_rack(off_rack_factor)
     return slowness, -target.free_share
 
 
--- a/baobabgap/scheduling/_targets.py
+++ b/baobabgap/scheduling/_targets.py
@@ -6,6 +6,7 @@
 
 from baobabgap.accepted import Demand
 from baobabgap.scheduling._health import TargetHealth
+from baobabgap.scheduling._upstream_speed import UpstreamSpeed
 
 
 def _ignore_change(target: 'PlacementTarget') -> None:
@@ -34,6 +35,8 @@
     # Run time factor of its kind of upstream; 1 is average.
     kind_slowness: float = 1.0
     health: TargetHealth = field(default_factory=TargetHealth)
+    # Its own run time factor against its kind.
+    speed: UpstreamSpeed = field(default_factory=UpstreamSpeed)
     # Called after each change that matters to the choice among targets.
     on_change: Callable[['PlacementTarget'], None] = _ignore_change
 
@@ -45,7 +48,14 @@
     @property
     def slowness(self) -> float:
         """The run time factor of its kind and its own, rounded."""
-        return round(self.kind_slowness * self.health.slowdown, 1)
+        return self.slowness_on_rack(1.0)
+
+    def slowness_on_rack(self, rack_factor: float) -> float:
+        """Return its run time factor times that of a rack, rounded."""
+        own = self.speed.factor
+        if self.health.slowdown > 1.0:
+            own = max(own, self.health.slowdown)
+        return round(self.kind_slowness * own * rack_factor, 1)
 
     @property
     def free_share(self) -> float:
@@ -103,6 +113,14 @@
         if self.slowness != before or was_on_trial:
             self.on_change(self)
 
+    def note_speed(self, log_ratio: float, now: float) -> bool:
+        """Record how long a run took; return if its own factor changed."""
+        before = self.slowness
+        has_changed = self.speed.observe(log_ratio, now)
+        if self.slowness != before:
+            self.on_change(self)
+        return has_changed
+
     def note_failed(self, now: float) -> bool:
         """Record a failed run; return whether it causes a suspension."""
         is_suspended = self.health.note_failed(now)
