Store the operator's orders to evacuate a zone

Cause: an order to empty an availability zone was answered 404 and kept nowhere.

Ruled out: a field of the configuration (the operator's next configuration would end it); a number for each order given by the host that takes it (two hosts would number one repeated order twice).

Before: no state.

--- a/baobabgap/accepted/__init__.py
+++ b/baobabgap/accepted/__init__.py
@@ -1,8 +1,10 @@
 """Replicated state of durably accepted jobs and of the configuration."""
 
 from baobabgap.accepted._commands import AcceptJobs
+from baobabgap.accepted._commands import BeginEvacuation
 from baobabgap.accepted._commands import CancelAccepted
 from baobabgap.accepted._commands import DismissMembers
+from baobabgap.accepted._commands import EndEvacuation
 from baobabgap.accepted._commands import EnrolMembers
 from baobabgap.accepted._commands import NoteEnds
 from baobabgap.accepted._commands import PutConfiguration
@@ -11,6 +13,7 @@
 from baobabgap.accepted._crashes import must_run_alone
 from baobabgap.accepted._crashes import UPSTREAM_CRASHES
 from baobabgap.accepted._crashes import weigh_crash
+from baobabgap.accepted._evacuations import ZoneState
 from baobabgap.accepted._model import AcceptedJob
 from baobabgap.accepted._model import Demand
 from baobabgap.accepted._model import JobState
@@ -26,10 +29,12 @@
     'AcceptedJob',
     'AcceptedState',
     'AcceptJobs',
+    'BeginEvacuation',
     'CancelAccepted',
     'CrashEvidence',
     'Demand',
     'DismissMembers',
+    'EndEvacuation',
     'EnrolMembers',
     'is_given_up',
     'JobEnd',
@@ -44,4 +49,5 @@
     'UnfinishedJob',
     'UPSTREAM_CRASHES',
     'weigh_crash',
+    'ZoneState',
 ]
--- a/baobabgap/accepted/_commands.py
+++ b/baobabgap/accepted/_commands.py
@@ -41,6 +41,20 @@
     configuration: QueueConfiguration
 
 
+@dataclass(frozen=True, slots=True)
+class BeginEvacuation:
+    """Start nothing more in an availability zone; its runs go on."""
+
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndEvacuation:
+    """Take back the evacuation of a zone."""
+
+    zone: str
+
+
 @dataclass(frozen=True, slots=True)
 class EnrolMembers:
     """Add agents that may hold runs, and entries that may hold calls.
@@ -93,13 +107,17 @@
     members: tuple[str, ...]
     # The latest time in any command, milliseconds since 1970.
     now_ms: int
+    # Evacuated zones with the log indexes of the orders.
+    evacuated_zones: tuple[tuple[str, int], ...] = ()
 
 
 register(
     AcceptedSnapshot,
     AcceptJobs,
+    BeginEvacuation,
     CancelAccepted,
     DismissMembers,
+    EndEvacuation,
     EnrolMembers,
     NoteEnds,
     PutConfiguration,
--- a/baobabgap/accepted/_state.py
+++ b/baobabgap/accepted/_state.py
@@ -1,4 +1,4 @@
-"""The replicated state of accepted jobs and of the configuration."""
+"""The replicated state of accepted jobs and of the operator's orders."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -8,8 +8,10 @@
 
 from baobabgap.accepted._commands import AcceptedSnapshot
 from baobabgap.accepted._commands import AcceptJobs
+from baobabgap.accepted._commands import BeginEvacuation
 from baobabgap.accepted._commands import CancelAccepted
 from baobabgap.accepted._commands import DismissMembers
+from baobabgap.accepted._commands import EndEvacuation
 from baobabgap.accepted._commands import EnrolMembers
 from baobabgap.accepted._commands import NoteEnds
 from baobabgap.accepted._commands import PutConfiguration
@@ -18,6 +20,8 @@
 from baobabgap.accepted._crashes import CrashEvidence
 from baobabgap.accepted._crashes import is_given_up
 from baobabgap.accepted._crashes import UPSTREAM_CRASHES
+from baobabgap.accepted._evacuations import EvacuatedZones
+from baobabgap.accepted._evacuations import ZoneState
 from baobabgap.accepted._model import AcceptedJob
 from baobabgap.accepted._model import JobState
 from baobabgap.accepted._model import RunEnd
@@ -86,6 +90,9 @@
         self.on_configuration: Callable[[QueueConfiguration], None] = (
             _ignore_configuration
         )
+        self._evacuated_zones = EvacuatedZones({})
+        # Called with each change of a zone's evacuation.
+        self.on_zone_change: Callable[[ZoneState], None] = _ignore_zone_change
 
     def apply(self, index: int, command: bytes) -> Any:
         """Apply one encoded command.
@@ -94,10 +101,10 @@
         `ValueError` for a message that is no command of this state.
         """
         for message in decode(command, peer='log'):
-            return self._apply(message)
+            return self._apply(index, message)
         return None
 
-    def _apply(self, command: object) -> Any:
+    def _apply(self, index: int, command: object) -> Any:
         match command:
             case AcceptJobs(jobs=jobs):
                 for job in jobs:
@@ -111,20 +118,35 @@
                 for job_id in job_ids:
                     self._end_job(job_id, JobState.CANCELLED)
                 return None
-            case PutConfiguration(configuration=configuration):
-                self._put_configuration(configuration)
-                return None
             case EnrolMembers(names=names):
                 self.members.update(names)
                 return None
             case DismissMembers(names=names):
                 self.members.difference_update(names)
                 return None
+            case _:
+                self._apply_order(index, command)
+                return None
+
+    def _apply_order(self, index: int, command: object) -> None:
+        """Apply an operator's order."""
+        match command:
+            case PutConfiguration(configuration=configuration):
+                self._put_configuration(configuration)
+            case BeginEvacuation(zone=zone):
+                self._report_change(self._evacuated_zones.begin(zone, index))
+            case EndEvacuation(zone=zone):
+                self._report_change(self._evacuated_zones.end(zone, index))
             case _:
                 raise ValueError(
                     f'not a command of the accepted jobs: {command!r}'
                 )
 
+    @property
+    def evacuated_zones(self) -> dict[str, int]:
+        """The evacuated zones with the log indexes of the orders."""
+        return self._evacuated_zones.version_by_zone
+
     def state_of(self, job_id: str) -> JobState | None:
         """Return the durable state of a job, or None if it is unknown.
 
@@ -155,6 +177,7 @@
                     tuple(self.ended_by_id.values()),
                     tuple(sorted(self.members)),
                     self.now_ms,
+                    self._evacuated_zones.rows(),
                 )
             ]
         )
@@ -171,6 +194,12 @@
         self.configuration = stored.configuration
         if stored.configuration is not None:
             self.on_configuration(stored.configuration)
+        earlier = self._evacuated_zones
+        self._evacuated_zones = EvacuatedZones.from_rows(
+            stored.evacuated_zones
+        )
+        for change in self._evacuated_zones.changes_since(earlier, index):
+            self._report_change(change)
 
     def _accept(self, job: AcceptedJob) -> None:
         self._drop_expired(job.accepted_ms)
@@ -225,6 +254,10 @@
             self.configuration = configuration
             self.on_configuration(configuration)
 
+    def _report_change(self, change: ZoneState | None) -> None:
+        if change is not None:
+            self.on_zone_change(change)
+
     def _drop_expired(self, now_ms: int) -> None:
         """Advance the time, and drop jobs past their retention."""
         self.now_ms = max(self.now_ms, now_ms)
@@ -270,3 +303,7 @@
 
 def _ignore_configuration(configuration: QueueConfiguration) -> None:
     """Do nothing; the default of `on_configuration`."""
+
+
+def _ignore_zone_change(change: ZoneState) -> None:
+    """Do nothing; the default of `on_zone_change`."""
