Start nothing in an evacuated zone, by the leader or its agents

Cause: an order to evacuate a zone had no effect on starts. The leader now closes the zone's targets, and tells the agents there, before it answers (the scheduler handles the change, queued when the command is applied, before the answer queued after it); a term begins with the zones of the applied log; admission counts the rest at once, also among the upstreams that are expected back. Agents refuse the starts that they have not sent, also those queued inside them, as 'evacuated'.

Ruled out: answering when the command is applied (the scheduler may be in a pass that starts tasks there); a belief that the agent keeps across links (orders of an ended link are void, and the next leader repeats the zones before any order).

Before: starts in the zone go on.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -15,6 +15,7 @@
 from baobabgap.dispatch._committer import Committer
 from baobabgap.dispatch._committer import ignore_result
 from baobabgap.dispatch._crash_recorder import CrashRecorder
+from baobabgap.dispatch._evacuations import Evacuations
 from baobabgap.dispatch._events import MembersEnrolled
 from baobabgap.dispatch._events import PostEvent
 from baobabgap.dispatch._job_closer import JobCloser
@@ -63,6 +64,7 @@
         runs: RunTracker,
         closer: JobCloser,
         crashes: CrashRecorder,
+        evacuations: Evacuations,
         state: AcceptedState,
         committer: Committer,
         timing: LeaseTiming,
@@ -72,6 +74,7 @@
         self._runs: Final = runs
         self._closer: Final = closer
         self._crashes: Final = crashes
+        self._evacuations: Final = evacuations
         self._state: Final = state
         self._committer: Final = committer
         self._timing: Final = timing
@@ -86,6 +89,7 @@
         view.connection = connection
         view.linked_incarnation = connection.peer.incarnation
         view.has_reported = False
+        self._evacuations.handle_link(view)
         self._enrol(view)
 
     def handle_lost_link(self, connection: Connection) -> None:
@@ -226,9 +230,7 @@
             self._term_state.set_target(view, _target_of(view, upstream))
         assert view.target is not None
         view.target.set_capacity(upstream.capacity)
-        view.target.set_open(
-            upstream.is_reachable and not upstream.is_draining
-        )
+        self._evacuations.update_target(view)
         if previous != upstream:
             log_event(
                 'upstream_changed',
--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -13,7 +13,10 @@
 from baobabgap._exceptions import BaobabgapError
 from baobabgap._exceptions import ConnectionLost
 from baobabgap.accepted import AcceptedState
+from baobabgap.accepted import BeginEvacuation
+from baobabgap.accepted import EndEvacuation
 from baobabgap.accepted import PutConfiguration
+from baobabgap.accepted import ZoneState
 from baobabgap.dispatch._committer import Committer
 from baobabgap.dispatch._events import AgentLinked
 from baobabgap.dispatch._events import AgentReported
@@ -22,6 +25,8 @@
 from baobabgap.dispatch._events import CallDropped
 from baobabgap.dispatch._events import EntryLinked
 from baobabgap.dispatch._events import EntryUnlinked
+from baobabgap.dispatch._events import OrderApplied
+from baobabgap.dispatch._events import ZoneChanged
 from baobabgap.dispatch._leadership import Leadership
 from baobabgap.dispatch._membership_manager import MembershipManager
 from baobabgap.dispatch._scheduler import Scheduler
@@ -92,6 +97,11 @@
             self.metrics,
         )
         self._state.on_configuration = self._apply_configuration
+        self._state.on_zone_change = self._apply_zone_change
+        self.metrics.gauge(
+            'baobabgap_zones_evacuated',
+            lambda: len(self._state.evacuated_zones),
+        )
         self._membership = MembershipManager(
             self._log,
             options.wanted_members,
@@ -209,22 +219,28 @@
         The future fails with `NotLeader` or `OutcomeUnknown`. A version
         that is not higher than the one in force has no effect.
         """
-        if not self.is_leading:
-            future: Future[Any] = Future()
-            future.set_exception(NotLeader('put configuration', self.leader))
-            return future
-        future = Future()
+        return self._propose(
+            PutConfiguration(configuration), 'put configuration'
+        )
 
-        def ended(result: Any) -> None:
-            if result is None:
-                future.set_exception(
-                    NotLeader('put configuration', self.leader)
-                )
-            else:
-                future.set_result(result)
+    def begin_evacuation(self, zone: str) -> Future[Any]:
+        """Start nothing more in an availability zone until further notice.
 
-        self._committer.propose(PutConfiguration(configuration), ended)
-        return future
+        The future completes once the order is durable and this host starts
+        nothing there; it fails with `NotLeader`. What runs there goes on. A
+        repeated order has no effect; of several, the last one stored wins.
+        """
+        return self._propose(
+            BeginEvacuation(zone),
+            'begin evacuation',
+            is_for_scheduler=True,
+        )
+
+    def end_evacuation(self, zone: str) -> Future[Any]:
+        """Take an evacuation back; see `begin_evacuation`."""
+        return self._propose(
+            EndEvacuation(zone), 'end evacuation', is_for_scheduler=True
+        )
 
     def read_configuration(self) -> Future[QueueConfiguration | None]:
         """Read the newest configuration; the future fails with `NotLeader`."""
@@ -240,6 +256,41 @@
         self._log.read_barrier().add_done_callback(read)
         return future
 
+    def _propose(
+        self, command: object, step: str, *, is_for_scheduler: bool = False
+    ) -> Future[Any]:
+        """Propose an operator's order as the leader.
+
+        The future completes once the order is applied; if that posts events
+        for the scheduler, once these are handled.
+        """
+        future: Future[Any] = Future()
+        if not self.is_leading:
+            future.set_exception(NotLeader(step, self.leader))
+            return future
+
+        def ended(result: Any) -> None:
+            if result is None:
+                future.set_exception(NotLeader(step, self.leader))
+            elif not is_for_scheduler:
+                future.set_result(result)
+            else:
+                self._scheduler.post_event(
+                    OrderApplied(lambda: future.set_result(result))
+                )
+
+        self._committer.propose(command, ended)
+        return future
+
+    def _apply_zone_change(self, change: ZoneState) -> None:
+        self._scheduler.post_event(ZoneChanged(change))
+        log_event(
+            'evacuation_in_force',
+            zone=change.zone,
+            is_evacuated=change.is_evacuated,
+            version=change.version,
+        )
+
     def _apply_configuration(self, configuration: QueueConfiguration) -> None:
         self._scheduler.use_queue_table(
             QueueTable.from_configuration(configuration)
--- /dev/null
+++ b/baobabgap/dispatch/_evacuations.py
@@ -0,0 +1,81 @@
+"""Evacuated availability zones, as the leader acts on them.
+
+Answers the load of a zone that is emptied: its targets close before the
+operator is answered, so that admission and starts count on the remaining
+capacity only, and its agents refuse the starts that they have not sent yet.
+"""
+
+from collections.abc import Mapping
+from typing import Final
+
+from baobabgap.accepted import ZoneState
+from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch._term_state import TermState
+from baobabgap.protocol import ZoneEvacuated
+from baobabgap.telemetry import log_event
+
+
+class Evacuations:
+    """Opens and closes targets, and tells agents of their zone's state."""
+
+    def __init__(self, term_state: TermState) -> None:
+        self._term_state: Final = term_state
+
+    def begin_term(self, version_by_zone: Mapping[str, int]) -> None:
+        """Start a term with the zones that the log says are evacuated."""
+        self._term_state.version_by_evacuated_zone = dict(version_by_zone)
+
+    def handle_change(self, change: ZoneState) -> None:
+        """Close or open the targets of a zone; tell its agents."""
+        version_by_zone = self._term_state.version_by_evacuated_zone
+        if change.is_evacuated:
+            version_by_zone[change.zone] = change.version
+        else:
+            version_by_zone.pop(change.zone, None)
+        targets = 0
+        for view in self._term_state.view_by_name.values():
+            zone = view.upstream.availability_zone if view.upstream else ''
+            if zone in ('', change.zone):
+                # An upstream that is not known yet may be in the zone.
+                self._tell(view, change)
+            if zone == change.zone:
+                self.update_target(view)
+                targets += view.target is not None
+        log_event(
+            'zone_targets_changed',
+            zone=change.zone,
+            is_evacuated=change.is_evacuated,
+            version=change.version,
+            targets=targets,
+        )
+
+    def handle_link(self, view: AgentView) -> None:
+        """Tell an agent with a new link all zones that are evacuated.
+
+        Its upstream, and so its zone, may not be known yet.
+        """
+        version_by_zone = self._term_state.version_by_evacuated_zone
+        for zone, version in version_by_zone.items():
+            self._tell(view, ZoneState(zone, version, is_evacuated=True))
+
+    def update_target(self, view: AgentView) -> None:
+        """Set whether new runs may start on an agent's upstream."""
+        upstream, target = view.upstream, view.target
+        if upstream is None or target is None:
+            return
+        target.set_open(
+            upstream.is_reachable
+            and not upstream.is_draining
+            and not self._term_state.is_evacuated(upstream.availability_zone)
+        )
+
+    def _tell(self, view: AgentView, change: ZoneState) -> None:
+        if view.connection is not None:
+            view.connection.send(
+                ZoneEvacuated(
+                    self._term_state.term,
+                    change.zone,
+                    change.version,
+                    change.is_evacuated,
+                )
+            )
--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -1,11 +1,13 @@
 """Events for the scheduler, queued in the order of their occurrence."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from baobabgap.accepted import JobEnd
 from baobabgap.accepted import UnfinishedJob
+from baobabgap.accepted import ZoneState
 from baobabgap.protocol import CancelPath
 from baobabgap.protocol import ReadPath
 from baobabgap.protocol import SubmitJob
@@ -22,6 +24,8 @@
     unfinished: tuple[UnfinishedJob, ...]
     # Members that may hold state of an earlier term, as `role/name`.
     members: tuple[str, ...]
+    # Evacuated availability zones with the log indexes of the orders.
+    version_by_evacuated_zone: Mapping[str, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +120,21 @@
     incarnation: str
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneChanged:
+    """The evacuation of an availability zone has begun or ended."""
+
+    change: ZoneState
+
+
+@dataclass(frozen=True, slots=True)
+class OrderApplied:
+    """An operator's order is durable, and its events were queued before."""
+
+    # Answers the operator.
+    notify: Callable[[], None]
+
+
 @dataclass(frozen=True, slots=True)
 class MembersEnrolled:
     """The enrolment of an agent is durable; it may be sent runs."""
@@ -138,6 +157,8 @@
     | EntryLinked
     | EntryUnlinked
     | MembersEnrolled
+    | ZoneChanged
+    | OrderApplied
 )
 
 # Puts an event into the scheduler's queue.
--- a/baobabgap/dispatch/_leadership.py
+++ b/baobabgap/dispatch/_leadership.py
@@ -108,7 +108,10 @@
             self._confirmed_at = asked_at
             scheduler.post_event(
                 LeadershipGained(
-                    term, unfinished, tuple(sorted(self._state.members))
+                    term,
+                    unfinished,
+                    tuple(sorted(self._state.members)),
+                    self._state.evacuated_zones,
                 )
             )
             self.term = term
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -19,6 +19,7 @@
 from baobabgap.dispatch._committer import Committer
 from baobabgap.dispatch._crash_recorder import CrashRecorder
 from baobabgap.dispatch._entry_registry import EntryRegistry
+from baobabgap.dispatch._evacuations import Evacuations
 from baobabgap.dispatch._events import AgentLinked
 from baobabgap.dispatch._events import AgentReported
 from baobabgap.dispatch._events import AgentUnlinked
@@ -33,6 +34,8 @@
 from baobabgap.dispatch._events import LeadershipGained
 from baobabgap.dispatch._events import LeadershipLost
 from baobabgap.dispatch._events import MembersEnrolled
+from baobabgap.dispatch._events import OrderApplied
+from baobabgap.dispatch._events import ZoneChanged
 from baobabgap.dispatch._job_closer import JobCloser
 from baobabgap.dispatch._replies import answer
 from baobabgap.dispatch._replies import answer_unavailable
@@ -93,11 +96,13 @@
             self.post_event,
             metrics,
         )
+        self._evacuations = Evacuations(term_state)
         self._agents = AgentHandler(
             term_state,
             runs,
             self._closer,
             CrashRecorder(term_state, self._closer, state, metrics),
+            self._evacuations,
             state,
             committer,
             timing,
@@ -174,6 +179,10 @@
                 self._step_down()
             case CallArrived():
                 self._handle_call(event)
+            case OrderApplied(notify=notify):
+                # Also by a host that no longer leads: the order is stored,
+                # and it starts nothing.
+                notify()
             case _ if self._term_state.term:
                 self._handle_as_leader(event)
 
@@ -191,6 +200,8 @@
                 self._entries.handle_link(event)
             case EntryUnlinked():
                 self._entries.handle_lost_link(event)
+            case ZoneChanged(change=change):
+                self._evacuations.handle_change(change)
             case _:
                 self._handle_agent_event(event)
 
@@ -218,6 +229,7 @@
         term_state.begin_term(
             event.term, Takeover(event.term, event.members, ends_at)
         )
+        self._evacuations.begin_term(event.version_by_evacuated_zone)
         self._closer.reset()
         self._entries.reset()
         prefix = f'{AGENT_ROLE}/'
@@ -236,6 +248,7 @@
             term=event.term,
             inherited_jobs=len(event.unfinished),
             members=event.members,
+            evacuated_zones=dict(event.version_by_evacuated_zone),
         )
 
     def _step_down(self) -> None:
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -74,6 +74,12 @@
         self.crash_history = CrashHistory()
         self.host_losses = HostLosses()
         self.view_by_name: dict[str, AgentView] = {}
+        # Evacuated availability zones with the versions of the orders.
+        self.version_by_evacuated_zone: dict[str, int] = {}
+
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether nothing may start in an availability zone."""
+        return zone in self.version_by_evacuated_zone
 
     def waiting_calls(self) -> list[CallArrived]:
         """Return all unanswered calls."""
@@ -155,10 +161,11 @@
         del self.view_by_name[view.name]
 
     def returning_upstreams(self, service: str, now: float) -> int:
-        """Return how many upstreams of a service should reconnect soon.
+        """Return how many usable upstreams of a service should reconnect.
 
         Their agents were known to an earlier leader. How many belong to the
-        service is estimated from the share among the reconnected ones.
+        service, and to no evacuated zone, is estimated from the share among
+        the reconnected ones.
         """
         if now - self._began_at > _AGENT_RETURN_S:
             return 0
@@ -166,7 +173,10 @@
             len(pool.target_by_name) for pool in self.pool_by_service.values()
         )
         missing = len(self.view_by_name) - targets
-        known_of_service = len(self.pool_by_service[service].target_by_name)
+        known_of_service = sum(
+            not self.is_evacuated(target.availability_zone)
+            for target in self.pool_by_service[service].target_by_name.values()
+        )
         return missing * known_of_service // max(1, targets)
 
     def _queue_of(self, plan: JobPlan) -> StartQueue:
--- a/baobabgap/dispatch/tests/deployment.py
+++ b/baobabgap/dispatch/tests/deployment.py
@@ -6,6 +6,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 from pathlib import Path
+import shutil
 import socket
 import time
 import uuid
@@ -43,6 +44,7 @@
 QUEUE_HOST = 'desk.example'
 PREFIX = '/entries/'
 SERVICE = 'desk'
+ZONE = 'zone'
 WAIT_S = 20.0
 CORES = 4
 ATTEMPTS = 2
@@ -81,13 +83,17 @@
         controls: int,
         agents: int,
         upstreams: Sequence[FakeUpstream] = (),
+        zones: Sequence[str] = (ZONE,),
     ) -> None:
+        # Upstreams are spread over the zones in turn.
+        self._zones = tuple(zones)
         self.pool = ThreadPoolExecutor(512)
         self._hosts = tuple(
             ControlHost(f'control-{number}', HOST, free_port())
             for number in range(controls)
         )
-        self.nodes = [self._node(folder, host) for host in self._hosts]
+        self._folder = folder
+        self.nodes = [self._node(host) for host in self._hosts]
         self.upstreams = list(upstreams) or [
             FakeUpstream() for _ in range(agents)
         ]
@@ -167,7 +173,8 @@
         state = describe_upstream(
             number, self.upstreams[number].born_ms, cores
         )
-        return replace(state, is_draining=is_draining)
+        zone = self._zones[number % len(self._zones)]
+        return replace(state, is_draining=is_draining, availability_zone=zone)
 
     def submit(
         self,
@@ -194,7 +201,16 @@
         call = CancelPath(0, QUEUE_HOST, PREFIX + job_id)
         return self.calls.forward(call, WAIT_S, WAIT_S, lambda: False)
 
-    def _node(self, folder: Path, host: ControlHost) -> ControlNode:
+    def replace_node(self, number: int, *, wiped: bool = False) -> None:
+        """Stop a control node and start it anew, with its data or without."""
+        self.nodes[number].stop()
+        host = self._hosts[number]
+        if wiped:
+            shutil.rmtree(self._folder / host.name)
+        self.nodes[number] = self._node(host)
+        self.nodes[number].start()
+
+    def _node(self, host: ControlHost) -> ControlNode:
         settings = Settings(
             role=Role.CONTROL,
             name=host.name,
@@ -202,7 +218,8 @@
             control_hosts=self._hosts,
             links=LINKS,
             control=ControlSettings(
-                data_folder=str(folder / host.name), election_timeout_s=0.4
+                data_folder=str(self._folder / host.name),
+                election_timeout_s=0.4,
             ),
         )
         return ControlNode.from_settings(
@@ -223,7 +240,7 @@
         f'upstream-{number}',
         born_ms,
         SERVICE,
-        'zone',
+        ZONE,
         ('kind', 'rack'),
         Demand(1000 * cores, 1000, 0),
         is_draining=False,
--- a/baobabgap/protocol/__init__.py
+++ b/baobabgap/protocol/__init__.py
@@ -13,6 +13,7 @@
 from baobabgap.protocol._messages import EndRow
 from baobabgap.protocol._messages import EndsNoted
 from baobabgap.protocol._messages import EntryReport
+from baobabgap.protocol._messages import EVACUATED
 from baobabgap.protocol._messages import FullReport
 from baobabgap.protocol._messages import JoinGroup
 from baobabgap.protocol._messages import LeaderReady
@@ -28,6 +29,7 @@
 from baobabgap.protocol._messages import UpstreamChanged
 from baobabgap.protocol._messages import UpstreamQuiet
 from baobabgap.protocol._messages import UpstreamState
+from baobabgap.protocol._messages import ZoneEvacuated
 from baobabgap.protocol._options import ControlNodeOptions
 from baobabgap.protocol._roles import AGENT_ROLE
 from baobabgap.protocol._roles import CONTROL_ROLE
@@ -54,6 +56,7 @@
     'EndsNoted',
     'ENTRY_ROLE',
     'EntryReport',
+    'EVACUATED',
     'FullReport',
     'JOINER_ROLE',
     'JoinGroup',
@@ -71,4 +74,5 @@
     'UpstreamChanged',
     'UpstreamQuiet',
     'UpstreamState',
+    'ZoneEvacuated',
 ]
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -165,6 +165,8 @@
 
 # The reason of `RunsGone` after a crash of the upstream.
 CRASHED: Final = 'crashed'
+# The reason if the upstream's availability zone is evacuated.
+EVACUATED: Final = 'evacuated'
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,8 +176,8 @@
     instance: str
     born_ms: int
     runs: tuple[RunRow, ...]
-    # room, late, unhealthy, unanswered or lapsed; used in logs. `CRASHED`
-    # if the upstream has crashed under all these runs.
+    # room, late, unhealthy, unanswered, lapsed or `EVACUATED`; used in logs.
+    # `CRASHED` if the upstream has crashed under all these runs.
     reason: str
 
 
@@ -279,6 +281,21 @@
     runs: tuple[RunRow, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneEvacuated:
+    """States whether an availability zone is evacuated.
+
+    On a new link it comes before all orders to start runs; without it the
+    zone is not evacuated.
+    """
+
+    fence: int
+    zone: str
+    # The log index of the operator's order.
+    version: int
+    is_evacuated: bool
+
+
 @dataclass(frozen=True, slots=True)
 class EndsNoted:
     """Confirms that all ends up to a number are durable."""
@@ -317,4 +334,5 @@
     SubmitJob,
     UpstreamChanged,
     UpstreamQuiet,
+    ZoneEvacuated,
 )
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -16,6 +16,7 @@
 from baobabgap.protocol import CRASHED
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import EndsNoted
+from baobabgap.protocol import EVACUATED
 from baobabgap.protocol import FullReport
 from baobabgap.protocol import LeaderReady
 from baobabgap.protocol import LeaseTiming
@@ -29,6 +30,7 @@
 from baobabgap.protocol import UpstreamChanged
 from baobabgap.protocol import UpstreamQuiet
 from baobabgap.protocol import UpstreamState
+from baobabgap.protocol import ZoneEvacuated
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 from baobabgap.transport import Connection
@@ -45,6 +47,7 @@
 from baobabgap.upstreams._crash_reports import rows_with_ages
 from baobabgap.upstreams._run_table import RunTable
 from baobabgap.upstreams._run_table import TrackedRun
+from baobabgap.upstreams._zone_gate import ZoneGate
 
 # Threads that send starts and stops; a call that hangs occupies one.
 _CALLER_THREADS: Final = 8
@@ -128,6 +131,7 @@
         self._fence = 0
         self._upstream: UpstreamState | None = None
         self._crash_reports: Final = CrashReports()
+        self._zone_gate: Final = ZoneGate(metrics)
         self._reset_incarnation()
 
     def start(self) -> None:
@@ -206,6 +210,7 @@
                 return
             self._link_number += 1
             self._fence = ready.fence
+            self._zone_gate.begin_link()
             self._connection = connection
             # The next poll with this fence triggers a full report.
             self._is_full_report_due = True
@@ -252,6 +257,10 @@
                 self._handle_stops(fence, runs)
             case EndsNoted():
                 self._handle_ends_noted(message)
+            case ZoneEvacuated(fence=fence):
+                with self._lock:
+                    if fence == self._fence:
+                        self._zone_gate.note(message)
             case Authority(
                 fence=fence, instance=instance, until_clock_ms=until_ms
             ):
@@ -276,13 +285,16 @@
                 # incarnation.
                 return
             assert upstream is not None
+            rows = tuple(
+                RunRow(order.task, order.run, False)
+                for order in message.orders
+            )
             if upstream.is_draining or self._is_draining:
-                rows = tuple(
-                    RunRow(order.task, order.run, False)
-                    for order in message.orders
-                )
                 self._send_runs_gone(rows, 'draining')
                 return
+            if self._zone_gate.refuses(upstream, len(rows)):
+                self._send_runs_gone(rows, EVACUATED)
+                return
             for order in message.orders:
                 self._table.run_by_task[order.task] = TrackedRun(
                     order.task, order.run, order.demand
@@ -374,6 +386,10 @@
                 self._table.remove(order.task, order.run)
                 self._send_runs_gone((run.row,), 'not sent')
                 return None
+            if self._zone_gate.refuses(self._upstream, 1):
+                self._table.remove(order.task, order.run)
+                self._send_runs_gone((run.row,), EVACUATED)
+                return None
             until_ms = self._next_lease_end_ms()
             now_ms = self._clock.estimate_ms(sent_at)
             if until_ms - now_ms < _SHORTEST_LEASE_MS:
--- a/baobabgap/upstreams/tests/test_run_agent.py
+++ b/baobabgap/upstreams/tests/test_run_agent.py
@@ -52,8 +52,9 @@
 class LeaderInMemory:
     """A link whose leader grants authority and acknowledges ends."""
 
-    def __init__(self, acknowledges: bool) -> None:
+    def __init__(self, acknowledges: bool, fence: int = _FENCE) -> None:
         self._acknowledges = acknowledges
+        self.fence = fence
         self._messages: SimpleQueue[object] = SimpleQueue()
         self.ended_numbers: set[int] = set()
         self.reports: list[object] = []
@@ -84,7 +85,7 @@
                     return
                 self.authority_until_ms = clock_ms + 4000
                 self.order(
-                    Authority(_FENCE, _INSTANCE, self.authority_until_ms)
+                    Authority(self.fence, _INSTANCE, self.authority_until_ms)
                 )
                 self.has_granted.set()
             case RunsEnded(ended=ended):
