Choose cold upstreams last and learn nothing from their run times

Cause: a zone that returns has upstreams that run tasks more slowly for a while (coldLeftMs); they got as much load as the others, and their run times counted for their kind. A cold upstream now comes after equally fast warm ones and before slower ones; what is learned of it begins anew once it is warm. An agent reports a cold time that only gets shorter once.

Before: coldLeftMs was ignored.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -213,6 +213,7 @@
     def _change_upstream(
         self, view: AgentView, upstream: UpstreamState | None
     ) -> None:
+        now = time.monotonic()
         previous = view.upstream
         is_same = upstream is not None and view.is_current_instance(
             upstream.instance, upstream.born_ms
@@ -230,6 +231,7 @@
             self._term_state.set_target(view, _target_of(view, upstream))
         assert view.target is not None
         view.target.set_capacity(upstream.capacity)
+        view.target.set_cold_left(upstream.cold_left_ms / 1000, now)
         self._evacuations.update_target(view)
         if previous != upstream:
             log_event(
@@ -242,6 +244,7 @@
                 memory_mb=upstream.capacity.memory_mb,
                 draining=upstream.is_draining,
                 reachable=upstream.is_reachable,
+                cold_left_ms=upstream.cold_left_ms,
             )
 
     def _adopt(self, view: AgentView, rows: tuple[RunRow, ...]) -> None:
@@ -392,8 +395,8 @@
     def _record_run_time(
         self, target: PlacementTarget, row: EndRow, run: Run, run_s: float
     ) -> None:
-        if run.was_found:
-            # Its total run time is unknown.
+        if run.was_found or run.was_cold:
+            # Its total run time is unknown, or longer than the usual one.
             target.note_done(run.expected_s, run.expected_s)
             return
         target.note_done(run_s, run.expected_s * target.kind_slowness)
--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -24,6 +24,9 @@
     # Whether it was found rather than ordered. Its start time is unknown
     # then, so that its duration is not recorded.
     was_found: bool = False
+    # Whether the upstream was cold when it started, so that its duration is
+    # not recorded either.
+    was_cold: bool = False
     # Whether a stop was ordered.
     is_stopping: bool = False
 
--- a/baobabgap/dispatch/_run_tracker.py
+++ b/baobabgap/dispatch/_run_tracker.py
@@ -50,6 +50,7 @@
                 time.monotonic(),
                 plan.expected_s[step],
                 was_found,
+                was_cold=view.target is not None and view.target.is_cold,
             ),
             is_exclusive=task.must_run_alone,
         )
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -87,6 +87,8 @@
         view = self._term_state.view_by_name[placement.target.name]
         number = self._next_run(plan.job, task)
         self._runs.add(view, plan, task, number)
+        if placement.target.is_cold:
+            self._metrics.count('baobabgap_starts_on_cold_upstreams_total')
         return number
 
     def _send(self, view: AgentView, orders: tuple[RunOrder, ...]) -> None:
--- a/baobabgap/dispatch/_timeout_monitor.py
+++ b/baobabgap/dispatch/_timeout_monitor.py
@@ -72,6 +72,7 @@
             view.target.set_kind_slowness(
                 self._term_state.run_times.slowness(view.target.kind)
             )
+            view.target.note_time(now)
         for run in list(view.run_by_task.values()):
             plan = self._term_state.plan_by_id.get(run.task.job_id)
             if plan is None or run.is_stopping:
--- a/baobabgap/dispatch/tests/test_evacuations.py
+++ b/baobabgap/dispatch/tests/test_evacuations.py
@@ -220,6 +220,23 @@
             with self.assertRaises(NotLeader):
                 order('a').result(WAIT_S)
 
+    def test_run_times_of_a_cold_upstream_are_not_learned(self) -> None:
+        deployment = self.deployment
+        for number, agent in enumerate(deployment.agents):
+            deployment.upstreams[number].run_ms = 300
+            state = deployment.announced_state(number)
+            agent.announce(replace(state, cold_left_ms=60_000))
+        wait_until(
+            lambda: (
+                sum(target.is_cold for target in self.targets()) == self.agents
+            ),
+            'cold ones',
+        )
+        self.run_jobs(2)
+        run_times = self.leader._scheduler._term_state.run_times
+        self.assertEqual(0.1, run_times.expected_s('q', 100))
+        self.assertEqual(1.0, run_times.slowness('kind'))
+
 
 class ThreeControlHostsTest(EvacuationCase):
     controls = 3
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -161,6 +161,9 @@
     is_draining: bool
     # Whether its agent has reached it recently.
     is_reachable: bool
+    # Milliseconds for which it still runs tasks more slowly, as it has
+    # started or returned a short time ago; 0 if it doesn't.
+    cold_left_ms: int = 0
 
 
 # The reason of `RunsGone` after a crash of the upstream.
--- a/baobabgap/scheduling/_health.py
+++ b/baobabgap/scheduling/_health.py
@@ -52,6 +52,10 @@
         ratio = run_s / max(expected_s, 0.001)
         self.slowness += _SMOOTHING_FACTOR * (min(ratio, 20.0) - self.slowness)
 
+    def forget_slowness(self) -> None:
+        """Learn the run time factor anew."""
+        self.slowness = 1.0
+
     def note_failed(self, now: float) -> bool:
         """Record a failed run; return whether it causes a suspension."""
         self.failures_in_row += 1
--- a/baobabgap/scheduling/_targets.py
+++ b/baobabgap/scheduling/_targets.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from typing import Final
 
 from baobabgap.accepted import Demand
 from baobabgap.scheduling._health import TargetHealth
@@ -12,6 +13,11 @@
     """Do nothing: the target is in no pool."""
 
 
+# Added to the slowness of a cold target: less than a step of the rounding, so
+# that it comes after equally fast warm ones and before slower ones.
+_COLD_SURCHARGE: Final = 0.05
+
+
 @dataclass(eq=False, slots=True)
 class PlacementTarget:
     """One upstream that runs can be placed on.
@@ -26,13 +32,18 @@
     labels: tuple[str, ...]
     capacity: Demand
     free: Demand
-    # Whether new runs may start: reachable, and not draining.
+    # Whether new runs may start: reachable, not draining, and in no
+    # evacuated zone.
     is_open: bool = True
     running: int = 0
     # Whether nothing may start beside the run that it has.
     is_exclusive: bool = False
     # Run time factor of its kind of upstream; 1 is average.
     kind_slowness: float = 1.0
+    # Whether it runs tasks more slowly for a while, as it has just started or
+    # returned, and until when on the monotonic clock.
+    is_cold: bool = False
+    cold_until: float = 0.0
     health: TargetHealth = field(default_factory=TargetHealth)
     # Called after each change that matters to the choice among targets.
     on_change: Callable[['PlacementTarget'], None] = _ignore_change
@@ -44,8 +55,12 @@
 
     @property
     def slowness(self) -> float:
-        """The run time factor of its kind and its own, rounded."""
-        return round(self.kind_slowness * self.health.slowdown, 1)
+        """The run time factor of its kind and its own, rounded.
+
+        Slightly more while it is cold.
+        """
+        slowness = round(self.kind_slowness * self.health.slowdown, 1)
+        return slowness + _COLD_SURCHARGE if self.is_cold else slowness
 
     @property
     def free_share(self) -> float:
@@ -95,6 +110,23 @@
         if self.slowness != before:
             self.on_change(self)
 
+    def set_cold_left(self, left_s: float, now: float) -> None:
+        """Set for how long it is still cold; 0 if it isn't."""
+        self.cold_until = now + left_s
+        self._set_cold(left_s > 0)
+
+    def note_time(self, now: float) -> None:
+        """End its cold time if that is over."""
+        if self.is_cold and now >= self.cold_until:
+            self._set_cold(False)
+
+    def _set_cold(self, is_cold: bool) -> None:
+        if self.is_cold != is_cold:
+            self.is_cold = is_cold
+            # What was learned before is no measure for it.
+            self.health.forget_slowness()
+            self.on_change(self)
+
     def note_done(self, run_s: float, expected_s: float) -> None:
         """Record a successful run."""
         before = self.slowness
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -42,6 +42,7 @@
 from baobabgap.upstreams._client import UpstreamSuperseded
 from baobabgap.upstreams._clock import LeaseClock
 from baobabgap.upstreams._clock import SentLease
+from baobabgap.upstreams._coldness import is_only_less_cold
 from baobabgap.upstreams._crash_reports import CrashReports
 from baobabgap.upstreams._crash_reports import log_lost_runs
 from baobabgap.upstreams._crash_reports import rows_with_ages
@@ -180,7 +181,9 @@
                 )
                 self._reset_incarnation()
             self._upstream = upstream
-            if current != upstream:
+            if current != upstream and not is_only_less_cold(
+                current, upstream
+            ):
                 log_event(
                     'upstream_announced',
                     instance=upstream.instance if upstream else '',
