--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -161,10 +161,15 @@
     is_draining: bool
     # Whether its agent has reached it recently.
     is_reachable: bool
+    # Milliseconds for which it still runs tasks more slowly, as it has
+    # started or returned a short time ago; 0 if it doesn't.
+    cold_left_ms: int = 0
 
 
 # The reason of `RunsGone` after a crash of the upstream.
 CRASHED: Final = 'crashed'
+# The reason if the upstream's availability zone is evacuated.
+EVACUATED: Final = 'evacuated'
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,8 +179,8 @@
     instance: str
     born_ms: int
     runs: tuple[RunRow, ...]
-    # room, late, unhealthy, unanswered or lapsed; used in logs. `CRASHED`
-    # if the upstream has crashed under all these runs.
+    # room, late, unhealthy, unanswered, lapsed or `EVACUATED`; used in logs.
+    # `CRASHED` if the upstream has crashed under all these runs.
     reason: str
 
 
@@ -279,6 +284,21 @@
     runs: tuple[RunRow, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneEvacuated:
+    """States whether an availability zone is evacuated.
+
+    On a new link it comes before all orders to start runs; without it the
+    zone is not evacuated.
+    """
+
+    fence: int
+    zone: str
+    # The log index of the operator's order.
+    version: int
+    is_evacuated: bool
+
+
 @dataclass(frozen=True, slots=True)
 class EndsNoted:
     """Confirms that all ends up to a number are durable."""
@@ -317,4 +337,5 @@
     SubmitJob,
     UpstreamChanged,
     UpstreamQuiet,
+    ZoneEvacuated,
 )
