--- a/baobabgap/upstreams/__init__.py
+++ b/baobabgap/upstreams/__init__.py
@@ -1,5 +1,6 @@
 """Runs tasks on one upstream: start and stop calls, leases and results."""
 
+from baobabgap.upstreams._answer_timeout import AnswerTimeout
 from baobabgap.upstreams._client import ActiveRun
 from baobabgap.upstreams._client import CallNotDelivered
 from baobabgap.upstreams._client import StartOutcome
@@ -11,6 +12,7 @@
 
 __all__ = [
     'ActiveRun',
+    'AnswerTimeout',
     'CallNotDelivered',
     'RunAgent',
     'StartOutcome',
