Find upstreams that hang a part of their runs

Cause: three overdue runs without a success in between suspended an upstream.

Now a success makes up for a tenth of an overdue run; an upstream that was suspect lately is suspended at its next overdue run, for twice as long.

Ruled out: a higher share of successes to end a trial (a sound upstream would run one task at a time for longer).

--- a/baobabgap/scheduling/_health.py
+++ b/baobabgap/scheduling/_health.py
@@ -1,15 +1,16 @@
 """Health of an upstream, judged by the runs on it."""
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import Final
 
+from baobabgap.scheduling._hang_suspicion import HangSuspicion
+
 # Weight of a new run in the exponential moving average of slowness.
 _SMOOTHING_FACTOR: Final = 0.1
 # Multiple of its kind's run time from which an upstream counts as slow, and
 # not just as one of a slower kind.
 _SLOW_UPSTREAM_FACTOR: Final = 1.9
-# Overdue runs without a success in between that suspend an upstream.
-_HANGS_TO_SUSPEND: Final = 3
 # Failures without a success in between that suspend an upstream: a single
 # one may be the task's own fault.
 _FAILURES_TO_SUSPEND: Final = 2
@@ -36,7 +37,7 @@
     # Moving average of observed over expected run time; 1.0 is healthy.
     slowness: float = 1.0
     failures_in_row: int = 0
-    hangs_in_row: int = 0
+    hangs: HangSuspicion = field(default_factory=HangSuspicion)
     suspensions: int = 0
     suspended_until: float = 0.0
     refused_until: float = 0.0
@@ -46,9 +47,10 @@
     def note_done(self, run_s: float, expected_s: float) -> None:
         """Record a successful run."""
         self.failures_in_row = 0
-        self.hangs_in_row = 0
+        self.hangs.note_done()
         self.on_trial = False
-        self.suspensions = 0
+        if not self.hangs.was_suspect:
+            self.suspensions = 0
         ratio = run_s / max(expected_s, 0.001)
         self.slowness += _SMOOTHING_FACTOR * (min(ratio, 20.0) - self.slowness)
 
@@ -65,10 +67,8 @@
 
     def note_overdue(self, now: float) -> bool:
         """Record an overdue run; return whether it causes a suspension."""
-        self.hangs_in_row += 1
-        if self.on_trial or self.hangs_in_row >= _HANGS_TO_SUSPEND:
-            return self._suspend(now)
-        return False
+        is_suspect = self.hangs.note_overdue()
+        return (self.on_trial or is_suspect) and self._suspend(now)
 
     @property
     def slowdown(self) -> float:
@@ -85,7 +85,7 @@
         """End the suspension or trial and reset the fault counts."""
         self.suspended_until = 0.0
         self.on_trial = False
-        self.hangs_in_row = 0
+        self.hangs.forget()
         self.failures_in_row = 0
 
     def is_suspended(self, now: float) -> bool:
