Change an upstream's factor from 15 percent on only

Cause: test_order_outlives_its_leader failed once on a loaded machine (no start in the zone that was taken back, of five jobs that half fill the upstreams): the agents of the other zone had learned a factor of about 0.9 from the drift of the machine's load.

--- a/baobabgap/scheduling/_upstream_speed.py
+++ b/baobabgap/scheduling/_upstream_speed.py
@@ -24,7 +24,7 @@
 _BASELINE_WEIGHT: Final = 0.01
 # Least change of the factor that is passed on: each change moves the
 # upstream within the order of placement.
-_LEAST_CHANGE: Final = 0.1
+_LEAST_CHANGE: Final = 0.15
 
 
 class SpeedBaseline:
