Let the first runs set what is usual for run times

Cause: the average over all upstreams began at the estimates and moved by a hundredth a run. With estimates that are all wrong, upstreams with runs looked up to three times as fast as those without, which then got none: test_order_outlives_its_leader failed in 4 of 6 runs on a loaded machine, in none of 4 with factors switched off, in none of 3 after this change (a fourth ended with an error that is being traced).

--- a/baobabgap/scheduling/_upstream_speed.py
+++ b/baobabgap/scheduling/_upstream_speed.py
@@ -20,7 +20,8 @@
 _FADING_S: Final = 10.0
 # Largest factor by which a single run may differ from the expected one.
 _LARGEST_RATIO: Final = 3.0
-# Weight of a run in the average over all upstreams.
+# Least weight of a run in the average over all upstreams; the first runs
+# weigh more.
 _BASELINE_WEIGHT: Final = 0.01
 # Least change of the factor that is passed on: each change moves the
 # upstream within the order of placement.
@@ -36,15 +37,20 @@
 
     def __init__(self) -> None:
         self._log_ratio = 0.0
+        self._runs = 0
 
     def relative(self, run_s: float, expected_s: float) -> float:
         """Record a run; return the logarithm of its ratio to the usual one."""
-        limit = math.log(_LARGEST_RATIO)
-        ratio = max(run_s, 1e-6) / max(expected_s, 1e-6)
-        deviation = math.log(ratio) - self._log_ratio
-        clipped = max(-limit, min(limit, deviation))
-        self._log_ratio += _BASELINE_WEIGHT * clipped
-        return clipped
+        log_ratio = math.log(max(run_s, 1e-6) / max(expected_s, 1e-6))
+        self._runs += 1
+        weight = 1 / self._runs
+        if weight > _BASELINE_WEIGHT:
+            self._log_ratio += weight * (log_ratio - self._log_ratio)
+        else:
+            self._log_ratio += _BASELINE_WEIGHT * _clipped(
+                log_ratio - self._log_ratio
+            )
+        return _clipped(log_ratio - self._log_ratio)
 
 
 @dataclass(slots=True)
@@ -89,3 +95,8 @@
         age_s = max(0.0, now - self._observed_at)
         self._runs *= math.exp(-age_s / _FADING_S)
         self._observed_at = now
+
+
+def _clipped(log_ratio: float) -> float:
+    limit = math.log(_LARGEST_RATIO)
+    return max(-limit, min(limit, log_ratio))
--- a/baobabgap/scheduling/tests/test_upstream_speed.py
+++ b/baobabgap/scheduling/tests/test_upstream_speed.py
@@ -98,6 +98,13 @@
             delta=0.1,
         )
 
+    def test_estimates_that_are_all_wrong_mark_none(self) -> None:
+        """Regression: upstreams with runs looked faster than idle ones."""
+        used, *idle = self.make_targets(20)
+        for _ in range(20):
+            used.note_speed(self.baseline.relative(0.005, 0.1), self.now)
+        self.assertEqual([1.0] * 20, [t.slowness for t in (used, *idle)])
+
     def test_old_evidence_counts_little(self) -> None:
         target, *others = self.make_targets(20)
         self.run_for(5, {target: 2.0, **dict.fromkeys(others, 1.0)})
