Start the HTTP server's threads as connections need them

Cause: cheroot starts all threads of its pool before it serves, and looks at each new one in steps of 0.1 s until it runs. An entry has 384 of them: a third of the remaining processor time of its start, and on a busy host up to a second of waiting. This is why one group of entries came back a second after the other.

The pool now starts a thread for a connection only if all others are busy, up to the same limit.

Ruled out: fewer threads, as calls of volatile jobs wait in one each.

--- a/baobabgap/web/_server.py
+++ b/baobabgap/web/_server.py
@@ -11,6 +11,7 @@
 from cheroot.wsgi import Server
 
 from baobabgap.web._errors import JsonErrorConnection
+from baobabgap.web._threads import GrowingThreadPool
 
 # Seconds without received data after which an idle or stalled connection is
 # closed.
@@ -50,7 +51,7 @@
 
 
 class WebServer:
-    """Serves a WSGI application on one port with a fixed pool of threads.
+    """Serves a WSGI application on one port with a limited pool of threads.
 
     Idle persistent connections occupy no thread; a connection that stalls
     in the middle of a request occupies one for `read_timeout_s` seconds.
@@ -69,11 +70,11 @@
         self._server = Server(
             (host, port),
             application,
-            numthreads=threads,
             request_queue_size=1024,
             timeout=read_timeout_s,
             shutdown_timeout=5,
         )
+        self._server.requests = GrowingThreadPool(self._server, threads)
         self._server.ConnectionClass = JsonErrorConnection
         self._server.gateway = _Gateway
         self._server.max_request_body_size = largest_body_bytes
