Let the job histories empty zones and take them back

An operator empties one zone after the other and takes each back, tries host after host, and repeats orders; the rule: nothing starts in a zone later than 1 s (starts in flight) after the acknowledgement, until the first attempt to take it back.

Before: no evacuations in histories.

--- a/tools/job_history/_callers.py
+++ b/tools/job_history/_callers.py
@@ -15,6 +15,7 @@
 from baobabgap.protocol import CancelPath
 from baobabgap.protocol import ReadPath
 from baobabgap.protocol import SubmitJob
+from tools.job_history._control_group import ANSWER_TIMEOUT_S
 from tools.job_history._control_group import ControlGroup
 from tools.job_history._injection_points import InjectionPoint
 from tools.job_history._injection_points import InjectionPoints
@@ -23,12 +24,21 @@
 from tools.job_history._records import ConfigurationRead
 from tools.job_history._records import JobHistory
 from tools.job_history._records import Put
+from tools.job_history._records import ZoneOrder
 
 _ANSWER_TIMEOUT_S: Final = 3.0
 _PAUSE_S: Final = 0.15
 _CANCELLED_SHARE: Final = 0.1
 _STORED_SHARE: Final = 0.6
 _HARMFUL_SHARE: Final = 0.03
+# The longest pause between two evacuations, and the longest evacuation.
+_ZONE_PAUSE_S: Final = 0.5
+_EVACUATED_S: Final = 3.0
+# The share of acknowledged orders to begin one that are given again.
+_REPEATED_SHARE: Final = 0.3
+# Time after which an order is given up, and the pause between two attempts.
+_ORDER_TIMEOUT_S: Final = 20.0
+_ORDER_PAUSE_S: Final = 0.05
 _RETRIED_OUTCOMES: Final = (CallOutcome.UNKNOWN, CallOutcome.UNAVAILABLE)
 # Time for all accepted jobs to end after the last fault.
 _SETTLE_TIMEOUT_S: Final = 25.0
@@ -178,3 +188,53 @@
             answer = process.ask('read')
             if answer[0] == 'done':
                 self._history.add(ConfigurationRead(asked_at, int(answer[1])))
+
+
+class ZoneOperator:
+    """Empties one zone after the other and takes each back."""
+
+    def __init__(
+        self,
+        group: ControlGroup,
+        history: JobHistory,
+        zones: list[str],
+        seed: int,
+    ) -> None:
+        self._group = group
+        self._history = history
+        self._zones = zones
+        self._rng = random.Random(f'{seed} zones')
+
+    def run(self, stopping: threading.Event) -> None:
+        """Give orders until the run ends, then take the last zone back."""
+        while not stopping.wait(self._rng.uniform(0.0, _ZONE_PAUSE_S)):
+            zone = self._rng.choice(self._zones)
+            if self._order(zone, is_begin=True):
+                if self._rng.random() < _REPEATED_SHARE:
+                    self._order(zone, is_begin=True)
+                stopping.wait(self._rng.uniform(0.0, _EVACUATED_S))
+            self._order(zone, is_begin=False)
+
+    def _order(self, zone: str, *, is_begin: bool) -> bool:
+        """Ask host after host; return whether one acknowledged the order."""
+        give_up_at = time.monotonic() + _ORDER_TIMEOUT_S
+        while time.monotonic() < give_up_at:
+            process = self._rng.choice(self._group.processes)
+            asked_at = time.monotonic()
+            answer = process.ask(
+                'evacuate', zone, is_begin, asked_at + ANSWER_TIMEOUT_S
+            )
+            is_acknowledged = answer[0] == 'done'
+            self._history.add(
+                ZoneOrder(
+                    zone,
+                    is_begin,
+                    asked_at,
+                    time.monotonic(),
+                    is_acknowledged,
+                )
+            )
+            if is_acknowledged:
+                return True
+            time.sleep(_ORDER_PAUSE_S)
+        return False
--- a/tools/job_history/_control_daemon.py
+++ b/tools/job_history/_control_daemon.py
@@ -7,6 +7,7 @@
 
 import json
 import sys
+import time
 from typing import Any
 from typing import Final
 
@@ -46,6 +47,15 @@
                 stored = node.put_configuration(configuration(version))
                 stored.result(_REQUEST_TIMEOUT_S)
                 return ['done', version]
+            case ['evacuate', zone, is_begin, give_up_at]:
+                if time.monotonic() > give_up_at:
+                    # As for a caller that has closed its connection.
+                    return ['failed', 'the caller has left']
+                order = (
+                    node.begin_evacuation if is_begin else node.end_evacuation
+                )
+                order(zone).result(_REQUEST_TIMEOUT_S)
+                return ['done', zone]
             case _:
                 read = node.read_configuration().result(_REQUEST_TIMEOUT_S)
                 return ['done', 0 if read is None else read.version]
--- a/tools/job_history/_control_group.py
+++ b/tools/job_history/_control_group.py
@@ -16,7 +16,7 @@
 from tools.matrix import disk_fault_file
 from tools.matrix import DiskFault
 
-_ANSWER_TIMEOUT_S: Final = 5.0
+ANSWER_TIMEOUT_S: Final = 5.0
 _START_TIMEOUT_S: Final = 30.0
 _STOP_TIMEOUT_S: Final = 20.0
 
@@ -64,7 +64,7 @@
             try:
                 child.stdin.write(json.dumps(request) + '\n')
                 child.stdin.flush()
-                return answers.get(timeout=_ANSWER_TIMEOUT_S)
+                return answers.get(timeout=ANSWER_TIMEOUT_S)
             except (OSError, ValueError, queue.Empty) as error:
                 # A late answer must not be read as that of a later request.
                 self._answers = queue.Queue()
--- a/tools/job_history/_deployment.py
+++ b/tools/job_history/_deployment.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from functools import partial
 from typing import Final
 
@@ -37,7 +38,10 @@
         self._pool = pool
         self.upstreams = [
             RecordedUpstream(
-                100 * seed + number, points, partial(self.announce, number)
+                100 * seed + number,
+                f'zone-{number}',
+                points,
+                partial(self.announce, number),
             )
             for number in range(_UPSTREAMS)
         ]
@@ -74,8 +78,10 @@
 
     def announce(self, number: int) -> None:
         """Announce the current instance of an upstream to its agent."""
+        upstream = self.upstreams[number]
+        state = describe_upstream(number, upstream.born_ms, _CORES)
         self._agents[number].announce(
-            describe_upstream(number, self.upstreams[number].born_ms, _CORES)
+            replace(state, availability_zone=upstream.zone)
         )
 
     def _link(
--- a/tools/job_history/_recorded_upstream.py
+++ b/tools/job_history/_recorded_upstream.py
@@ -50,14 +50,21 @@
     noted_at: float = float('inf')
     # Whether the upstream crashed under it.
     was_crashed: bool = False
+    # The availability zone of its upstream.
+    zone: str = ''
 
 
 class RecordedUpstream(FakeUpstream):
     """Records runs and can lose a share of the answers to starts."""
 
     def __init__(
-        self, seed: int, points: InjectionPoints, on_return: Callable[[], None]
+        self,
+        seed: int,
+        zone: str,
+        points: InjectionPoints,
+        on_return: Callable[[], None],
     ) -> None:
+        self.zone = zone
         self._points = points
         # Called when a crashed upstream is back.
         self._on_return = on_return
@@ -95,7 +102,9 @@
             before = len(self.starts)
             outcome = super().carry_out(order, fence, lease_until_ms)
             if len(self.starts) > before:
-                record = RunRecord(order.task, order.run, time.monotonic())
+                record = RunRecord(
+                    order.task, order.run, time.monotonic(), zone=self.zone
+                )
                 self.records.append(record)
                 self._open_records[order.task] = record
                 if is_harmful(order.task):
--- a/tools/job_history/_records.py
+++ b/tools/job_history/_records.py
@@ -41,6 +41,17 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneOrder:
+    """One attempt to begin or end the evacuation of a zone."""
+
+    zone: str
+    is_begin: bool
+    asked_at: float
+    answered_at: float
+    is_acknowledged: bool
+
+
 @dataclass(slots=True)
 class JobHistory:
     """All records of one run."""
@@ -50,6 +61,7 @@
     calls: list[Called] = field(default_factory=list)
     puts: list[Put] = field(default_factory=list)
     reads: list[ConfigurationRead] = field(default_factory=list)
+    zone_orders: list[ZoneOrder] = field(default_factory=list)
     runs: list[RunRecord] = field(default_factory=list)
     # Stored jobs' states after the run, empty without an answer.
     final_states: dict[str, str] = field(default_factory=dict)
@@ -59,7 +71,9 @@
     fault_counts: dict[str, int] = field(default_factory=dict)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
-    def add(self, record: Called | Put | ConfigurationRead) -> None:
+    def add(
+        self, record: Called | Put | ConfigurationRead | ZoneOrder
+    ) -> None:
         """Add a record; thread-safe."""
         with self._lock:
             match record:
@@ -69,6 +83,8 @@
                     self.puts.append(record)
                 case ConfigurationRead():
                     self.reads.append(record)
+                case ZoneOrder():
+                    self.zone_orders.append(record)
 
     def calls_of(self, job: str, verb: str) -> Iterable[Called]:
         """Return the calls of one kind about a job."""
--- a/tools/job_history/_rules.py
+++ b/tools/job_history/_rules.py
@@ -12,8 +12,8 @@
 from tools.job_history._recorded_upstream import RunRecord
 from tools.job_history._records import JobHistory
 
-# Starts that are in flight in links and queues when a cancellation or an end
-# is acknowledged may still take place within this time.
+# Starts that are in flight in links and queues when a cancellation, an end or
+# an evacuation is acknowledged may still take place within this time.
 _IN_FLIGHT_S: Final = 1.0
 # Crashes of upstreams under one task from which on its job may fail.
 _CRASHES_TO_FAIL: Final = 2
@@ -153,6 +153,31 @@
             yield f'{read}, but {acknowledged} was acknowledged'
 
 
+def no_start_in_an_evacuated_zone(history: JobHistory) -> Iterator[str]:
+    """Nothing starts in a zone from the acknowledgement until the end.
+
+    From the first attempt to end it on, it may have ended.
+    """
+    for order in history.zone_orders:
+        if not (order.is_begin and order.is_acknowledged):
+            continue
+        ends_at = min(
+            (
+                end.asked_at
+                for end in history.zone_orders
+                if end.zone == order.zone
+                and not end.is_begin
+                and end.asked_at > order.asked_at
+            ),
+            default=float('inf'),
+        )
+        for run in history.runs:
+            is_in_zone = run.zone == order.zone
+            begins_at = order.answered_at + _IN_FLIGHT_S
+            if is_in_zone and begins_at < run.began_at < ends_at:
+                yield f'{order}: {run}'
+
+
 def serves_again(history: JobHistory) -> Iterator[str]:
     """A new job completes after the faults."""
     if not history.has_recovered:
@@ -169,6 +194,7 @@
     accepted_jobs_end,
     known_once_accepted,
     configuration_never_goes_back,
+    no_start_in_an_evacuated_zone,
     serves_again,
 )
 
--- a/tools/job_history/_run.py
+++ b/tools/job_history/_run.py
@@ -14,6 +14,7 @@
 
 from tools.job_history._callers import Callers
 from tools.job_history._callers import Operator
+from tools.job_history._callers import ZoneOperator
 from tools.job_history._control_group import ControlGroup
 from tools.job_history._deployment import Members
 from tools.job_history._faults import Faults
@@ -47,7 +48,8 @@
         return (
             f'seed {self.seed} {verdict} jobs {len(history.tasks_by_job)} '
             f'stored {len(history.stored_jobs)} runs {len(history.runs)} '
-            f'configurations {len(history.puts)} faults: {faults}'
+            f'configurations {len(history.puts)} '
+            f'zone orders {len(history.zone_orders)} faults: {faults}'
         )
 
 
@@ -129,6 +131,12 @@
         if time.monotonic() > give_up_at:
             raise TimeoutError('no leader took the first configuration')
         time.sleep(0.1)
+    zone_operator = ZoneOperator(
+        targets.group,
+        history,
+        [upstream.zone for upstream in members.upstreams],
+        seed,
+    )
     callers = Callers(members.entries, history, points, seed)
     stopping = threading.Event()
     fault_futures = [
@@ -137,6 +145,7 @@
     ]
     worker_futures = [
         pool.submit(operator.run, stopping),
+        pool.submit(zone_operator.run, stopping),
         *(
             pool.submit(callers.run_caller, number, stopping)
             for number in range(_CALLER_COUNT)
--- a/tools/tests/test_job_history.py
+++ b/tools/tests/test_job_history.py
@@ -12,6 +12,7 @@
 from tools.job_history._records import ConfigurationRead
 from tools.job_history._records import JobHistory
 from tools.job_history._records import Put
+from tools.job_history._records import ZoneOrder
 from tools.job_history._rules import check
 from tools.job_history._run import run
 
@@ -127,6 +128,20 @@
     return history
 
 
+def _zone_history(begin_at: float, end_at: float) -> JobHistory:
+    """Return a history with a run at 5 s in a zone that is evacuated."""
+    history = _make_history(_make_run(1, 5.0, 6.0, RunEnd.DONE))
+    history.runs[0].zone = 'a'
+    history.add(ZoneOrder('a', True, begin_at, begin_at + 0.1, True))
+    history.add(ZoneOrder('b', False, 4.5, 4.6, True))
+    history.add(ZoneOrder('a', False, end_at, end_at + 0.1, False))
+    return history
+
+
+def _start_in_evacuated_zone() -> JobHistory:
+    return _zone_history(begin_at=2.0, end_at=5.5)
+
+
 def _unrecovered_deployment() -> JobHistory:
     history = _make_history()
     history.has_recovered = False
@@ -143,6 +158,7 @@
     'accepted_jobs_end': _lost_job,
     'known_once_accepted': _unknown_accepted_job,
     'configuration_never_goes_back': _older_configuration,
+    'no_start_in_an_evacuated_zone': _start_in_evacuated_zone,
     'serves_again': _unrecovered_deployment,
 }
 
@@ -159,6 +175,13 @@
                 ]
                 self.assertEqual([rule], violations)
 
+    def test_starts_before_and_after_an_evacuation_are_permitted(
+        self,
+    ) -> None:
+        for begin_at, end_at in ((2.0, 4.9), (4.0, 9.0), (5.5, 9.0)):
+            with self.subTest(begin_at=begin_at):
+                self.assertEqual([], check(_zone_history(begin_at, end_at)))
+
     def test_failure_needs_its_attempts(self) -> None:
         for make in (_failed_without_cause, _failed_after_one_crash):
             with self.subTest(make.__name__):
