Refuse at once what no zone is left for

Cause: with all zones of a service evacuated, new jobs were taken and held until they could be of no use any more, though nothing could start them.

Ruled out: without the exception for takeovers, jobs were refused just after a restart of all control hosts, as the agents of the evacuated zone came back first (seen in test_zone_rests_after_all_hosts_restarted_at_once in a trial).

Before: refused after about 0.6 s in the test.

--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -12,6 +12,7 @@
 from baobabgap.accepted import JobState
 from baobabgap.accepted import UPSTREAM_CRASHES
 from baobabgap.dispatch._committer import Committer
+from baobabgap.dispatch._evacuations import refuse_evacuated
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._events import CallDropped
 from baobabgap.dispatch._events import CancelStored
@@ -276,7 +277,9 @@
         queue = self._term_state.queue_by_service[job.service]
         admission_input = AdmissionInput.from_queue(queue, plan, now)
         returning = self._term_state.returning_upstreams(job.service, now)
-        refusal = admit(pool, job.steps, admission_input, returning)
+        refusal = refuse_evacuated(
+            self._term_state, job.service, admission_input.late_patience_s
+        ) or admit(pool, job.steps, admission_input, returning)
         if refusal is None:
             return True
         self._metrics.count('baobabgap_jobs_total{end="refused"}')
--- a/baobabgap/dispatch/_evacuations.py
+++ b/baobabgap/dispatch/_evacuations.py
@@ -12,8 +12,28 @@
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.protocol import ZoneEvacuated
+from baobabgap.scheduling import Refusal
 from baobabgap.telemetry import log_event
 
+# Milliseconds after which a refused caller should retry while all zones are
+# evacuated: the longest delay, as nothing says when one returns.
+_RETRY_AFTER_MS: Final = 10_000
+
+
+def refuse_evacuated(
+    term_state: TermState, service: str, patience_s: float
+) -> Refusal | None:
+    """Refuse a job that all upstreams of its service are closed for.
+
+    A job that is worth waiting longer than a refused caller would may wait
+    for the return of a zone.
+    """
+    if 1000 * patience_s >= _RETRY_AFTER_MS:
+        return None
+    if not term_state.are_all_evacuated(service):
+        return None
+    return Refusal(_RETRY_AFTER_MS, 'all zones of its service are evacuated')
+
 
 class Evacuations:
     """Opens and closes targets, and tells agents of their zone's state."""
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -81,6 +81,21 @@
         """Return whether nothing may start in an availability zone."""
         return zone in self.version_by_evacuated_zone
 
+    def are_all_evacuated(self, service: str) -> bool:
+        """Return whether a service has upstreams in evacuated zones only.
+
+        Not during a takeover: others may not have reported yet.
+        """
+        pool = self.pool_by_service[service]
+        if not self.version_by_evacuated_zone or pool.open_count:
+            return False
+        if not self.takeover.is_over:
+            return False
+        targets = pool.target_by_name.values()
+        return bool(targets) and all(
+            self.is_evacuated(target.availability_zone) for target in targets
+        )
+
     def waiting_calls(self) -> list[CallArrived]:
         """Return all unanswered calls."""
         groups = [
--- a/baobabgap/dispatch/tests/test_evacuations.py
+++ b/baobabgap/dispatch/tests/test_evacuations.py
@@ -182,17 +182,31 @@
             self.assertEqual('completed', first.result(WAIT_S).state)
             self.assertIs(outcome, second.outcome)
 
-    def test_without_any_zone_callers_are_told_to_come_back_late(self) -> None:
+    def test_without_any_zone_callers_are_refused_at_once(self) -> None:
         for zone in ZONES:
             self.begin(zone)
+        asked_at = time.monotonic()
         answer = self.deployment.submit(
             'x', step(1), volatile=True, patience_s=5.0
         ).result(WAIT_S)
         self.assertIs(CallOutcome.OVERLOADED, answer.outcome)
         self.assertEqual(LONGEST_RETRY_AFTER_MS, answer.retry_after_ms)
+        # Long before it would be of no use any more: 0.6 s.
+        self.assertLess(time.monotonic() - asked_at, 0.3)
         self.end('a')
         self.assert_zone_rests('b')
 
+    def test_job_that_can_wait_starts_when_a_zone_returns(self) -> None:
+        for zone in ZONES:
+            self.begin(zone)
+        # Of use for longer than a refused caller would stay away.
+        submission = self.deployment.submit('x', step(1, 5000), volatile=True)
+        time.sleep(0.5)
+        self.assertFalse(submission.done())
+        self.end('b')
+        self.assertEqual('completed', submission.result(WAIT_S).state)
+        self.assertEqual(0, self.starts_in('a'))
+
     def test_refusal_by_an_agent_is_no_fault_of_its_upstream(self) -> None:
         """Its leader's word reaches the agent before a start on its way."""
         agent = self.deployment.agents[0]
