Answer late jobs of a takeover at once, as of unknown outcome

Cause: a waiting job that an earlier leader may have begun was never given up (give-up skipped it, and all jobs held by a takeover), so that its caller was told 504 at nine tenths of its deadline.

Now the leader answers such a job once it can't be served usefully: after the takeover at its latest useful start, as for other jobs, but as unknown and final; during the takeover when even a run that an agent has yet to report would end too late. The entry passes a final answer on at once.

Ruled out: refusing it (429 states that it never runs).

--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -125,42 +125,62 @@
         if is_cancelled:
             self._closer.close(JobEnd(event.job_id, JobState.CANCELLED))
 
-    def refuse_late_jobs(self, now: float) -> None:
-        """Refuse waiting volatile jobs that can't be served in time.
+    def give_up_late_jobs(self, now: float) -> None:
+        """Answer waiting volatile jobs that can't be served in time.
 
-        None of their tasks has started, as a refusal states.
+        A job of which certainly no task has started is refused, as a refusal
+        states that. The outcome of any other one is unknown.
         """
         term_state = self._term_state
         for job_id, calls in list(term_state.callers_by_id.items()):
             plan = term_state.plan_by_id[job_id]
-            if plan.has_started or plan.may_have_begun:
+            if plan.has_started:
                 continue
-            if not term_state.takeover.may_start(plan.job):
-                continue
-            if now <= plan.latest_useful_start(0):
-                continue
-            queue = term_state.queue_by_service[plan.job.service]
-            backlog_core_s = queue.total_core_s
-            retry_after_ms = retry_after(
-                term_state.pool_by_service[plan.job.service],
-                backlog_core_s,
-                returning=term_state.returning_upstreams(
-                    plan.job.service, now
-                ),
-            )
-            del term_state.callers_by_id[job_id]
-            term_state.pop_plan(job_id)
-            log_event(
-                'job_given_up',
-                job=job_id,
-                queue=plan.job.queue,
-                waited_ms=round(1000 * (now - plan.arrived_at)),
-                objective_ms=round(1000 * plan.objective_s),
-                backlog_core_s=round(backlog_core_s, 2),
-                retry_after_ms=retry_after_ms,
-            )
-            self._metrics.count('baobabgap_jobs_total{end="given_up"}')
-            for call in calls:
+            if term_state.takeover.may_start(plan.job):
+                if now > plan.latest_useful_start(0):
+                    self._give_up(plan, calls, now, plan.may_have_begun)
+            elif now > plan.latest_useful_end:
+                # A run that an agent has yet to report would end too late.
+                self._give_up(plan, calls, now, may_have_begun=True)
+
+    def _give_up(
+        self,
+        plan: JobPlan,
+        calls: list[CallArrived],
+        now: float,
+        may_have_begun: bool,
+    ) -> None:
+        """Remove a waiting volatile job and answer its callers."""
+        term_state, job = self._term_state, plan.job
+        backlog_core_s = term_state.queue_by_service[job.service].total_core_s
+        retry_after_ms = retry_after(
+            term_state.pool_by_service[job.service],
+            backlog_core_s,
+            returning=term_state.returning_upstreams(job.service, now),
+        )
+        del term_state.callers_by_id[job.job_id]
+        term_state.pop_plan(job.job_id)
+        log_event(
+            'job_given_up',
+            job=job.job_id,
+            queue=job.queue,
+            waited_ms=round(1000 * (now - plan.arrived_at)),
+            objective_ms=round(1000 * plan.objective_s),
+            backlog_core_s=round(backlog_core_s, 2),
+            retry_after_ms=retry_after_ms,
+            may_have_begun=may_have_begun,
+            takeover=not term_state.takeover.is_over,
+        )
+        self._metrics.count('baobabgap_jobs_total{end="given_up"}')
+        for call in calls:
+            if may_have_begun:
+                answer(
+                    call,
+                    CallOutcome.UNKNOWN,
+                    detail='waited in vain, may have begun',
+                    is_final=True,
+                )
+            else:
                 answer(
                     call,
                     CallOutcome.OVERLOADED,
--- a/baobabgap/dispatch/_replies.py
+++ b/baobabgap/dispatch/_replies.py
@@ -19,11 +19,18 @@
     waiting: int = 0,
     retry_after_ms: int = 0,
     detail: str = '',
+    is_final: bool = False,
 ) -> None:
     """Send the answer on the link that the call arrived on."""
     arrived.connection.send(
         CallAnswer(
-            arrived.call.call, outcome, state, waiting, retry_after_ms, detail
+            arrived.call.call,
+            outcome,
+            state,
+            waiting,
+            retry_after_ms,
+            detail,
+            is_final,
         )
     )
 
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -154,8 +154,8 @@
             self._entries.check(now)
         self._starter.start()
         if is_check_due:
-            # Refuse only jobs that found no room, as estimates are rough.
-            self._calls.refuse_late_jobs(now)
+            # Only jobs that found no room, as estimates are rough.
+            self._calls.give_up_late_jobs(now)
 
     def _handle_events(self) -> None:
         try:
--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -271,5 +271,7 @@
         case CallOutcome.UNAVAILABLE:
             return True
         case CallOutcome.UNKNOWN:
-            return not isinstance(call, SubmitJob) or call.is_volatile
+            return not answer.is_final and (
+                not isinstance(call, SubmitJob) or call.is_volatile
+            )
     return False
--- a/baobabgap/leaderlink/tests/test_calls.py
+++ b/baobabgap/leaderlink/tests/test_calls.py
@@ -44,8 +44,10 @@
                 raise ConnectionLost('cut', step='receive')
             yield message
 
-    def answer(self, call: int, outcome: CallOutcome) -> None:
-        self._incoming.put(CallAnswer(call, outcome))
+    def answer(
+        self, call: int, outcome: CallOutcome, *, is_final: bool = False
+    ) -> None:
+        self._incoming.put(CallAnswer(call, outcome, is_final=is_final))
 
     def cut(self) -> None:
         self._incoming.put(None)
@@ -114,6 +116,16 @@
         second.answer(third, CallOutcome.FOUND)
         self.assertIs(CallOutcome.FOUND, future.result(WAIT_S).outcome)
 
+    def test_final_answer_is_passed_on_at_once(self) -> None:
+        link = self.link()
+        link.next_sent()
+        future = self.forward(VOLATILE, leader_s=WAIT_S)
+        call = link.next_sent().call
+        link.answer(call, CallOutcome.UNKNOWN, is_final=True)
+        answer = future.result(1.0)
+        self.assertIs(CallOutcome.UNKNOWN, answer.outcome)
+        self.assertTrue(link.sent.empty())
+
     def test_next_leader_is_told_which_jobs_may_have_begun(self) -> None:
         link = self.link()
         self.assertEqual(EntryReport(()), link.next_sent())
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -105,6 +105,8 @@
     retry_after_ms: int = 0
     # The error in readable form.
     detail: str = ''
+    # Whether another try by the entry can't change the outcome in time.
+    is_final: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -146,8 +146,13 @@
         A job started later would end far past its objective, or after its
         caller has stopped waiting.
         """
+        return self.latest_useful_end - self._remaining_s(step)
+
+    @property
+    def latest_useful_end(self) -> float:
+        """The latest time at which the end of the job is still useful."""
         expires_at = self.arrived_at + LATE_FACTOR * self.objective_s
-        return min(expires_at, self.awaited_until) - self._remaining_s(step)
+        return min(expires_at, self.awaited_until)
 
     def latest_awaited_start(self, step: int) -> float:
         """Return the latest start with which a caller gets the answer.
