Defer starts far back until an entry has noted them

Cause: an entry reports each volatile job that it sent as possibly begun, so that after a loss of the leader all waiting jobs wait for the reports of all agents (4.5 s with one cut off), can't be refused, and end in 504 though they reached no upstream.

An entry without an announcement may state that the job has not begun: the acknowledgement orders note and start, not the moment of sending. Such a job is sent to the next leader as a new one: it starts at once and can be refused truthfully.

Also: marks of waiting calls no longer expire after 20 s, a job that another entry reports as begun is not refused any more, and a call whose leader is lost waits for the next one from that moment, not from its arrival.

--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -21,6 +21,7 @@
 from baobabgap.dispatch._replies import answer
 from baobabgap.dispatch._replies import answer_unavailable
 from baobabgap.dispatch._run_tracker import RunTracker
+from baobabgap.dispatch._start_deferral import StartDeferral
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.protocol import CallOutcome
 from baobabgap.protocol import CancelPath
@@ -43,6 +44,7 @@
         term_state: TermState,
         runs: RunTracker,
         closer: JobCloser,
+        deferral: StartDeferral,
         state: AcceptedState,
         committer: Committer,
         post_event: PostEvent,
@@ -51,6 +53,7 @@
         self._term_state: Final = term_state
         self._runs: Final = runs
         self._closer: Final = closer
+        self._deferral: Final = deferral
         # Only read by single look-ups, which are safe against concurrent
         # updates.
         self._state: Final = state
@@ -270,6 +273,7 @@
         term_state = self._term_state
         if job_id in term_state.callers_by_id:
             term_state.callers_by_id[job_id].append(arrived)
+            self._deferral.release(job_id)
             plan = term_state.plan_by_id[job_id]
             plan.await_until(_awaited_until(call))
         elif job_id in term_state.ended_by_id:
--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -22,6 +22,7 @@
 from baobabgap.dispatch._events import CallDropped
 from baobabgap.dispatch._events import EntryLinked
 from baobabgap.dispatch._events import EntryUnlinked
+from baobabgap.dispatch._events import StartsNoted
 from baobabgap.dispatch._leadership import Leadership
 from baobabgap.dispatch._membership_manager import MembershipManager
 from baobabgap.dispatch._scheduler import Scheduler
@@ -35,6 +36,7 @@
 from baobabgap.protocol import JoinGroup
 from baobabgap.protocol import LeaderReady
 from baobabgap.protocol import ReadPath
+from baobabgap.protocol import StartsExpected
 from baobabgap.protocol import SubmitJob
 from baobabgap.queues import QueueConfiguration
 from baobabgap.queues import QueueTable
@@ -347,6 +349,8 @@
                             job_ids,
                         )
                     )
+                case StartsExpected(job_ids=job_ids):
+                    self._scheduler.post_event(StartsNoted(job_ids))
                 case DropCall(call=call):
                     self._scheduler.post_event(CallDropped(call, connection))
 
--- a/baobabgap/dispatch/_entry_registry.py
+++ b/baobabgap/dispatch/_entry_registry.py
@@ -1,5 +1,6 @@
 """Incarnations of entries whose jobs may have runs of an earlier term."""
 
+from collections.abc import Iterable
 from typing import Final
 
 from baobabgap.accepted import AcceptedState
@@ -44,12 +45,24 @@
         """Process the first report of an entry on a new link."""
         entry = f'{event.name}/{event.incarnation}'
         self._term_state.takeover.note_entry_report(entry, event.begun_job_ids)
+        if not self._term_state.takeover.is_over:
+            self._mark_begun(event.begun_job_ids)
         member = f'{ENTRY_ROLE}/{entry}'
         self._member_by_entry[event.name] = member
         self._unlinked_at_by_member.pop(member, None)
         if member not in self._state.members:
             self._committer.propose(EnrolMembers((member,)), ignore_result)
 
+    def _mark_begun(self, job_ids: Iterable[str]) -> None:
+        """Refuse no job that an earlier leader may have begun.
+
+        Another entry may have submitted it before this report.
+        """
+        for job_id in job_ids:
+            plan = self._term_state.plan_by_id.get(job_id)
+            if plan is not None:
+                plan.may_have_begun = True
+
     def handle_lost_link(self, event: EntryUnlinked) -> None:
         """Process the loss of a link of an entry."""
         member = f'{ENTRY_ROLE}/{event.name}/{event.incarnation}'
--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -116,6 +116,13 @@
     incarnation: str
 
 
+@dataclass(frozen=True, slots=True)
+class StartsNoted:
+    """An entry has noted that deferred jobs are to begin."""
+
+    job_ids: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class MembersEnrolled:
     """The enrolment of an agent is durable; it may be sent runs."""
@@ -137,6 +144,7 @@
     | CancelStored
     | EntryLinked
     | EntryUnlinked
+    | StartsNoted
     | MembersEnrolled
 )
 
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -33,10 +33,12 @@
 from baobabgap.dispatch._events import LeadershipGained
 from baobabgap.dispatch._events import LeadershipLost
 from baobabgap.dispatch._events import MembersEnrolled
+from baobabgap.dispatch._events import StartsNoted
 from baobabgap.dispatch._job_closer import JobCloser
 from baobabgap.dispatch._replies import answer
 from baobabgap.dispatch._replies import answer_unavailable
 from baobabgap.dispatch._run_tracker import RunTracker
+from baobabgap.dispatch._start_deferral import StartDeferral
 from baobabgap.dispatch._starter import TaskStarter
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch._term_state import TermState
@@ -84,10 +86,12 @@
         self._closer = JobCloser(
             term_state, runs, state, committer, self.post_event, metrics
         )
+        self._deferral = StartDeferral(term_state, metrics)
         self._calls = CallHandler(
             term_state,
             runs,
             self._closer,
+            self._deferral,
             state,
             committer,
             self.post_event,
@@ -156,6 +160,7 @@
         if is_check_due:
             # Only jobs that found no room, as estimates are rough.
             self._calls.give_up_late_jobs(now)
+        self._deferral.check(now)
 
     def _handle_events(self) -> None:
         try:
@@ -191,6 +196,8 @@
                 self._entries.handle_link(event)
             case EntryUnlinked():
                 self._entries.handle_lost_link(event)
+            case StartsNoted(job_ids=job_ids):
+                self._deferral.handle_noted(job_ids)
             case _:
                 self._handle_agent_event(event)
 
@@ -219,6 +226,7 @@
             event.term, Takeover(event.term, event.members, ends_at)
         )
         self._closer.reset()
+        self._deferral.reset()
         self._entries.reset()
         prefix = f'{AGENT_ROLE}/'
         for member in event.members:
--- a/baobabgap/dispatch/tests/test_late_jobs.py
+++ b/baobabgap/dispatch/tests/test_late_jobs.py
@@ -7,6 +7,7 @@
 from baobabgap.accepted import AcceptedState
 from baobabgap.dispatch._call_handler import CallHandler
 from baobabgap.dispatch._events import CallArrived
+from baobabgap.dispatch._start_deferral import StartDeferral
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.dispatch.tests.deployment import configuration
@@ -41,6 +42,7 @@
             self.term_state,
             Mock(),
             Mock(),
+            StartDeferral(self.term_state, Metrics()),
             state,
             Mock(),
             Mock(),
--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -10,6 +10,7 @@
 import time
 from typing import Final
 
+from baobabgap.leaderlink._begun_jobs import BegunJobs
 from baobabgap.protocol import CallAnswer
 from baobabgap.protocol import CallOutcome
 from baobabgap.protocol import CancelPath
@@ -17,8 +18,12 @@
 from baobabgap.protocol import EntryReport
 from baobabgap.protocol import LeaderReady
 from baobabgap.protocol import ReadPath
+from baobabgap.protocol import StartsAnnounced
+from baobabgap.protocol import StartsDeferred
+from baobabgap.protocol import StartsExpected
 from baobabgap.protocol import SubmitJob
 from baobabgap.queues import RequestLimits
+from baobabgap.telemetry import log_event
 from baobabgap.transport import Connection
 
 Call = SubmitJob | ReadPath | CancelPath
@@ -33,9 +38,6 @@
 _BEGUN_WAIT_S: Final = 5.0
 # Outcomes which state that the call had no effect.
 _NOT_BEGUN: Final = (CallOutcome.UNAVAILABLE, CallOutcome.OVERLOADED)
-# Seconds for which a job that was sent counts as possibly begun; longer than
-# any of its tasks can hold a lease after the loss of the leader.
-_BEGUN_RETENTION_S: Final = 20.0
 # Seconds between checks whether a caller still waits.
 _CALLER_CHECK_INTERVAL_S: Final = 0.25
 
@@ -47,6 +49,8 @@
     # The link that it was sent on.
     connection: Connection
     future: Future[CallAnswer]
+    # The volatile job that it submits, or empty.
+    job_id: str
 
 
 class LeaderCalls:
@@ -54,7 +58,8 @@
 
     `session` is the session of a `LeaderLink`. A call whose link ends is
     answered `UNKNOWN` unless it is safe to repeat; then it is sent to the
-    next leader.
+    next leader. A job that the lost leader has certainly not begun is sent
+    to the next one as a new job.
     """
 
     def __init__(self) -> None:
@@ -65,9 +70,7 @@
         self._is_stopped = False
         # When the last link to a leader ended or the process started.
         self._unlinked_at = time.monotonic()
-        # The last time that each volatile job was sent to a leader.
-        self._begun_at_by_id: dict[str, float] = {}
-        self._next_prune_at = 0.0
+        self._begun_jobs = BegunJobs()
         # The largest request body that the configuration allows.
         self.largest_body_bytes = RequestLimits().body_bytes
 
@@ -87,13 +90,18 @@
         with self._lock:
             # Sent before any call: the leader must know which jobs may have
             # begun.
-            connection.send(EntryReport(self._begun_job_ids()))
+            self._prune_begun_jobs(time.monotonic())
+            connection.send(EntryReport(self._begun_jobs.job_ids()))
             self._connection = connection
         try:
             for message in messages:
                 match message:
                     case CallAnswer():
                         self._resolve(message)
+                    case StartsDeferred(calls=calls):
+                        self._note_deferred(connection, calls)
+                    case StartsAnnounced(job_ids=job_ids):
+                        self._note_announced(connection, job_ids)
                     case LeaderReady():
                         self.largest_body_bytes = message.largest_body_bytes
         finally:
@@ -108,7 +116,8 @@
         with self._lock:
             self._connection = None
             pending = self._pop_pending(None)
-        _resolve_unknown(pending, 'this entry stops')
+        for number, call in pending.items():
+            _resolve_lost(number, call, 'this entry stops', is_waiting=False)
 
     @property
     def waiting(self) -> int:
@@ -130,13 +139,10 @@
         """
         now = time.monotonic()
         answer_by = now + wait_for_answer_s
-        # After a longer outage, further waiting is unlikely to help.
-        outage_since = now if self.is_linked else self._unlinked_at
-        give_up_at = min(
-            now + wait_for_leader_s, outage_since + _OUTAGE_WAIT_S
-        )
+        give_up_at: float | None = None
         may_have_begun = False
         while True:
+            tried_at = time.monotonic()
             if isinstance(call, SubmitJob):
                 call = replace(
                     call,
@@ -157,6 +163,10 @@
                 give_up_at = time.monotonic() + _BEGUN_WAIT_S
             if self._is_stopped or not _is_retryable(call, answer):
                 return answer
+            has_waited = time.monotonic() - tried_at > _RETRY_INTERVAL_S
+            if give_up_at is None or (has_waited and not may_have_begun):
+                # A new outage, or the first one that this call meets.
+                give_up_at = self._outage_ends_at(now, wait_for_leader_s)
             if time.monotonic() >= min(give_up_at, answer_by):
                 return answer
             time.sleep(
@@ -165,6 +175,15 @@
                 else _NO_LEADER_RETRY_INTERVAL_S
             )
 
+    def _outage_ends_at(
+        self, arrived_at: float, wait_for_leader_s: float
+    ) -> float:
+        """Return the time after which waiting is unlikely to help."""
+        since = time.monotonic() if self.is_linked else self._unlinked_at
+        return min(
+            max(arrived_at, since) + wait_for_leader_s, since + _OUTAGE_WAIT_S
+        )
+
     def _forward_once(
         self,
         call: Call,
@@ -179,9 +198,12 @@
                 return CallAnswer(
                     number, CallOutcome.UNAVAILABLE, detail='no leader'
                 )
-            self._pending_by_call[number] = _PendingCall(connection, future)
-            if isinstance(call, SubmitJob) and call.is_volatile:
-                self._begun_at_by_id[_job_id(call)] = time.monotonic()
+            job_id = _volatile_job_id(call)
+            self._pending_by_call[number] = _PendingCall(
+                connection, future, job_id
+            )
+            if job_id:
+                self._begun_jobs.note_sent(job_id, number, time.monotonic())
         connection.send(replace(call, call=number))
         while True:
             left_s = answer_by - time.monotonic()
@@ -195,33 +217,41 @@
             break
         with self._lock:
             self._pending_by_call.pop(number, None)
-        if isinstance(call, SubmitJob) and call.is_volatile:
+        if job_id:
             connection.send(DropCall(number))
         return CallAnswer(
             number, CallOutcome.UNKNOWN, detail='no answer in time'
         )
 
-    def _begun_job_ids(self) -> tuple[str, ...]:
-        """Return the jobs that a leader may have begun.
+    def _prune_begun_jobs(self, now: float) -> None:
+        """Remove old records of begun jobs; the caller holds the lock."""
+        self._begun_jobs.keep(
+            (pending.job_id for pending in self._pending_by_call.values()), now
+        )
+        self._begun_jobs.prune(now)
 
-        The caller holds the lock.
-        """
-        oldest = time.monotonic() - _BEGUN_RETENTION_S
-        for job_id, begun_at in list(self._begun_at_by_id.items()):
-            if begun_at < oldest:
-                del self._begun_at_by_id[job_id]
-        return tuple(self._begun_at_by_id)
+    def _note_deferred(
+        self, connection: Connection, calls: tuple[int, ...]
+    ) -> None:
+        with self._lock:
+            for number in calls:
+                pending = self._pending_by_call.get(number)
+                if pending is not None and pending.connection is connection:
+                    self._begun_jobs.note_deferred(pending.job_id, number)
 
-    def _prune_begun_jobs(self) -> None:
-        """Remove old records of begun jobs; the caller holds the lock."""
-        now = time.monotonic()
-        if now >= self._next_prune_at:
-            self._next_prune_at = now + _BEGUN_RETENTION_S / 4
-            self._begun_job_ids()
+    def _note_announced(
+        self, connection: Connection, job_ids: tuple[str, ...]
+    ) -> None:
+        with self._lock:
+            self._begun_jobs.note_announced(job_ids, time.monotonic())
+        # Only now may the leader begin them.
+        connection.send(StartsExpected(job_ids))
 
     def _resolve(self, answer: CallAnswer) -> None:
         with self._lock:
-            self._prune_begun_jobs()
+            now = time.monotonic()
+            if self._begun_jobs.is_prune_due(now):
+                self._prune_begun_jobs(now)
             pending = self._pending_by_call.pop(answer.call, None)
         if pending is not None:
             pending.future.set_result(answer)
@@ -229,21 +259,38 @@
     def _handle_lost_link(self, connection: Connection) -> None:
         """Resolve the calls of a link that has ended."""
         with self._lock:
+            now = time.monotonic()
             if self._connection is connection:
                 self._connection = None
-                self._unlinked_at = time.monotonic()
+                self._unlinked_at = now
+            self._prune_begun_jobs(now)
             pending = self._pop_pending(connection)
-        _resolve_unknown(pending, 'leader link lost')
+            waiting = {
+                number
+                for number, call in pending.items()
+                if call.job_id
+                and not self._begun_jobs.may_have_begun(call.job_id)
+            }
+        if pending:
+            log_event(
+                'leader_calls_lost',
+                calls=len(pending),
+                certainly_not_begun=len(waiting),
+            )
+        for number, call in pending.items():
+            _resolve_lost(
+                number, call, 'leader link lost', is_waiting=number in waiting
+            )
 
     def _pop_pending(
         self, connection: Connection | None
-    ) -> dict[int, Future[CallAnswer]]:
+    ) -> dict[int, _PendingCall]:
         """Remove and return the calls of one link, or all if None.
 
         The caller holds the lock.
         """
         taken = {
-            number: call.future
+            number: call
             for number, call in self._pending_by_call.items()
             if connection is None or call.connection is connection
         }
@@ -252,17 +299,22 @@
         return taken
 
 
-def _resolve_unknown(
-    pending: dict[int, Future[CallAnswer]], detail: str
+def _resolve_lost(
+    number: int, pending: _PendingCall, detail: str, *, is_waiting: bool
 ) -> None:
-    for number, future in pending.items():
-        future.set_result(
-            CallAnswer(number, CallOutcome.UNKNOWN, detail=detail)
-        )
+    """Answer a call that the leader won't answer.
+
+    `is_waiting` states that its job has certainly not begun.
+    """
+    outcome = CallOutcome.UNAVAILABLE if is_waiting else CallOutcome.UNKNOWN
+    pending.future.set_result(CallAnswer(number, outcome, detail=detail))
 
 
-def _job_id(call: SubmitJob) -> str:
-    return call.path.rpartition('/')[2]
+def _volatile_job_id(call: Call) -> str:
+    """Return the volatile job that a call submits, or an empty string."""
+    if isinstance(call, SubmitJob) and call.is_volatile:
+        return call.path.rpartition('/')[2]
+    return ''
 
 
 def _is_retryable(call: Call, answer: CallAnswer) -> bool:
--- a/baobabgap/leaderlink/tests/test_calls.py
+++ b/baobabgap/leaderlink/tests/test_calls.py
@@ -17,6 +17,9 @@
 from baobabgap.protocol import EntryReport
 from baobabgap.protocol import LeaderReady
 from baobabgap.protocol import ReadPath
+from baobabgap.protocol import StartsAnnounced
+from baobabgap.protocol import StartsDeferred
+from baobabgap.protocol import StartsExpected
 from baobabgap.protocol import SubmitJob
 from baobabgap.transport import Connection
 
@@ -49,6 +52,10 @@
     ) -> None:
         self._incoming.put(CallAnswer(call, outcome, is_final=is_final))
 
+    def deliver(self, *messages: object) -> None:
+        for message in messages:
+            self._incoming.put(message)
+
     def cut(self) -> None:
         self._incoming.put(None)
 
@@ -137,6 +144,52 @@
             EntryReport(('0123456789abcdef',)), second.next_sent()
         )
 
+    def defer(self, link: FakeLink, call: int) -> None:
+        """Defer a call and wait until the entry has noted that."""
+        link.deliver(StartsDeferred((call,)), StartsAnnounced(()))
+        self.assertEqual(StartsExpected(()), link.next_sent())
+
+    def test_deferred_job_is_sent_to_the_next_leader_as_new(self) -> None:
+        link = self.link()
+        link.next_sent()
+        future = self.forward(VOLATILE, leader_s=2.0)
+        self.defer(link, link.next_sent().call)
+        link.cut()
+        second = self.link()
+        self.assertEqual(EntryReport(()), second.next_sent())
+        repeated = second.next_sent()
+        self.assertFalse(repeated.is_repeat)
+        second.answer(repeated.call, CallOutcome.OVERLOADED)
+        answer = future.result(WAIT_S)
+        self.assertIs(CallOutcome.OVERLOADED, answer.outcome)
+
+    def test_deferred_job_is_refused_if_no_leader_follows(self) -> None:
+        link = self.link()
+        link.next_sent()
+        future = self.forward(VOLATILE)
+        self.defer(link, link.next_sent().call)
+        link.cut()
+        self.assertIs(CallOutcome.UNAVAILABLE, future.result(WAIT_S).outcome)
+
+    def test_announced_job_may_have_begun(self) -> None:
+        """The entry notes the start before it tells the leader so."""
+        link = self.link()
+        link.next_sent()
+        future = self.forward(VOLATILE)
+        self.defer(link, link.next_sent().call)
+        link.deliver(StartsAnnounced(('0123456789abcdef',)))
+        self.assertEqual(
+            StartsExpected(('0123456789abcdef',)), link.next_sent()
+        )
+        link.cut()
+        second = self.link()
+        self.assertEqual(
+            EntryReport(('0123456789abcdef',)), second.next_sent()
+        )
+        self.assertTrue(second.next_sent().is_repeat)
+        second.cut()
+        self.assertIs(CallOutcome.UNKNOWN, future.result(WAIT_S).outcome)
+
     def test_stored_job_is_not_sent_twice(self) -> None:
         link = self.link()
         link.next_sent()
--- a/baobabgap/protocol/__init__.py
+++ b/baobabgap/protocol/__init__.py
@@ -23,6 +23,9 @@
 from baobabgap.protocol._messages import RunsFound
 from baobabgap.protocol._messages import RunsGone
 from baobabgap.protocol._messages import StartRuns
+from baobabgap.protocol._messages import StartsAnnounced
+from baobabgap.protocol._messages import StartsDeferred
+from baobabgap.protocol._messages import StartsExpected
 from baobabgap.protocol._messages import StopRuns
 from baobabgap.protocol._messages import SubmitJob
 from baobabgap.protocol._messages import UpstreamChanged
@@ -66,6 +69,9 @@
     'RunsFound',
     'RunsGone',
     'StartRuns',
+    'StartsAnnounced',
+    'StartsDeferred',
+    'StartsExpected',
     'StopRuns',
     'SubmitJob',
     'UpstreamChanged',
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -93,6 +93,32 @@
     begun_job_ids: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class StartsDeferred:
+    """States which submitted jobs have not begun and wait.
+
+    The leader starts none of them before a `StartsExpected` names the job,
+    or another call submits it.
+    """
+
+    # The numbers of the calls that submitted the jobs.
+    calls: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StartsAnnounced:
+    """States which deferred jobs are to begin; answered at once."""
+
+    job_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StartsExpected:
+    """States that the entry reports these jobs to the next leader as begun."""
+
+    job_ids: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class CallAnswer:
     """The answer to a call."""
@@ -315,6 +341,9 @@
     RunsFound,
     RunsGone,
     StartRuns,
+    StartsAnnounced,
+    StartsDeferred,
+    StartsExpected,
     StopRuns,
     SubmitJob,
     UpstreamChanged,
--- a/baobabgap/scheduling/__init__.py
+++ b/baobabgap/scheduling/__init__.py
@@ -7,6 +7,7 @@
 from baobabgap.scheduling._admission import admit
 from baobabgap.scheduling._admission import Refusal
 from baobabgap.scheduling._admission import retry_after
+from baobabgap.scheduling._deferral import WaitingJobs
 from baobabgap.scheduling._health import is_overdue
 from baobabgap.scheduling._health import TargetHealth
 from baobabgap.scheduling._job_plan import JobPlan
@@ -35,4 +36,5 @@
     'StartQueue',
     'TargetHealth',
     'TargetPool',
+    'WaitingJobs',
 ]
