Decide at the end of a takeover which of the held jobs can be served

Cause: jobs that a takeover holds were admitted when nothing was known to wait, and those that may have begun were never judged, so that all of them were queued at once and most waited in vain, answered at their useful end.

Now held jobs are released by their latest starts and pass admission then; those that can't be served are answered at once (refused, or unknown and final if they may have begun). A job that is late already is held for 1.8 s of a term, not longer: by then only agents that are cut off have not reported.

Ruled out: giving late jobs up at once in a takeover.

--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -19,6 +19,7 @@
 from baobabgap.dispatch._events import PostEvent
 from baobabgap.dispatch._job_closer import JobCloser
 from baobabgap.dispatch._replies import answer
+from baobabgap.dispatch._replies import answer_not_served
 from baobabgap.dispatch._replies import answer_unavailable
 from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._start_deferral import StartDeferral
@@ -31,10 +32,15 @@
 from baobabgap.scheduling import AdmissionInput
 from baobabgap.scheduling import admit
 from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import Refusal
 from baobabgap.scheduling import retry_after
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 
+# Seconds within which a new leader hears from all agents if none is cut off:
+# that an upstream has ended is known once its lease has lapsed.
+_USUAL_TAKEOVER_S: Final = 1.8
+
 
 class CallHandler:
     """Answers client calls; used by the confirmed leader."""
@@ -142,8 +148,12 @@
             if term_state.takeover.may_start(plan.job):
                 if now > plan.latest_useful_start(0):
                     self._give_up(plan, calls, now, plan.may_have_begun)
-            elif now > plan.latest_useful_end:
-                # A run that an agent has yet to report would end too late.
+            elif (
+                now > plan.latest_useful_end
+                and term_state.age_s(now) > _USUAL_TAKEOVER_S
+            ):
+                # A run that an agent has yet to report would end too late,
+                # and some agent may not report for long.
                 self._give_up(plan, calls, now, may_have_begun=True)
 
     def _give_up(
@@ -176,20 +186,9 @@
         )
         self._metrics.count('baobabgap_jobs_total{end="given_up"}')
         for call in calls:
-            if may_have_begun:
-                answer(
-                    call,
-                    CallOutcome.UNKNOWN,
-                    detail='waited in vain, may have begun',
-                    is_final=True,
-                )
-            else:
-                answer(
-                    call,
-                    CallOutcome.OVERLOADED,
-                    retry_after_ms=retry_after_ms,
-                    detail='waited in vain',
-                )
+            answer_not_served(
+                call, 'waited in vain', retry_after_ms, may_have_begun
+            )
 
     def _submit(
         self, arrived: CallArrived, call: SubmitJob, match: QueueMatch
@@ -224,8 +223,11 @@
                 detail=UPSTREAM_CRASHES,
             )
             return
-        if not plan.may_have_begun and not self._admit(arrived, plan):
-            return
+        if self._is_admissible(plan):
+            refusal = self._find_refusal(plan)
+            if refusal is not None:
+                self._answer_refused(plan, refusal, arrived)
+                return
         if job.is_volatile:
             self._accept_volatile(plan, arrived)
             return
@@ -292,8 +294,40 @@
             return False
         return True
 
-    def _admit(self, arrived: CallArrived, plan: JobPlan) -> bool:
-        """Refuse a job that can't be served; return whether it is admitted."""
+    def admit_released(self, plan: JobPlan) -> bool:
+        """Admit a job that a takeover no longer holds, or give it up.
+
+        What waits was not known when it was submitted. Returns whether it
+        is admitted.
+        """
+        job_id = plan.job.job_id
+        calls = self._term_state.callers_by_id.get(job_id)
+        if not calls or plan.has_started:
+            return True
+        refusal = self._find_refusal(plan)
+        if refusal is None:
+            return True
+        del self._term_state.callers_by_id[job_id]
+        self._term_state.pop_plan(job_id)
+        self._answer_refused(plan, refusal, *calls)
+        return False
+
+    def _is_admissible(self, plan: JobPlan) -> bool:
+        """Return whether a new submission may be refused at once.
+
+        Not if runs of it may be found, or it is decided at its release.
+        """
+        if not plan.may_have_begun:
+            return True
+        return (
+            plan.job.is_volatile
+            and not plan.has_started
+            and not self._term_state.orphans.has_job(plan.job.job_id)
+            and self._term_state.takeover.may_start(plan.job)
+        )
+
+    def _find_refusal(self, plan: JobPlan) -> Refusal | None:
+        """Return why a job can't be served, or None if it is admitted."""
         job = plan.job
         now = time.monotonic()
         pool = self._term_state.pool_by_service[job.service]
@@ -302,7 +336,7 @@
         returning = self._term_state.returning_upstreams(job.service, now)
         refusal = admit(pool, job.steps, admission_input, returning)
         if refusal is None:
-            return True
+            return None
         self._metrics.count('baobabgap_jobs_total{end="refused"}')
         log_event(
             'job_refused',
@@ -316,14 +350,20 @@
             upstreams=len(pool.target_by_name),
             returning_upstreams=returning,
             retry_after_ms=refusal.retry_after_ms,
+            may_have_begun=plan.may_have_begun,
         )
-        answer(
-            arrived,
-            CallOutcome.OVERLOADED,
-            retry_after_ms=refusal.retry_after_ms,
-            detail=refusal.reason,
-        )
-        return False
+        return refusal
+
+    def _answer_refused(
+        self, plan: JobPlan, refusal: Refusal, *calls: CallArrived
+    ) -> None:
+        for call in calls:
+            answer_not_served(
+                call,
+                refusal.reason,
+                refusal.retry_after_ms,
+                plan.may_have_begun,
+            )
 
     def _accept_volatile(self, plan: JobPlan, arrived: CallArrived) -> None:
         """Accept a volatile job with its runs of an earlier leader, if any."""
--- a/baobabgap/dispatch/_replies.py
+++ b/baobabgap/dispatch/_replies.py
@@ -43,3 +43,29 @@
         retry_after_ms=_NO_LEADER_RETRY_MS,
         detail=detail,
     )
+
+
+def answer_not_served(
+    arrived: CallArrived,
+    detail: str,
+    retry_after_ms: int,
+    may_have_begun: bool,
+) -> None:
+    """Answer that a job is given up: refused, or unknown if it may have run.
+
+    A refusal states that nothing of the job has run or will run.
+    """
+    if may_have_begun:
+        answer(
+            arrived,
+            CallOutcome.UNKNOWN,
+            detail=f'{detail}; may have begun',
+            is_final=True,
+        )
+    else:
+        answer(
+            arrived,
+            CallOutcome.OVERLOADED,
+            retry_after_ms=retry_after_ms,
+            detail=detail,
+        )
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -156,6 +156,7 @@
             self._next_check_at = now + _CHECK_INTERVAL_S
             self._timeout_monitor.check(now)
             self._entries.check(now)
+        self._term_state.release_held_plans(self._calls.admit_released)
         self._starter.start()
         if is_check_due:
             # Only jobs that found no room, as estimates are rough.
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -46,7 +46,6 @@
     def start(self) -> None:
         """Start all tasks that can start; called by the confirmed leader."""
         term_state = self._term_state
-        term_state.release_held_plans()
         orders_by_agent: dict[str, list[RunOrder]] = defaultdict(list)
         runs_by_job: dict[str, list[str]] = defaultdict(list)
         for service, queue in term_state.queue_by_service.items():
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -1,6 +1,7 @@
 """State of the leader that is held in memory, for one term."""
 
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass
 import time
 from typing import Final
@@ -75,6 +76,10 @@
         self.host_losses = HostLosses()
         self.view_by_name: dict[str, AgentView] = {}
 
+    def age_s(self, now: float) -> float:
+        """Return the seconds since the begin of the term."""
+        return now - self._began_at
+
     def waiting_calls(self) -> list[CallArrived]:
         """Return all unanswered calls."""
         groups = [
@@ -131,13 +136,25 @@
         if plan is not None and job_id not in self._held_by_id:
             self._queue_of(plan).add(plan, time.monotonic())
 
-    def release_held_plans(self) -> None:
-        """Let those jobs start that the takeover permits by now."""
-        for job_id, plan in list(self._held_by_id.items()):
-            if self.takeover.may_start(plan.job):
+    def release_held_plans(self, admit: Callable[[JobPlan], bool]) -> None:
+        """Let those jobs start that the takeover permits by now.
+
+        Jobs are released by their latest starts; the work of those released
+        first counts for the others. `admit` returns false for a job that it
+        has removed.
+        """
+        released = [
+            plan
+            for plan in self._held_by_id.values()
+            if self.takeover.may_start(plan.job)
+        ]
+        now = time.monotonic()
+        for plan in sorted(released, key=lambda plan: plan.latest_start(0)):
+            job_id = plan.job.job_id
+            if admit(plan):
                 del self._held_by_id[job_id]
                 if job_id not in self.cancelling_by_id:
-                    self._queue_of(plan).add(plan, time.monotonic())
+                    self._queue_of(plan).add(plan, now)
 
     def set_target(
         self, view: AgentView, target: PlacementTarget | None
--- a/baobabgap/dispatch/tests/test_late_jobs.py
+++ b/baobabgap/dispatch/tests/test_late_jobs.py
@@ -1,10 +1,13 @@
 """What callers of jobs are told that can't be served in time any more."""
 
+from collections import Counter
 import time
 from unittest import TestCase
 from unittest.mock import Mock
 
 from baobabgap.accepted import AcceptedState
+from baobabgap.accepted import Demand
+from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._call_handler import CallHandler
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._start_deferral import StartDeferral
@@ -13,17 +16,20 @@
 from baobabgap.dispatch.tests.deployment import configuration
 from baobabgap.dispatch.tests.deployment import PREFIX
 from baobabgap.dispatch.tests.deployment import QUEUE_HOST
+from baobabgap.dispatch.tests.deployment import SERVICE
 from baobabgap.dispatch.tests.deployment import step
 from baobabgap.protocol import CallAnswer
 from baobabgap.protocol import CallOutcome
 from baobabgap.protocol import SubmitJob
 from baobabgap.queues import QueueTable
+from baobabgap.scheduling import PlacementTarget
 from baobabgap.telemetry import Metrics
 
 TERM = 5
 # The end of a job is useful until three times its objective, which is 1.6
 # times its run time and 60 ms.
 ESTIMATE_MS = 100
+LONG_USEFUL_END_S = 3 * (1.6 * 1000 + 60) / 1000
 USEFUL_END_S = 3 * (1.6 * ESTIMATE_MS + 60) / 1000
 MEMBERS = ('agent/a', 'entry/e/1')
 
@@ -50,14 +56,22 @@
         )
         self.connection = Mock()
 
-    def submit(self, job_id: str = 'a', *, is_repeat: bool = False) -> None:
+    def submit(
+        self,
+        job_id: str = 'a',
+        *,
+        is_repeat: bool = False,
+        waited_ms: int = 0,
+        estimate_ms: int = ESTIMATE_MS,
+    ) -> None:
         call = SubmitJob(
             7,
             QUEUE_HOST,
             PREFIX + job_id,
             '',
-            (step(1, ESTIMATE_MS),),
+            (step(1, estimate_ms),),
             is_volatile=True,
+            waited_ms=waited_ms,
             patience_ms=9000,
             is_repeat=is_repeat,
         )
@@ -76,7 +90,7 @@
         self.takeover.note_entry_report('e/1', ())
         self.takeover.note_agent_report('a')
         self.takeover.end_if_due(time.monotonic())
-        self.term_state.release_held_plans()
+        self.term_state.release_held_plans(self.handler.admit_released)
 
     def test_job_that_certainly_has_not_begun_is_refused(self) -> None:
         self.end_takeover()
@@ -106,15 +120,56 @@
             with self.subTest(case):
                 self.setUp()
                 if has_reported:
-                    self.takeover.note_entry_report('e/1', ('a',))
+                    self.takeover.note_entry_report('e/1', ('a', 'b'))
                 self.submit()
-                self.assertIsNone(self.give_up_after(USEFUL_END_S - 0.05))
-                told = self.give_up_after(USEFUL_END_S)
+                self.submit('b', estimate_ms=1000)
+                self.assertIsNone(self.give_up_after(1.7))
+                self.assertIsNotNone(self.give_up_after(1.9))
+                self.assertEqual(['b'], list(self.term_state.plan_by_id))
+                self.assertIsNone(self.give_up_after(LONG_USEFUL_END_S - 0.05))
+                told = self.give_up_after(LONG_USEFUL_END_S)
                 assert told is not None
                 self.assertIs(CallOutcome.UNKNOWN, told.outcome)
                 self.assertTrue(told.is_final)
                 self.assertEqual({}, self.term_state.plan_by_id)
 
+    def test_job_that_is_late_already_waits_for_a_usual_takeover(self) -> None:
+        """It is served if an upstream is free then."""
+        self.takeover.note_entry_report('e/1', ('a',))
+        self.submit(waited_ms=int(1000 * USEFUL_END_S))
+        self.assertIsNone(self.give_up_after(1.7))
+        told = self.give_up_after(1.9)
+        assert told is not None
+        self.assertIs(CallOutcome.UNKNOWN, told.outcome)
+
+    def test_released_jobs_are_given_up_that_can_not_be_served(self) -> None:
+        """What waits is known only once the takeover holds nothing.
+
+        One core serves six of the jobs until they are worth nothing.
+        """
+        capacity = Demand(1000, 1000, 0)
+        self.term_state.view_by_name['a'] = AgentView('a')
+        self.term_state.pool_by_service[SERVICE].add(
+            PlacementTarget('a', SERVICE, 'z', (), capacity, capacity)
+        )
+        begun = tuple(f'begun-{number}' for number in range(20))
+        for number in range(20):
+            self.submit(f'new-{number}')
+        for job_id in begun:
+            self.submit(job_id, is_repeat=True)
+        self.assertEqual([], self.connection.send.mock_calls)
+        self.takeover.note_entry_report('e/1', begun)
+        self.end_takeover()
+        outcomes = Counter(
+            call.args[0].outcome for call in self.connection.send.mock_calls
+        )
+        waiting = len(self.term_state.plan_by_id)
+        self.assertEqual(40, waiting + outcomes.total())
+        self.assertLessEqual(waiting, 8)
+        self.assertGreaterEqual(waiting, 2)
+        self.assertGreater(outcomes[CallOutcome.UNKNOWN], 0)
+        self.assertGreater(outcomes[CallOutcome.OVERLOADED], 0)
+
     def test_resubmitted_job_is_held_again(self) -> None:
         self.takeover.note_entry_report('e/1', ('a',))
         self.submit()
