Refuse at once what the next leader can't serve in time

Now the leader tells entries (LeaderReady) until when the end of a queue's jobs is worth anything. An entry learns the usual time without a leader, refuses at once with Retry-After what can't end in time after that, and answers as unknown what may have begun and can't end in time any more. A call that waits is woken by the link. The decision is in a module of its own (leaderlink/_outage.py); each one is logged with its inputs (call_given_up).

Ruled out: refusing by the number of calls that wait (an entry doesn't know what the others hold; the next leader decides by urgency once it has all); more than 200 queues are not sent.

--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -32,9 +32,11 @@
 from baobabgap.protocol import CONTROL_ROLE
 from baobabgap.protocol import ControlNodeOptions
 from baobabgap.protocol import DropCall
+from baobabgap.protocol import ENTRY_ROLE
 from baobabgap.protocol import EntryReport
 from baobabgap.protocol import JoinGroup
 from baobabgap.protocol import LeaderReady
+from baobabgap.protocol import QueueObjective
 from baobabgap.protocol import ReadPath
 from baobabgap.protocol import StartsExpected
 from baobabgap.protocol import SubmitJob
@@ -43,6 +45,7 @@
 from baobabgap.queues import RequestLimits
 from baobabgap.replication import NotLeader
 from baobabgap.replication import ReplicatedLog
+from baobabgap.scheduling import LATE_FACTOR
 from baobabgap.settings import ControlHost
 from baobabgap.settings import Settings
 from baobabgap.telemetry import log_event
@@ -53,6 +56,8 @@
 from baobabgap.transport import PROCESS_TRAFFIC
 
 _MAX_THREADS: Final = 4096
+# Queues whose objectives entries are told; more would be a large message.
+_MOST_OBJECTIVES: Final = 200
 
 
 class ControlNode:
@@ -101,6 +106,7 @@
             options.member_silence_limit_s,
         )
         self._limits = RequestLimits()
+        self._objectives: tuple[QueueObjective, ...] = ()
         self._member_lock = threading.Lock()
         self._members: set[Connection] = set()
         self._listener = Listener(
@@ -251,12 +257,16 @@
             version=configuration.version,
             queues=len(configuration.queues),
         )
-        if configuration.limits != self._limits:
+        objectives = _objectives(configuration)
+        if (configuration.limits, objectives) != (
+            self._limits,
+            self._objectives,
+        ):
             self._limits = configuration.limits
-            ready = self._leader_ready()
+            self._objectives = objectives
             with self._member_lock:
                 for connection in self._members:
-                    connection.send(ready)
+                    connection.send(self._leader_ready(connection))
 
     def _start_task(self, name: str, run: Callable[[], None]) -> None:
         def run_logged() -> None:
@@ -275,12 +285,15 @@
 
         self._pool.submit(run_logged)
 
-    def _leader_ready(self) -> LeaderReady:
+    def _leader_ready(self, connection: Connection) -> LeaderReady:
         addresses = tuple(
             member.address for member in self._log.status().members
         )
         return LeaderReady(
-            self._leadership.term, addresses, self._limits.body_bytes
+            self._leadership.term,
+            addresses,
+            self._limits.body_bytes,
+            self._objectives if connection.peer.role == ENTRY_ROLE else (),
         )
 
     def _serve_link(self, connection: Connection) -> None:
@@ -300,7 +313,7 @@
         with self._member_lock:
             self._members.add(connection)
         try:
-            connection.send(self._leader_ready())
+            connection.send(self._leader_ready(connection))
             self._serve_member(connection)
         finally:
             with self._member_lock:
@@ -372,6 +385,23 @@
             connection.close()
 
 
+def _objectives(
+    configuration: QueueConfiguration,
+) -> tuple[QueueObjective, ...]:
+    """Return the objectives for entries, or none if there are too many."""
+    if len(configuration.queues) > _MOST_OBJECTIVES:
+        return ()
+    return tuple(
+        QueueObjective(
+            queue.host.partition(':')[0].lower(),
+            queue.path_prefix,
+            LATE_FACTOR * queue.stretch,
+            LATE_FACTOR * queue.latency_allowance_ms,
+        )
+        for queue in configuration.queues
+    )
+
+
 def _log_link_error(error: BaobabgapError) -> None:
     if not isinstance(error, ConnectionLost):
         log_event('link_refused', error=str(error))
--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -6,17 +6,24 @@
 from dataclasses import dataclass
 from dataclasses import replace
 import itertools
+import math
 import threading
 import time
 from typing import Final
 
 from baobabgap.leaderlink._begun_jobs import BegunJobs
+from baobabgap.leaderlink._outage import expected_run_s
+from baobabgap.leaderlink._outage import find_objective
+from baobabgap.leaderlink._outage import Outage
+from baobabgap.leaderlink._outage import UsualOutage
+from baobabgap.leaderlink._outage import WaitingCall
 from baobabgap.protocol import CallAnswer
 from baobabgap.protocol import CallOutcome
 from baobabgap.protocol import CancelPath
 from baobabgap.protocol import DropCall
 from baobabgap.protocol import EntryReport
 from baobabgap.protocol import LeaderReady
+from baobabgap.protocol import QueueObjective
 from baobabgap.protocol import ReadPath
 from baobabgap.protocol import StartsAnnounced
 from baobabgap.protocol import StartsDeferred
@@ -28,14 +35,10 @@
 
 Call = SubmitJob | ReadPath | CancelPath
 
-# Seconds between tries of a call, with a link to a leader and without one.
+# Seconds between tries of a call with a link to a leader, and between checks
+# whether to wait on without one.
 _RETRY_INTERVAL_S: Final = 0.1
-_NO_LEADER_RETRY_INTERVAL_S: Final = 0.02
-# Seconds after the loss of a leader within which calls wait for the next one;
-# slightly longer than an election.
-_OUTAGE_WAIT_S: Final = 1.2
-# Seconds for which a call waits for a leader if its job may have begun.
-_BEGUN_WAIT_S: Final = 5.0
+_NO_LEADER_CHECK_INTERVAL_S: Final = 0.1
 # Outcomes which state that the call had no effect.
 _NOT_BEGUN: Final = (CallOutcome.UNAVAILABLE, CallOutcome.OVERLOADED)
 # Seconds between checks whether a caller still waits.
@@ -68,9 +71,14 @@
         self._pending_by_call: dict[int, _PendingCall] = {}
         self._connection: Connection | None = None
         self._is_stopped = False
+        self._has_been_linked = False
         # When the last link to a leader ended or the process started.
         self._unlinked_at = time.monotonic()
         self._begun_jobs = BegunJobs()
+        self._usual_outage = UsualOutage()
+        # Set while there is a link to a leader.
+        self._linked = threading.Event()
+        self._objectives: tuple[QueueObjective, ...] = ()
         # The largest request body that the configuration allows.
         self.largest_body_bytes = RequestLimits().body_bytes
 
@@ -86,13 +94,17 @@
         messages: Iterator[object],
     ) -> None:
         """Process answers until the link ends."""
-        self.largest_body_bytes = ready.largest_body_bytes
+        self._use_ready(ready)
         with self._lock:
             # Sent before any call: the leader must know which jobs may have
             # begun.
             self._prune_begun_jobs(time.monotonic())
             connection.send(EntryReport(self._begun_jobs.job_ids()))
+            if self._has_been_linked:
+                self._usual_outage.note(time.monotonic() - self._unlinked_at)
+            self._has_been_linked = True
             self._connection = connection
+            self._linked.set()
         try:
             for message in messages:
                 match message:
@@ -103,10 +115,14 @@
                     case StartsAnnounced(job_ids=job_ids):
                         self._note_announced(connection, job_ids)
                     case LeaderReady():
-                        self.largest_body_bytes = message.largest_body_bytes
+                        self._use_ready(message)
         finally:
             self._handle_lost_link(connection)
 
+    def _use_ready(self, ready: LeaderReady) -> None:
+        self.largest_body_bytes = ready.largest_body_bytes
+        self._objectives = ready.objectives
+
     def stop(self) -> None:
         """Answer all present and future calls with `UNKNOWN`.
 
@@ -138,51 +154,63 @@
         has disconnected or `wait_for_answer_s` seconds have passed.
         """
         now = time.monotonic()
-        answer_by = now + wait_for_answer_s
-        give_up_at: float | None = None
-        may_have_begun = False
+        waiting = WaitingCall(now, now + wait_for_answer_s, wait_for_leader_s)
+        outage: Outage | None = None
         while True:
             tried_at = time.monotonic()
             if isinstance(call, SubmitJob):
                 call = replace(
                     call,
-                    waited_ms=int(1000 * (time.monotonic() - now)),
+                    waited_ms=int(1000 * (tried_at - now)),
                     patience_ms=int(1000 * wait_for_answer_s),
-                    is_repeat=may_have_begun,
+                    is_repeat=waiting.begun_at is not None,
                 )
             answer = self._forward_once(
-                call, answer_by, is_caller_disconnected
+                call, waiting.answer_by, is_caller_disconnected
             )
-            if may_have_begun and answer.outcome in _NOT_BEGUN:
+            if waiting.begun_at is not None and answer.outcome in _NOT_BEGUN:
                 # The outcome holds for this try only.
                 answer = replace(answer, outcome=CallOutcome.UNKNOWN)
-            if answer.outcome is CallOutcome.UNKNOWN and not may_have_begun:
-                # Its runs continue without a leader and may be adopted by the
-                # next one.
-                may_have_begun = True
-                give_up_at = time.monotonic() + _BEGUN_WAIT_S
             if self._is_stopped or not _is_retryable(call, answer):
                 return answer
+            waiting = self._note_failed_try(waiting, call, answer)
             has_waited = time.monotonic() - tried_at > _RETRY_INTERVAL_S
-            if give_up_at is None or (has_waited and not may_have_begun):
+            if outage is None or has_waited:
                 # A new outage, or the first one that this call meets.
-                give_up_at = self._outage_ends_at(now, wait_for_leader_s)
-            if time.monotonic() >= min(give_up_at, answer_by):
-                return answer
-            time.sleep(
-                _RETRY_INTERVAL_S
-                if self.is_linked
-                else _NO_LEADER_RETRY_INTERVAL_S
-            )
+                outage = self._outage()
+            reason = outage.reason_to_give_up(waiting, time.monotonic())
+            if reason:
+                return _give_up(call, answer, waiting, outage, reason)
+            if self.is_linked:
+                time.sleep(_RETRY_INTERVAL_S)
+            else:
+                self._linked.wait(_NO_LEADER_CHECK_INTERVAL_S)
+
+    def _note_failed_try(
+        self, waiting: WaitingCall, call: Call, answer: CallAnswer
+    ) -> WaitingCall:
+        """Update a call after a try that left it unanswered."""
+        if waiting.begun_at is None and answer.outcome is CallOutcome.UNKNOWN:
+            # Its runs continue without a leader and may be adopted by the
+            # next one.
+            waiting = replace(waiting, begun_at=time.monotonic())
+        if not isinstance(call, SubmitJob) or not call.is_volatile:
+            return waiting
+        objective = find_objective(self._objectives, call.host, call.path)
+        if objective is None:
+            return waiting
+        run_s = expected_run_s(call.steps)
+        useful_s = (
+            objective.useful_stretch * run_s
+            + objective.useful_allowance_ms / 1000
+        )
+        return replace(
+            waiting, useful_until=waiting.arrived_at + useful_s, run_s=run_s
+        )
 
-    def _outage_ends_at(
-        self, arrived_at: float, wait_for_leader_s: float
-    ) -> float:
-        """Return the time after which waiting is unlikely to help."""
+    def _outage(self) -> Outage:
         since = time.monotonic() if self.is_linked else self._unlinked_at
-        return min(
-            max(arrived_at, since) + wait_for_leader_s, since + _OUTAGE_WAIT_S
-        )
+        return Outage(since, self._usual_outage.usual_s)
 
     def _forward_once(
         self,
@@ -261,6 +289,7 @@
         with self._lock:
             now = time.monotonic()
             if self._connection is connection:
+                self._linked.clear()
                 self._connection = None
                 self._unlinked_at = now
             self._prune_begun_jobs(now)
@@ -299,6 +328,37 @@
         return taken
 
 
+def _give_up(
+    call: Call,
+    answer: CallAnswer,
+    waiting: WaitingCall,
+    outage: Outage,
+    reason: str,
+) -> CallAnswer:
+    """Return the last answer of a call that waits no longer."""
+    now = time.monotonic()
+    retry_after_ms = answer.retry_after_ms
+    if answer.outcome is CallOutcome.UNAVAILABLE:
+        retry_after_ms = outage.retry_after_ms(now) or retry_after_ms
+    log_event(
+        'call_given_up',
+        path=call.path,
+        reason=reason,
+        waited_ms=round(1000 * (now - waiting.arrived_at)),
+        outage_ms=round(1000 * (now - outage.since)),
+        usual_outage_ms=round(1000 * outage.usual_s),
+        expected_run_ms=round(1000 * waiting.run_s),
+        useful_ms=(
+            round(1000 * (waiting.useful_until - now))
+            if waiting.useful_until < math.inf
+            else None
+        ),
+        may_have_begun=waiting.begun_at is not None,
+        retry_after_ms=retry_after_ms,
+    )
+    return replace(answer, retry_after_ms=retry_after_ms)
+
+
 def _resolve_lost(
     number: int, pending: _PendingCall, detail: str, *, is_waiting: bool
 ) -> None:
--- a/baobabgap/leaderlink/tests/test_calls.py
+++ b/baobabgap/leaderlink/tests/test_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from queue import SimpleQueue
 import time
 from typing import Any
@@ -10,12 +11,16 @@
 import unittest
 
 from baobabgap._exceptions import ConnectionLost
+from baobabgap.accepted import Demand
+from baobabgap.accepted import Step
+from baobabgap.dispatch.tests.deployment import wait_until
 from baobabgap.leaderlink import LeaderCalls
 from baobabgap.protocol import CallAnswer
 from baobabgap.protocol import CallOutcome
 from baobabgap.protocol import DropCall
 from baobabgap.protocol import EntryReport
 from baobabgap.protocol import LeaderReady
+from baobabgap.protocol import QueueObjective
 from baobabgap.protocol import ReadPath
 from baobabgap.protocol import StartsAnnounced
 from baobabgap.protocol import StartsDeferred
@@ -69,10 +74,10 @@
         self.addCleanup(self.pool.shutdown, wait=False, cancel_futures=True)
         self.calls = LeaderCalls()
 
-    def link(self) -> FakeLink:
+    def link(self, ready: LeaderReady = READY) -> FakeLink:
         link = FakeLink()
         self.pool.submit(
-            self.calls.session, cast(Connection, link), READY, link.messages()
+            self.calls.session, cast(Connection, link), ready, link.messages()
         )
         return link
 
@@ -96,6 +101,23 @@
         answer = self.forward(VOLATILE).result(WAIT_S)
         self.assertIs(CallOutcome.UNAVAILABLE, answer.outcome)
 
+    def test_call_that_the_next_leader_can_not_serve_is_refused_at_once(
+        self,
+    ) -> None:
+        """Its job takes 100 ms and is worth nothing after 200 ms."""
+        ready = replace(READY, objectives=(QueueObjective('h', '/q/', 2, 0),))
+        link = self.link(ready)
+        link.next_sent()
+        link.cut()
+        wait_until(lambda: not self.calls.is_linked, 'the loss')
+        call = replace(VOLATILE, steps=(Step(1, Demand(1000, 10, 0), 100),))
+        began_at = time.monotonic()
+        answer = self.forward(call, leader_s=WAIT_S).result(WAIT_S)
+        self.assertLess(time.monotonic() - began_at, 0.1)
+        self.assertIs(CallOutcome.UNAVAILABLE, answer.outcome)
+        self.assertGreater(answer.retry_after_ms, 0)
+        self.assertLessEqual(answer.retry_after_ms, 500)
+
     def test_sent_job_is_never_reported_as_not_run(self) -> None:
         """Regression: the loss of the leader was answered with a refusal.
 
--- a/baobabgap/protocol/__init__.py
+++ b/baobabgap/protocol/__init__.py
@@ -16,6 +16,7 @@
 from baobabgap.protocol._messages import FullReport
 from baobabgap.protocol._messages import JoinGroup
 from baobabgap.protocol._messages import LeaderReady
+from baobabgap.protocol._messages import QueueObjective
 from baobabgap.protocol._messages import ReadPath
 from baobabgap.protocol._messages import RunOrder
 from baobabgap.protocol._messages import RunRow
@@ -62,6 +63,7 @@
     'JoinGroup',
     'LeaderReady',
     'LeaseTiming',
+    'QueueObjective',
     'ReadPath',
     'RunOrder',
     'RunRow',
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -135,6 +135,21 @@
     is_final: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class QueueObjective:
+    """Until when the end of a queue's jobs is worth anything.
+
+    Counted from the arrival: a multiple of a job's expected duration, and a
+    number of milliseconds more.
+    """
+
+    # In lower case and without a port.
+    host: str
+    path_prefix: str
+    useful_stretch: float
+    useful_allowance_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class LeaderReady:
     """States that the sender leads and accepts calls and reports."""
@@ -144,6 +159,8 @@
     # Internal addresses of all control hosts, as host:port.
     control_addresses: tuple[str, ...]
     largest_body_bytes: int
+    # For entries; empty if there are too many queues.
+    objectives: tuple[QueueObjective, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
