--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -17,8 +17,10 @@
 from baobabgap.dispatch._events import PostEvent
 from baobabgap.dispatch._job_closer import JobCloser
 from baobabgap.dispatch._replies import answer
+from baobabgap.dispatch._replies import answer_not_served
 from baobabgap.dispatch._replies import answer_unavailable
 from baobabgap.dispatch._run_tracker import RunTracker
+from baobabgap.dispatch._start_deferral import StartDeferral
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.jobmodel import AcceptedJob
 from baobabgap.jobmodel import JobState
@@ -31,10 +33,15 @@
 from baobabgap.scheduling import AdmissionInput
 from baobabgap.scheduling import admit
 from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import Refusal
 from baobabgap.scheduling import retry_after
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 
+# Seconds within which a new leader hears from all agents if none is cut off:
+# that an upstream has ended is known once its lease has lapsed.
+_USUAL_TAKEOVER_S: Final = 1.8
+
 
 class CallHandler:
     """Answers client calls; used by the confirmed leader."""
@@ -44,6 +51,7 @@
         term_state: TermState,
         runs: RunTracker,
         closer: JobCloser,
+        deferral: StartDeferral,
         state: AcceptedState,
         committer: Committer,
         post_event: PostEvent,
@@ -52,6 +60,7 @@
         self._term_state: Final = term_state
         self._runs: Final = runs
         self._closer: Final = closer
+        self._deferral: Final = deferral
         # Only read by single look-ups, which are safe against concurrent
         # updates.
         self._state: Final = state
@@ -126,48 +135,61 @@
         if is_cancelled:
             self._closer.close(JobEnd(event.job_id, JobState.CANCELLED))
 
-    def refuse_late_jobs(self, now: float) -> None:
-        """Refuse waiting volatile jobs that can't be served in time.
+    def give_up_late_jobs(self, now: float) -> None:
+        """Answer waiting volatile jobs that can't be served in time.
 
-        None of their tasks has started, as a refusal states.
+        A job of which certainly no task has started is refused, as a refusal
+        states that. The outcome of any other one is unknown.
         """
         term_state = self._term_state
         for job_id, calls in list(term_state.callers_by_id.items()):
             plan = term_state.plan_by_id[job_id]
-            if plan.has_started or plan.may_have_begun:
-                continue
-            if not term_state.takeover.may_start(plan.job):
-                continue
-            if now <= plan.latest_useful_start(0):
+            if plan.has_started:
                 continue
-            queue = term_state.queue_by_service[plan.job.service]
-            backlog_core_s = queue.total_core_s
-            retry_after_ms = retry_after(
-                term_state.pool_by_service[plan.job.service],
-                backlog_core_s,
-                returning=term_state.returning_upstreams(
-                    plan.job.service, now
-                ),
-            )
-            del term_state.callers_by_id[job_id]
-            term_state.pop_plan(job_id)
-            log_event(
-                'job_given_up',
-                job=job_id,
-                queue=plan.job.queue,
-                waited_ms=round(1000 * (now - plan.arrived_at)),
-                objective_ms=round(1000 * plan.objective_s),
-                backlog_core_s=round(backlog_core_s, 2),
-                retry_after_ms=retry_after_ms,
+            if term_state.takeover.may_start(plan.job):
+                if now > plan.latest_useful_start(0):
+                    self._give_up(plan, calls, now, plan.may_have_begun)
+            elif (
+                now > plan.latest_useful_end
+                and term_state.age_s(now) > _USUAL_TAKEOVER_S
+            ):
+                # A run that an agent has yet to report would end too late,
+                # and some agent may not report for long.
+                self._give_up(plan, calls, now, may_have_begun=True)
+
+    def _give_up(
+        self,
+        plan: JobPlan,
+        calls: list[CallArrived],
+        now: float,
+        may_have_begun: bool,
+    ) -> None:
+        """Remove a waiting volatile job and answer its callers."""
+        term_state, job = self._term_state, plan.job
+        backlog_core_s = term_state.queue_by_service[job.service].total_core_s
+        retry_after_ms = retry_after(
+            term_state.pool_by_service[job.service],
+            backlog_core_s,
+            returning=term_state.returning_upstreams(job.service, now),
+        )
+        del term_state.callers_by_id[job.job_id]
+        term_state.pop_plan(job.job_id)
+        log_event(
+            'job_given_up',
+            job=job.job_id,
+            queue=job.queue,
+            waited_ms=round(1000 * (now - plan.arrived_at)),
+            objective_ms=round(1000 * plan.objective_s),
+            backlog_core_s=round(backlog_core_s, 2),
+            retry_after_ms=retry_after_ms,
+            may_have_begun=may_have_begun,
+            takeover=not term_state.takeover.is_over,
+        )
+        self._metrics.count('baobabgap_jobs_total{end="given_up"}')
+        for call in calls:
+            answer_not_served(
+                call, 'waited in vain', retry_after_ms, may_have_begun
             )
-            self._metrics.count('baobabgap_jobs_total{end="given_up"}')
-            for call in calls:
-                answer(
-                    call,
-                    CallOutcome.OVERLOADED,
-                    retry_after_ms=retry_after_ms,
-                    detail='waited in vain',
-                )
 
     def _submit(
         self, arrived: CallArrived, call: SubmitJob, match: QueueMatch
@@ -202,8 +224,11 @@
                 detail=UPSTREAM_CRASHES,
             )
             return
-        if not plan.may_have_begun and not self._admit(arrived, plan):
-            return
+        if self._is_admissible(plan):
+            refusal = self._find_refusal(plan)
+            if refusal is not None:
+                self._answer_refused(plan, refusal, arrived)
+                return
         if job.is_volatile:
             self._accept_volatile(plan, arrived)
             return
@@ -251,6 +276,7 @@
         term_state = self._term_state
         if job_id in term_state.callers_by_id:
             term_state.callers_by_id[job_id].append(arrived)
+            self._deferral.release(job_id)
             plan = term_state.plan_by_id[job_id]
             plan.await_until(_awaited_until(call))
         elif job_id in term_state.ended_by_id:
@@ -269,8 +295,40 @@
             return False
         return True
 
-    def _admit(self, arrived: CallArrived, plan: JobPlan) -> bool:
-        """Refuse a job that can't be served; return whether it is admitted."""
+    def admit_released(self, plan: JobPlan) -> bool:
+        """Admit a job that a takeover no longer holds, or give it up.
+
+        What waits was not known when it was submitted. Returns whether it
+        is admitted.
+        """
+        job_id = plan.job.job_id
+        calls = self._term_state.callers_by_id.get(job_id)
+        if not calls or plan.has_started:
+            return True
+        refusal = self._find_refusal(plan)
+        if refusal is None:
+            return True
+        del self._term_state.callers_by_id[job_id]
+        self._term_state.pop_plan(job_id)
+        self._answer_refused(plan, refusal, *calls)
+        return False
+
+    def _is_admissible(self, plan: JobPlan) -> bool:
+        """Return whether a new submission may be refused at once.
+
+        Not if runs of it may be found, or it is decided at its release.
+        """
+        if not plan.may_have_begun:
+            return True
+        return (
+            plan.job.is_volatile
+            and not plan.has_started
+            and not self._term_state.orphans.has_job(plan.job.job_id)
+            and self._term_state.takeover.may_start(plan.job)
+        )
+
+    def _find_refusal(self, plan: JobPlan) -> Refusal | None:
+        """Return why a job can't be served, or None if it is admitted."""
         job = plan.job
         now = time.monotonic()
         pool = self._term_state.pool_by_service[job.service]
@@ -281,7 +339,7 @@
             self._term_state, job.service, admission_input.late_patience_s
         ) or admit(pool, job.steps, admission_input, returning)
         if refusal is None:
-            return True
+            return None
         self._metrics.count('baobabgap_jobs_total{end="refused"}')
         log_event(
             'job_refused',
@@ -295,14 +353,20 @@
             upstreams=len(pool.target_by_name),
             returning_upstreams=returning,
             retry_after_ms=refusal.retry_after_ms,
+            may_have_begun=plan.may_have_begun,
         )
-        answer(
-            arrived,
-            CallOutcome.OVERLOADED,
-            retry_after_ms=refusal.retry_after_ms,
-            detail=refusal.reason,
-        )
-        return False
+        return refusal
+
+    def _answer_refused(
+        self, plan: JobPlan, refusal: Refusal, *calls: CallArrived
+    ) -> None:
+        for call in calls:
+            answer_not_served(
+                call,
+                refusal.reason,
+                refusal.retry_after_ms,
+                plan.may_have_begun,
+            )
 
     def _accept_volatile(self, plan: JobPlan, arrived: CallArrived) -> None:
         """Accept a volatile job with its runs of an earlier leader, if any."""
--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -135,6 +135,13 @@
     notify: Callable[[], None]
 
 
+@dataclass(frozen=True, slots=True)
+class StartsNoted:
+    """An entry has noted that deferred jobs are to begin."""
+
+    job_ids: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class MembersEnrolled:
     """The enrolment of an agent is durable; it may be sent runs."""
@@ -156,6 +163,7 @@
     | CancelStored
     | EntryLinked
     | EntryUnlinked
+    | StartsNoted
     | MembersEnrolled
     | ZoneChanged
     | OrderApplied
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -35,11 +35,13 @@
 from baobabgap.dispatch._events import LeadershipLost
 from baobabgap.dispatch._events import MembersEnrolled
 from baobabgap.dispatch._events import OrderApplied
+from baobabgap.dispatch._events import StartsNoted
 from baobabgap.dispatch._events import ZoneChanged
 from baobabgap.dispatch._job_closer import JobCloser
 from baobabgap.dispatch._replies import answer
 from baobabgap.dispatch._replies import answer_unavailable
 from baobabgap.dispatch._run_tracker import RunTracker
+from baobabgap.dispatch._start_deferral import StartDeferral
 from baobabgap.dispatch._starter import TaskStarter
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch._term_state import TermState
@@ -87,10 +89,12 @@
         self._closer = JobCloser(
             term_state, runs, state, committer, self.post_event, metrics
         )
+        self._deferral = StartDeferral(term_state, metrics)
         self._calls = CallHandler(
             term_state,
             runs,
             self._closer,
+            self._deferral,
             state,
             committer,
             self.post_event,
@@ -157,10 +161,12 @@
             self._next_check_at = now + _CHECK_INTERVAL_S
             self._timeout_monitor.check(now)
             self._entries.check(now)
+        self._term_state.release_held_plans(self._calls.admit_released)
         self._starter.start()
         if is_check_due:
-            # Refuse only jobs that found no room, as estimates are rough.
-            self._calls.refuse_late_jobs(now)
+            # Only jobs that found no room, as estimates are rough.
+            self._calls.give_up_late_jobs(now)
+        self._deferral.check(now)
 
     def _handle_events(self) -> None:
         try:
@@ -202,6 +208,8 @@
                 self._entries.handle_lost_link(event)
             case ZoneChanged(change=change):
                 self._evacuations.handle_change(change)
+            case StartsNoted(job_ids=job_ids):
+                self._deferral.handle_noted(job_ids)
             case _:
                 self._handle_agent_event(event)
 
@@ -231,6 +239,7 @@
         )
         self._evacuations.begin_term(event.version_by_evacuated_zone)
         self._closer.reset()
+        self._deferral.reset()
         self._entries.reset()
         prefix = f'{AGENT_ROLE}/'
         for member in event.members:
--- a/baobabgap/protocol/__init__.py
+++ b/baobabgap/protocol/__init__.py
@@ -17,6 +17,7 @@
 from baobabgap.protocol._messages import FullReport
 from baobabgap.protocol._messages import JoinGroup
 from baobabgap.protocol._messages import LeaderReady
+from baobabgap.protocol._messages import QueueObjective
 from baobabgap.protocol._messages import ReadPath
 from baobabgap.protocol._messages import RunOrder
 from baobabgap.protocol._messages import RunRow
@@ -24,6 +25,9 @@
 from baobabgap.protocol._messages import RunsFound
 from baobabgap.protocol._messages import RunsGone
 from baobabgap.protocol._messages import StartRuns
+from baobabgap.protocol._messages import StartsAnnounced
+from baobabgap.protocol._messages import StartsDeferred
+from baobabgap.protocol._messages import StartsExpected
 from baobabgap.protocol._messages import StopRuns
 from baobabgap.protocol._messages import SubmitJob
 from baobabgap.protocol._messages import UpstreamChanged
@@ -62,6 +66,7 @@
     'JoinGroup',
     'LeaderReady',
     'LeaseTiming',
+    'QueueObjective',
     'ReadPath',
     'RunOrder',
     'RunRow',
@@ -69,6 +74,9 @@
     'RunsFound',
     'RunsGone',
     'StartRuns',
+    'StartsAnnounced',
+    'StartsDeferred',
+    'StartsExpected',
     'StopRuns',
     'SubmitJob',
     'UpstreamChanged',
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -93,6 +93,32 @@
     begun_job_ids: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class StartsDeferred:
+    """States which submitted jobs have not begun and wait.
+
+    The leader starts none of them before a `StartsExpected` names the job,
+    or another call submits it.
+    """
+
+    # The numbers of the calls that submitted the jobs.
+    calls: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StartsAnnounced:
+    """States which deferred jobs are to begin; answered at once."""
+
+    job_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StartsExpected:
+    """States that the entry reports these jobs to the next leader as begun."""
+
+    job_ids: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class CallAnswer:
     """The answer to a call."""
@@ -105,6 +131,23 @@
     retry_after_ms: int = 0
     # The error in readable form.
     detail: str = ''
+    # Whether another try by the entry can't change the outcome in time.
+    is_final: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class QueueObjective:
+    """Until when the end of a queue's jobs is worth anything.
+
+    Counted from the arrival: a multiple of a job's expected duration, and a
+    number of milliseconds more.
+    """
+
+    # In lower case and without a port.
+    host: str
+    path_prefix: str
+    useful_stretch: float
+    useful_allowance_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +159,8 @@
     # Internal addresses of all control hosts, as host:port.
     control_addresses: tuple[str, ...]
     largest_body_bytes: int
+    # For entries; empty if there are too many queues.
+    objectives: tuple[QueueObjective, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -333,6 +378,9 @@
     RunsFound,
     RunsGone,
     StartRuns,
+    StartsAnnounced,
+    StartsDeferred,
+    StartsExpected,
     StopRuns,
     SubmitJob,
     UpstreamChanged,
