Play loads of callers who compete, by queue, size and zone

The played loads had one size of job for each queue, equal priorities and one sum for all jobs, so that contention between queues didn't show.

--- a/baobabgap/scheduling/tests/load_player.py
+++ b/baobabgap/scheduling/tests/load_player.py
@@ -36,6 +36,8 @@
 LOST_START_S = 0.25
 # Largest relative error of a submitter's estimate, either way.
 ESTIMATE_ERROR = 0.4
+# Seconds between revisions of the admission of waiting jobs.
+REVISION_INTERVAL_S = 0.02
 UPSTREAMS = 11
 TASKS_PER_UPSTREAM = 10
 
@@ -53,6 +55,8 @@
     job: AcceptedJob
     # Actual run time of each of its tasks.
     run_s: float
+    # Availability zone of its caller.
+    zone: str = ''
 
 
 @dataclass(slots=True)
@@ -183,6 +187,8 @@
     return_gap_s: float = 0.0
     # Whether admission counts the upstreams that have not returned yet.
     counts_returning: bool = True
+    # Whether admission is revised while jobs wait.
+    is_revised: bool = False
 
 
 class LoadSimulator:
@@ -203,14 +209,17 @@
         lost_share: float = 0.0,
         patience_s: float = math.inf,
         upstreams: int = UPSTREAMS,
+        cores: int = CORES_PER_TASK * TASKS_PER_UPSTREAM,
+        learns_run_times: bool = False,
     ) -> None:
         self._order = order
         self._lost_share = lost_share
         self._patience_s = patience_s
+        self._run_times = RunTimes() if learns_run_times else None
         self._rng = random.Random(1)
         self._outage = outage
         self._admission = admission
-        capacity = Demand(1000 * CORES_PER_TASK * TASKS_PER_UPSTREAM, 1000, 0)
+        capacity = Demand(1000 * cores, 1000 * cores, 0)
         self._targets = [
             PlacementTarget(f'r{number}', SERVICE, 'z', (), capacity, capacity)
             for number in range(upstreams)
@@ -222,6 +231,8 @@
         self.starts = 0
         self.planning_s = 0.0
         self.admission_s = 0.0
+        # How each job ended, with the seconds until then.
+        self.end_by_id: dict[str, tuple[str, float]] = {}
         self._plans: dict[str, JobPlan] = {}
         self._run_s: dict[str, float] = {}
         self._outcome = Outcome()
@@ -236,12 +247,20 @@
         self._schedule(self._outage[1], lambda now: None)
         if self._admission is not None:
             self._schedule_outage(self._admission.return_gap_s)
+        if self._admission is not None and self._admission.is_revised:
+            self._schedule_revisions(trace[-1].at)
         for now in self._run_events():
             if not self._outage[0] <= now < self._outage[1]:
                 self._start_tasks(now)
         self._outcome.unfinished += len(self._plans)
         return self._outcome
 
+    def close_targets(self, count: int, start: float, end: float) -> None:
+        """Let no task start on some of the targets for a while."""
+        for target in self._targets[:count]:
+            self._schedule(start, _make_open_setter(target, is_open=False))
+            self._schedule(end, _make_open_setter(target, is_open=True))
+
     def _run_events(self) -> Iterator[float]:
         while self._events:
             now, _, action = heapq.heappop(self._events)
@@ -254,10 +273,11 @@
     def _make_arrival(self, arrival: Arrival) -> Callable[[float], None]:
         def arrive(now: float) -> None:
             job = arrival.job
-            plan = JobPlan(job, now, RunTimes())
+            plan = JobPlan(job, now, self._run_times or RunTimes())
             plan.awaited_until = now + self._patience_s
             if self._is_refused(plan, now):
                 self._outcome.refused += 1
+                self.end_by_id[job.job_id] = ('refused', 0.0)
                 return
             self._plans[job.job_id] = plan
             self.queue.add(plan, now)
@@ -275,6 +295,25 @@
             returns_at = outage_end + number * gap_s
             self._schedule(returns_at, _make_open_setter(target, is_open=True))
 
+    def _schedule_revisions(self, until: float) -> None:
+        for number in range(int(until / REVISION_INTERVAL_S) + 1):
+            self._schedule(number * REVISION_INTERVAL_S, self._revise)
+
+    def _revise(self, now: float) -> None:
+        """Refuse waiting jobs that can't be served any more."""
+        if self._outage[0] <= now < self._outage[1]:
+            return
+        found = [
+            plan
+            for plan in self._plans.values()
+            if not plan.has_started and now > plan.latest_useful_start(0)
+        ]
+        for plan in found:
+            job_id = plan.job.job_id
+            self.queue.remove(self._plans.pop(job_id))
+            self._outcome.refused += 1
+            self.end_by_id[job_id] = ('given up', now - plan.arrived_at)
+
     def _is_refused(self, plan: JobPlan, now: float) -> bool:
         admission = self._admission
         if admission is None or self._outage[0] <= now < self._outage[1]:
@@ -317,6 +356,13 @@
     def _make_task_end(self, placement: Placement) -> Callable[[float], None]:
         def end(now: float) -> None:
             plan = placement.plan
+            if self._run_times is not None:
+                self._run_times.observe(
+                    plan.job.queue,
+                    '',
+                    plan.job.steps[0].estimate_ms,
+                    self._run_s[plan.job.job_id],
+                )
             placement.target.release(placement.demand)
             plan.note_done(placement.task.task)
             if plan.is_done:
@@ -335,10 +381,12 @@
 
     def _record_job_end(self, plan: JobPlan, now: float) -> None:
         job_id = plan.job.job_id
+        self.end_by_id[job_id] = ('late', now - plan.arrived_at)
         self.queue.remove(self._plans.pop(job_id))
         objective_s = STRETCH * self._run_s[job_id] + ALLOWANCE_MS / 1000
         if now - plan.arrived_at <= objective_s:
             self._outcome.on_time += 1
+            self.end_by_id[job_id] = ('on time', now - plan.arrived_at)
             second = int(plan.arrived_at)
             by_second = self._outcome.on_time_by_second
             by_second[second] = by_second.get(second, 0) + 1
