Refuse by shares of the queues under contention

Cause: the order by latest start lets all jobs that can wait less pass, so that under contention the queue with the longest patience lost nearly all: new short jobs were admitted by the work before them, without regard to those that they made late, and late jobs waited until they were worthless.

Admission now also asks whether a job that could be on time would make others late; if so, its queue must not have had more than it is due: the same part of its work as other queues, a little less for each step of priority. Capacity counts as whole tasks of the average demand, less if runs take longer than expected. A late job is refused as soon as the work before it leaves it no chance, not when it has become worthless. All of that applies only where queues of a service differ in priority; the order of starts stays as it was.

--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -186,6 +186,14 @@
         cores = self.job.steps[step].demand.cpu_millicores / 1000
         return self.expected_s[step] * cores
 
+    @property
+    def waiting_core_s(self) -> float:
+        """The expected work of all waiting tasks in core-seconds."""
+        return sum(
+            len(waiting) * self.task_core_s(step)
+            for step, waiting in enumerate(self.waiting_by_step)
+        )
+
     def note_run_time(self, step: int, run_s: float) -> None:
         """Record the duration of a successful run of a step in seconds."""
         longest_s = self.longest_done_s[step]
--- a/baobabgap/scheduling/_run_times.py
+++ b/baobabgap/scheduling/_run_times.py
@@ -4,6 +4,10 @@
 
 # Weight of a new observation in the exponential moving averages.
 _SMOOTHING_FACTOR: Final = 0.03
+# Weight of a new observation in the averages of all queues, in which rare long
+# runs have to count.
+_WORK_SMOOTHING_FACTOR: Final = 0.0005
+_LARGEST_WORK_FACTOR: Final = 2.0
 # Used for tasks whose submitter gave no estimate.
 _DEFAULT_ESTIMATE_S: Final = 0.5
 _MIN_ESTIMATE_S: Final = 0.001
@@ -20,6 +24,21 @@
     def __init__(self) -> None:
         self._ratio_by_queue: dict[str, float] = {}
         self._slowness_by_kind: dict[str, float] = {}
+        # Average times of a run of any queue, observed and expected.
+        self._mean_run_s = 0.0
+        self._mean_expected_s = 0.0
+
+    @property
+    def work_factor(self) -> float:
+        """Return by what factor runs take longer than expected, at least 1.
+
+        Includes rare runs that take many times as long, which the averages
+        by queue leave out.
+        """
+        if not self._mean_expected_s:
+            return 1.0
+        factor = self._mean_run_s / self._mean_expected_s
+        return min(max(1.0, factor), _LARGEST_WORK_FACTOR)
 
     def slowness(self, kind: str) -> float:
         """Return the run time factor of a kind of upstream; 1 is average."""
@@ -37,9 +56,18 @@
         estimate_s = estimate_ms / 1000 if estimate_ms else _DEFAULT_ESTIMATE_S
         ratio = run_s / max(estimate_s, _MIN_ESTIMATE_S)
         expected = self._ratio_by_queue.get(queue, 1.0)
+        self._note_work(run_s, expected * estimate_s)
         _update_average(self._ratio_by_queue, queue, ratio)
         _update_average(self._slowness_by_kind, kind, ratio / expected)
 
+    def _note_work(self, run_s: float, expected_s: float) -> None:
+        if not self._mean_expected_s:
+            self._mean_run_s = self._mean_expected_s = expected_s
+        self._mean_run_s += _WORK_SMOOTHING_FACTOR * (run_s - self._mean_run_s)
+        self._mean_expected_s += _WORK_SMOOTHING_FACTOR * (
+            expected_s - self._mean_expected_s
+        )
+
 
 def _update_average(
     average_by_key: dict[str, float], key: str, value: float
--- a/baobabgap/scheduling/_start_queue.py
+++ b/baobabgap/scheduling/_start_queue.py
@@ -144,6 +144,11 @@
         """The total waiting work in core-seconds."""
         return max(0.0, sum(self._work_by_lateness))
 
+    @property
+    def on_time_core_s(self) -> float:
+        """The waiting work of jobs that can be on time or have begun."""
+        return max(0.0, self._work_by_lateness[0])
+
     def ahead_core_s(self, plan: JobPlan) -> float:
         """Return the work that starts before a job not yet in the queue.
 
@@ -159,6 +164,35 @@
             ahead_core_s += core_s
         return max(0.0, ahead_core_s)
 
+    def overrun_s(
+        self, plan: JobPlan, cores: float, patience_part: float
+    ) -> float:
+        """Return by how much the most delayed job would start too late.
+
+        Counts a job not yet in the queue that can be on time, and those
+        that start after it and can be on time. A job starts too late if the
+        work up to it takes `cores` longer than `patience_part` of the time
+        until its latest start. Negative, in seconds, if all can start in
+        time.
+        """
+        urgency = urgency_of(plan, 0, self._now)
+        limit = _interval(urgency)
+        work_by_interval = self._work_by_interval[0]
+        core_s: float = plan.waiting_core_s + sum(
+            work_by_interval[interval]
+            for interval in work_by_interval.irange(None, limit)
+        )
+        overrun_s: float = core_s / cores - patience_part * (
+            urgency.latest_start - self._now
+        )
+        for interval in work_by_interval.irange(limit + 1):
+            core_s += work_by_interval[interval]
+            patience_s = (interval + 1) * _INTERVAL_S - self._now
+            overrun_s = max(
+                overrun_s, core_s / cores - patience_part * patience_s
+            )
+        return overrun_s
+
     def _update(self, plan: JobPlan) -> None:
         for step in range(len(plan.job.steps)):
             self._update_step(plan, step)
--- a/baobabgap/scheduling/_target_pool.py
+++ b/baobabgap/scheduling/_target_pool.py
@@ -79,6 +79,20 @@
         """The processors of the open targets, occupied or free."""
         return self._open_millicores / 1000
 
+    def usable_part(self, task_cores: float) -> float:
+        """Return the part of the open cores that whole tasks can use.
+
+        1 if the demand of a task is not known, or if none fits.
+        """
+        demand = round(1000 * task_cores)
+        if not demand:
+            return 1.0
+        usable = sum(
+            len(ranks) * (capacity // demand * demand)
+            for (_, capacity), ranks in self._ranks_by_group.items()
+        )
+        return usable / self._open_millicores if usable else 1.0
+
     def add(self, target: PlacementTarget) -> None:
         """Add a target, in place of an earlier one of the same name."""
         earlier = self.target_by_name.get(target.name)
--- a/baobabgap/scheduling/tests/load_player.py
+++ b/baobabgap/scheduling/tests/load_player.py
@@ -21,9 +21,12 @@
 from baobabgap.scheduling import place_waiting
 from baobabgap.scheduling import Placement
 from baobabgap.scheduling import PlacementTarget
+from baobabgap.scheduling import QueueShares
 from baobabgap.scheduling import RunTimes
 from baobabgap.scheduling import StartQueue
 from baobabgap.scheduling import TargetPool
+from baobabgap.scheduling import usable_cores
+from baobabgap.scheduling import without_prospect
 from baobabgap.scheduling.tests.reference_planner import plan_starts
 
 SERVICE = 'service'
@@ -225,6 +228,7 @@
             for number in range(upstreams)
         ]
         self.queue = StartQueue()
+        self.shares = QueueShares()
         self.pool = TargetPool.from_targets(self._targets)
         # Number of starts so far, and seconds spent on deciding on them and
         # on admissions.
@@ -303,30 +307,56 @@
         """Refuse waiting jobs that can't be served any more."""
         if self._outage[0] <= now < self._outage[1]:
             return
-        found = [
-            plan
-            for plan in self._plans.values()
-            if not plan.has_started and now > plan.latest_useful_start(0)
+        waiting = [
+            plan for plan in self._plans.values() if not plan.has_started
         ]
+        found = without_prospect(
+            waiting,
+            self.queue,
+            self.shares,
+            self._usable_cores(),
+            now,
+        )
         for plan in found:
+            self.shares.note_withdrawn(plan)
             job_id = plan.job.job_id
             self.queue.remove(self._plans.pop(job_id))
             self._outcome.refused += 1
             self.end_by_id[job_id] = ('given up', now - plan.arrived_at)
 
+    def _usable_cores(self) -> float:
+        return usable_cores(
+            self.pool,
+            self.shares,
+            self._run_times or RunTimes(),
+            self._returning(),
+        )
+
+    def _returning(self) -> int:
+        if self._admission is None or not self._admission.counts_returning:
+            return 0
+        return sum(1 for target in self._targets if not target.is_open)
+
     def _is_refused(self, plan: JobPlan, now: float) -> bool:
         admission = self._admission
         if admission is None or self._outage[0] <= now < self._outage[1]:
             return False
         began_at = time.perf_counter()
+        returning = self._returning()
+        cores = self._usable_cores()
+        self.shares.note_asked(plan, cores, now)
         admission_input = AdmissionInput.from_queue(self.queue, plan, now)
-        closed = sum(1 for target in self._targets if not target.is_open)
+        admission_input = admission_input.with_shares(
+            self.queue, self.shares, plan, cores
+        )
         refusal = admit(
             self.pool,
             plan.job.steps,
             admission.transform(admission_input),
-            closed if admission.counts_returning else 0,
+            returning,
         )
+        if refusal is None:
+            self.shares.note_admitted(plan)
         self.admission_s += time.perf_counter() - began_at
         return refusal is not None
 
