--- a/baobabgap/dispatch/_evacuations.py
+++ b/baobabgap/dispatch/_evacuations.py
@@ -13,6 +13,7 @@
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.protocol import ZoneEvacuated
 from baobabgap.scheduling import Refusal
+from baobabgap.scheduling import RefusalKind
 from baobabgap.telemetry import log_event
 
 # Milliseconds after which a refused caller should retry while all zones are
@@ -32,7 +33,11 @@
         return None
     if not term_state.are_all_evacuated(service):
         return None
-    return Refusal(_RETRY_AFTER_MS, 'all zones of its service are evacuated')
+    return Refusal(
+        _RETRY_AFTER_MS,
+        'all zones of its service are evacuated',
+        RefusalKind.EVACUATED,
+    )
 
 
 class Evacuations:
