--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -37,8 +37,10 @@
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 
-# Seconds within which a new leader hears from all agents if none is cut off:
-# that an upstream has ended is known once its lease has lapsed.
+# Seconds of a term after which an agent without a link counts as cut off, and
+# within which the others report: that an upstream has ended is known once its
+# lease has lapsed.
+_USUAL_RETURN_S: Final = 0.5
 _USUAL_TAKEOVER_S: Final = 1.8
 
 
@@ -141,6 +143,11 @@
         states that. The outcome of any other one is unknown.
         """
         term_state = self._term_state
+        usual_takeover_s = (
+            _USUAL_RETURN_S
+            if term_state.has_cut_off_agents
+            else _USUAL_TAKEOVER_S
+        )
         for job_id, calls in list(term_state.callers_by_id.items()):
             plan = term_state.plan_by_id[job_id]
             if plan.has_started:
@@ -150,7 +157,7 @@
                     self._give_up(plan, calls, now, plan.may_have_begun)
             elif (
                 now > plan.latest_useful_end
-                and term_state.age_s(now) > _USUAL_TAKEOVER_S
+                and term_state.age_s(now) > usual_takeover_s
             ):
                 # A run that an agent has yet to report would end too late,
                 # and some agent may not report for long.
--- a/baobabgap/dispatch/_takeover.py
+++ b/baobabgap/dispatch/_takeover.py
@@ -48,6 +48,11 @@
         if not self._is_over:
             self._begun_before.update(begun_job_ids)
 
+    @property
+    def unreported_agents(self) -> frozenset[str]:
+        """The agents that the takeover waits for."""
+        return frozenset(self._unreported_agents)
+
     def may_have_begun(self, job_id: str) -> bool:
         """Return whether an entry sent this job to an earlier leader."""
         return job_id in self._begun_before
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -80,6 +80,15 @@
         """Return the seconds since the begin of the term."""
         return now - self._began_at
 
+    @property
+    def has_cut_off_agents(self) -> bool:
+        """Whether the takeover waits for an agent that has no link."""
+        return any(
+            name not in self.view_by_name
+            or self.view_by_name[name].connection is None
+            for name in self.takeover.unreported_agents
+        )
+
     def waiting_calls(self) -> list[CallArrived]:
         """Return all unanswered calls."""
         groups = [
--- a/baobabgap/dispatch/tests/test_late_jobs.py
+++ b/baobabgap/dispatch/tests/test_late_jobs.py
@@ -123,8 +123,8 @@
                     self.takeover.note_entry_report('e/1', ('a', 'b'))
                 self.submit()
                 self.submit('b', estimate_ms=1000)
-                self.assertIsNone(self.give_up_after(1.7))
-                self.assertIsNotNone(self.give_up_after(1.9))
+                self.assertIsNone(self.give_up_after(USEFUL_END_S - 0.05))
+                self.assertIsNotNone(self.give_up_after(USEFUL_END_S))
                 self.assertEqual(['b'], list(self.term_state.plan_by_id))
                 self.assertIsNone(self.give_up_after(LONG_USEFUL_END_S - 0.05))
                 told = self.give_up_after(LONG_USEFUL_END_S)
@@ -134,13 +134,21 @@
                 self.assertEqual({}, self.term_state.plan_by_id)
 
     def test_job_that_is_late_already_waits_for_a_usual_takeover(self) -> None:
-        """It is served if an upstream is free then."""
-        self.takeover.note_entry_report('e/1', ('a',))
-        self.submit(waited_ms=int(1000 * USEFUL_END_S))
-        self.assertIsNone(self.give_up_after(1.7))
-        told = self.give_up_after(1.9)
-        assert told is not None
-        self.assertIs(CallOutcome.UNKNOWN, told.outcome)
+        """It is served if an upstream is free then.
+
+        An agent without a link may not report for long.
+        """
+        for is_linked, usual_s in ((False, 0.5), (True, 1.8)):
+            with self.subTest(is_linked=is_linked):
+                self.setUp()
+                view = AgentView('a', Mock() if is_linked else None)
+                self.term_state.view_by_name['a'] = view
+                self.takeover.note_entry_report('e/1', ('a',))
+                self.submit(waited_ms=int(1000 * USEFUL_END_S))
+                self.assertIsNone(self.give_up_after(usual_s - 0.1))
+                told = self.give_up_after(usual_s + 0.1)
+                assert told is not None
+                self.assertIs(CallOutcome.UNKNOWN, told.outcome)
 
     def test_released_jobs_are_given_up_that_can_not_be_served(self) -> None:
         """What waits is known only once the takeover holds nothing.
--- a/tools/job_history/_control_group.py
+++ b/tools/job_history/_control_group.py
@@ -1,5 +1,6 @@
 """Control hosts as processes that faults can be injected into."""
 
+from dataclasses import asdict
 import json
 from pathlib import Path
 import queue
@@ -13,12 +14,14 @@
 
 from baobabgap.dispatch.tests.deployment import free_port
 from baobabgap.dispatch.tests.deployment import HOST
+from baobabgap.settings import Links
 from tools.matrix import disk_fault_file
 from tools.matrix import DiskFault
 
 _ANSWER_TIMEOUT_S: Final = 5.0
 _START_TIMEOUT_S: Final = 30.0
 _STOP_TIMEOUT_S: Final = 20.0
+_LINKS: Final = Links(heartbeat_s=0.2, silence_s=1.0)
 
 
 class ControlProcess:
@@ -105,7 +108,13 @@
 class ControlGroup:
     """A group of control hosts; a context manager that stops them."""
 
-    def __init__(self, folder: Path, hosts: int = 3) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        hosts: int = 3,
+        links: Links = _LINKS,
+        election_timeout_s: float = 0.4,
+    ) -> None:
         host_documents = [
             {'name': f'control-{n}', 'host': HOST, 'port': free_port()}
             for n in range(hosts)
@@ -124,10 +133,10 @@
                         'internal_port': host['port'],
                     },
                     'control_hosts': host_documents,
-                    'links': {'heartbeat_s': 0.2, 'silence_s': 1.0},
+                    'links': asdict(links),
                     'control': {
                         'data_folder': str(folder / str(host['name'])),
-                        'election_timeout_s': 0.4,
+                        'election_timeout_s': election_timeout_s,
                     },
                 },
                 folder,
