--- /dev/null
+++ b/baobabgap/dispatch/tests/test_cut_leader.py
@@ -0,0 +1,81 @@
+"""A leader that is cut from its group, but not from entries and agents."""
+
+from pathlib import Path
+import tempfile
+import time
+from typing import Final
+import unittest
+
+from baobabgap.dispatch import ControlNode
+from baobabgap.dispatch.tests.deployment import Deployment
+from baobabgap.dispatch.tests.deployment import step
+from baobabgap.dispatch.tests.deployment import WAIT_S
+from baobabgap.dispatch.tests.deployment import wait_until
+from baobabgap.transport import Connection
+
+# The election timeout of these tests, the validity of a confirmation and the
+# interval of checks, seconds.
+_ELECTION_TIMEOUT_S: Final = 0.4
+_CONFIRMATION_S: Final = 0.4
+_CHECKS_S: Final = 0.15
+
+
+def cut_from_group(node: ControlNode) -> None:
+    """Close a node's links to the other control hosts for good."""
+    log = node._log
+
+    def refuse(connection: Connection) -> None:
+        connection.close()
+
+    log.serve = refuse  # type: ignore[method-assign]
+    with log._state.lock:
+        log._peers.stop()
+    for connection in list(log._session_connections):
+        connection.close()
+
+
+class CutLeaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.deployment = Deployment(Path(folder.name), 3, 2)
+        self.addCleanup(self.deployment.close)
+        self.deployment.start()
+
+    def starts(self) -> int:
+        return sum(len(up.starts) for up in self.deployment.upstreams)
+
+    def test_it_loses_its_links_once_it_steps_down(self) -> None:
+        """It can't start anything once it is not confirmed."""
+        deployment = self.deployment
+        leader = deployment.leader
+        assert leader is not None
+        cut_from_group(leader)
+        cut_at = time.monotonic()
+        wait_until(lambda: not deployment.calls.is_linked, 'the loss')
+        linked_s = time.monotonic() - cut_at
+        self.assertLess(linked_s, _ELECTION_TIMEOUT_S + _CHECKS_S)
+        time.sleep(max(0.0, cut_at + _CONFIRMATION_S - time.monotonic()))
+        self.assertFalse(leader.is_leading)
+
+    def test_jobs_that_wait_when_it_is_cut_run_once(self) -> None:
+        deployment = self.deployment
+        for upstream in deployment.upstreams:
+            upstream.run_ms = 400
+        leader = deployment.leader
+        assert leader is not None
+        # Three times what runs at once, so that the last ones are deferred.
+        jobs = [
+            deployment.submit(f'j{number}', step(1, 2000), volatile=True)
+            for number in range(24)
+        ]
+        wait_until(lambda: self.starts() == 8, 'full upstreams')
+        time.sleep(0.2)
+        cut_from_group(leader)
+        ends = [job.result(WAIT_S) for job in jobs]
+        self.assertEqual({'completed'}, {end.state for end in ends})
+        self.assertEqual(24, self.starts())
+
+
+if __name__ == '__main__':
+    unittest.main()
