Admit and refuse by shares in the leader, and show them by queue

The leader keeps the shares of each service for its term, admits by them and refuses late jobs that have no chance left. Refusals say what the queue has asked for, is due and has had; metrics by queue tell waiting jobs, starts, refusals by reason and shares.

--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -1,5 +1,6 @@
 """Handling of client calls: submit, read, count, cancel."""
 
+from collections import defaultdict
 import math
 import time
 from typing import Final
@@ -30,7 +31,9 @@
 from baobabgap.scheduling import AdmissionInput
 from baobabgap.scheduling import admit
 from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import QueueShare
 from baobabgap.scheduling import retry_after
+from baobabgap.scheduling import without_prospect
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 
@@ -131,13 +134,10 @@
         None of their tasks has started, as a refusal states.
         """
         term_state = self._term_state
+        hopeless_ids = self._hopeless_ids(now)
         for job_id, calls in list(term_state.callers_by_id.items()):
             plan = term_state.plan_by_id[job_id]
-            if plan.has_started or plan.may_have_begun:
-                continue
-            if not term_state.takeover.may_start(plan.job):
-                continue
-            if now <= plan.latest_useful_start(0):
+            if job_id not in hopeless_ids:
                 continue
             queue = term_state.queue_by_service[plan.job.service]
             backlog_core_s = queue.total_core_s
@@ -148,6 +148,9 @@
                     plan.job.service, now
                 ),
             )
+            term_state.shares_by_service[plan.job.service].note_withdrawn(
+                plan, term_state.usable_cores(plan.job.service, now)
+            )
             del term_state.callers_by_id[job_id]
             term_state.pop_plan(job_id)
             log_event(
@@ -160,6 +163,7 @@
                 retry_after_ms=retry_after_ms,
             )
             self._metrics.count('baobabgap_jobs_total{end="given_up"}')
+            self._count_refusal(plan.job.queue, 'waited')
             for call in calls:
                 answer(
                     call,
@@ -168,6 +172,34 @@
                     detail='waited in vain',
                 )
 
+    def _hopeless_ids(self, now: float) -> set[str]:
+        """Return the volatile jobs to refuse, none of which has begun."""
+        term_state = self._term_state
+        plans_by_service: dict[str, list[JobPlan]] = defaultdict(list)
+        for job_id in term_state.callers_by_id:
+            plan = term_state.plan_by_id[job_id]
+            if plan.has_started or plan.may_have_begun:
+                continue
+            if term_state.takeover.may_start(plan.job):
+                plans_by_service[plan.job.service].append(plan)
+        return {
+            plan.job.job_id
+            for service, plans in plans_by_service.items()
+            for plan in without_prospect(
+                plans,
+                term_state.queue_by_service[service],
+                term_state.shares_by_service[service],
+                term_state.usable_cores(service, now),
+                now,
+            )
+        }
+
+    def _count_refusal(self, queue: str, reason: str) -> None:
+        self._metrics.count(
+            'baobabgap_queue_refused_total'
+            f'{{queue="{queue}",reason="{reason}"}}'
+        )
+
     def _submit(
         self, arrived: CallArrived, call: SubmitJob, match: QueueMatch
     ) -> None:
@@ -274,12 +306,19 @@
         now = time.monotonic()
         pool = self._term_state.pool_by_service[job.service]
         queue = self._term_state.queue_by_service[job.service]
-        admission_input = AdmissionInput.from_queue(queue, plan, now)
+        shares = self._term_state.shares_by_service[job.service]
+        cores = self._term_state.usable_cores(job.service, now)
+        shares.note_asked(plan, cores, now)
+        admission_input = AdmissionInput.from_queue(
+            queue, plan, now
+        ).with_shares(queue, shares, plan, cores)
         returning = self._term_state.returning_upstreams(job.service, now)
         refusal = admit(pool, job.steps, admission_input, returning)
         if refusal is None:
+            shares.note_admitted(plan, cores)
             return True
         self._metrics.count('baobabgap_jobs_total{end="refused"}')
+        self._count_refusal(job.queue, refusal.kind.value)
         log_event(
             'job_refused',
             job=job.job_id,
@@ -292,6 +331,9 @@
             upstreams=len(pool.target_by_name),
             returning_upstreams=returning,
             retry_after_ms=refusal.retry_after_ms,
+            overrun_s=round(max(admission_input.overrun_s, -9.0), 3),
+            usable_cores=round(cores, 1),
+            **_share_fields(shares.share_by_queue(cores, now)[job.queue]),
         )
         answer(
             arrived,
@@ -411,6 +453,14 @@
         )
 
 
+def _share_fields(share: QueueShare) -> dict[str, float]:
+    return {
+        'queue_asked_cores': round(share.asked_cores, 1),
+        'queue_due_cores': round(share.due_cores, 1),
+        'queue_had_cores': round(share.had_cores, 1),
+    }
+
+
 def _awaited_until(call: SubmitJob) -> float:
     """Return when the caller stops waiting, on the monotonic clock."""
     if not call.patience_ms:
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -34,6 +34,7 @@
 from baobabgap.dispatch._events import LeadershipLost
 from baobabgap.dispatch._events import MembersEnrolled
 from baobabgap.dispatch._job_closer import JobCloser
+from baobabgap.dispatch._queue_report import QueueReport
 from baobabgap.dispatch._replies import answer
 from baobabgap.dispatch._replies import answer_unavailable
 from baobabgap.dispatch._run_tracker import RunTracker
@@ -110,6 +111,8 @@
         self._starter = TaskStarter(
             term_state, runs, off_rack_factor, timing, metrics
         )
+        self._queue_report = QueueReport(term_state)
+        metrics.add_source(self._queue_report.values)
 
     def post_event(self, event: Event) -> None:
         """Queue an event."""
@@ -156,6 +159,7 @@
         if is_check_due:
             # Refuse only jobs that found no room, as estimates are rough.
             self._calls.refuse_late_jobs(now)
+            self._queue_report.update(now)
 
     def _handle_events(self) -> None:
         try:
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -102,6 +102,10 @@
         )
 
     def _log(self, plan: JobPlan, runs: list[str]) -> None:
+        self._metrics.count(
+            f'baobabgap_queue_starts_total{{queue="{plan.job.queue}"}}',
+            len(runs),
+        )
         waited_s = time.monotonic() - plan.arrived_at
         self._metrics.observe_seconds('baobabgap_wait_seconds', waited_s)
         log_event(
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -17,9 +17,11 @@
 from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import PlacementTarget
 from baobabgap.scheduling import PlannedTask
+from baobabgap.scheduling import QueueShares
 from baobabgap.scheduling import RunTimes
 from baobabgap.scheduling import StartQueue
 from baobabgap.scheduling import TargetPool
+from baobabgap.scheduling import usable_cores
 
 # Seconds after an election within which agents known to an earlier leader, and
 # their upstreams, are expected to reconnect: process start, dial and report.
@@ -55,6 +57,9 @@
         self._began_at = time.monotonic()
         self.queue_by_service: dict[str, StartQueue] = defaultdict(StartQueue)
         self.pool_by_service: dict[str, TargetPool] = defaultdict(TargetPool)
+        self.shares_by_service: dict[str, QueueShares] = defaultdict(
+            QueueShares
+        )
         # Jobs that may have a run of an earlier term.
         self._held_by_id: dict[str, JobPlan] = {}
         self.plan_by_id: dict[str, JobPlan] = {}
@@ -169,5 +174,14 @@
         known_of_service = len(self.pool_by_service[service].target_by_name)
         return missing * known_of_service // max(1, targets)
 
+    def usable_cores(self, service: str, now: float) -> float:
+        """Return the cores of a service that whole tasks can use."""
+        return usable_cores(
+            self.pool_by_service[service],
+            self.shares_by_service[service],
+            self.run_times,
+            self.returning_upstreams(service, now),
+        )
+
     def _queue_of(self, plan: JobPlan) -> StartQueue:
         return self.queue_by_service[plan.job.service]
--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -6,6 +6,8 @@
 from typing import Final
 import unittest
 
+from baobabgap.accepted import Demand
+from baobabgap.accepted import Step
 from baobabgap.accepted import TaskId
 from baobabgap.dispatch.tests.deployment import Deployment
 from baobabgap.dispatch.tests.deployment import step
@@ -18,6 +20,10 @@
 _LONG_PATIENCE_S: Final = 120.0
 
 
+def step_of(cores: int) -> Step:
+    return Step(1, Demand(1000 * cores, 10, 0), 100)
+
+
 class DispatchTest(unittest.TestCase):
     controls = 1
     agents = 2
@@ -225,6 +231,31 @@
         self.assertGreater(answer.retry_after_ms, 0)
         deployment.cancel('long')
 
+    def test_jobs_of_a_queue_are_counted(self) -> None:
+        deployment = self.deployment
+        huge = deployment.submit('huge', step_of(99), volatile=True)
+        self.assertEqual(CallOutcome.OVERLOADED, huge.result(WAIT_S).outcome)
+        deployment.submit('a', step(3), volatile=True).result(WAIT_S)
+        leader = deployment.leader
+        assert leader is not None
+        metrics = leader.metrics
+        self.assertEqual(
+            1,
+            metrics.value(
+                'baobabgap_queue_refused_total{queue="q",reason="too_large"}'
+            ),
+        )
+        self.assertEqual(
+            3, metrics.value('baobabgap_queue_starts_total{queue="q"}')
+        )
+        wait_until(
+            lambda: (
+                'baobabgap_queue_had_cores{queue="q"}'
+                in metrics.as_prometheus_text()
+            ),
+            'values by queue',
+        )
+
     def test_polls_are_short_without_a_leader(self) -> None:
         """The next leader needs reports, which follow a poll."""
         deployment = self.deployment
--- a/baobabgap/scheduling/_admission.py
+++ b/baobabgap/scheduling/_admission.py
@@ -111,7 +111,7 @@
         return replace(
             self,
             overrun_s=queue.overrun_s(plan, cores, _PATIENCE_PART),
-            is_due=shares.is_due(plan),
+            is_due=shares.is_due(plan, cores),
         )
 
 
--- a/baobabgap/scheduling/_shares.py
+++ b/baobabgap/scheduling/_shares.py
@@ -104,31 +104,26 @@
         is_stale = now >= self._refreshed_at + _REFRESH_S
         if is_stale:
             self._decay(now)
-        job, core_s = plan.job, plan.waiting_core_s
+        job, core_s = plan.job, self._counted_core_s(plan, cores)
         use = self._use_by_queue.setdefault(job.queue, _QueueUse(job.priority))
         use.priority = job.priority
         use.jobs += 1
         use.asked += core_s
         self._task_core_s += core_s
-        self._task_s += sum(
-            step.tasks * expected_s
-            for step, expected_s in zip(
-                job.steps, plan.expected_s, strict=True
-            )
-        )
+        self._task_s += core_s / _mean_task_cores(plan)
         if is_stale or job.queue not in self._part_by_queue:
             self._part_by_queue = self._due_parts(cores)
         use.add_credit(core_s * self._part_by_queue[job.queue])
 
-    def note_admitted(self, plan: JobPlan) -> None:
+    def note_admitted(self, plan: JobPlan, cores: float) -> None:
         """Record that a job was admitted."""
-        self._charge(plan, plan.waiting_core_s)
+        self._charge(plan, self._counted_core_s(plan, cores))
 
-    def note_withdrawn(self, plan: JobPlan) -> None:
+    def note_withdrawn(self, plan: JobPlan, cores: float) -> None:
         """Record that an admitted job was refused before it had begun."""
-        self._charge(plan, -plan.waiting_core_s)
+        self._charge(plan, -self._counted_core_s(plan, cores))
 
-    def is_due(self, plan: JobPlan) -> bool:
+    def is_due(self, plan: JobPlan, cores: float) -> bool:
         """Return whether a queue may have one more job.
 
         With it, the queue has had at most an average job more than it is
@@ -137,7 +132,7 @@
         use = self._use_by_queue.get(plan.job.queue)
         if use is None:
             return True
-        needed = plan.waiting_core_s - use.mean_core_s
+        needed = self._counted_core_s(plan, cores) - use.mean_core_s
         return use.credit >= min(needed, use.largest_credit)
 
     def share_by_queue(
@@ -155,6 +150,13 @@
             for name, use in self._use_by_queue.items()
         }
 
+    def _counted_core_s(self, plan: JobPlan, cores: float) -> float:
+        """Return the work of a job, as far as it counts.
+
+        A sender's numbers must not use up what all queues are due for long.
+        """
+        return min(plan.waiting_core_s, cores * _AVERAGING_S)
+
     def _charge(self, plan: JobPlan, core_s: float) -> None:
         use = self._use_by_queue.get(plan.job.queue)
         if use is not None:
@@ -196,3 +198,10 @@
             left -= part_by_queue[name] * use.asked_cores
             weighted -= weight * use.asked_cores
         return part_by_queue
+
+
+def _mean_task_cores(plan: JobPlan) -> float:
+    """Return the average demand of the steps of a job, at least little."""
+    steps = plan.job.steps
+    millicores = sum(step.demand.cpu_millicores for step in steps)
+    return max(1, millicores) / 1000 / len(steps)
