--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -1,5 +1,6 @@
 """Handling of client calls: submit, read, count, cancel."""
 
+from collections import defaultdict
 import math
 import time
 from typing import Final
@@ -33,8 +34,10 @@
 from baobabgap.scheduling import AdmissionInput
 from baobabgap.scheduling import admit
 from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import QueueShare
 from baobabgap.scheduling import Refusal
 from baobabgap.scheduling import retry_after
+from baobabgap.scheduling import without_prospect
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 
@@ -149,15 +152,16 @@
             if term_state.has_cut_off_agents
             else _USUAL_TAKEOVER_S
         )
+        hopeless_ids = self._hopeless_ids(now)
         for job_id, calls in list(term_state.callers_by_id.items()):
             plan = term_state.plan_by_id[job_id]
             if plan.has_started:
                 continue
-            if term_state.takeover.may_start(plan.job):
-                if now > plan.latest_useful_start(0):
-                    self._give_up(plan, calls, now, plan.may_have_begun)
+            if job_id in hopeless_ids:
+                self._give_up(plan, calls, now, plan.may_have_begun)
             elif (
-                now > plan.latest_useful_end
+                not term_state.takeover.may_start(plan.job)
+                and now > plan.latest_useful_end
                 and term_state.age_s(now) > usual_takeover_s
             ):
                 # A run that an agent has yet to report would end too late,
@@ -179,6 +183,9 @@
             backlog_core_s,
             returning=term_state.returning_upstreams(job.service, now),
         )
+        term_state.shares_by_service[job.service].note_withdrawn(
+            plan, term_state.usable_cores(job.service, now)
+        )
         del term_state.callers_by_id[job.job_id]
         term_state.pop_plan(job.job_id)
         log_event(
@@ -193,11 +200,43 @@
             takeover=not term_state.takeover.is_over,
         )
         self._metrics.count('baobabgap_jobs_total{end="given_up"}')
+        self._count_refusal(job.queue, 'waited')
         for call in calls:
             answer_not_served(
                 call, 'waited in vain', retry_after_ms, may_have_begun
             )
 
+    def _hopeless_ids(self, now: float) -> set[str]:
+        """Return the volatile jobs that can't be served usefully any more.
+
+        None of them has a known start.
+        """
+        term_state = self._term_state
+        plans_by_service: dict[str, list[JobPlan]] = defaultdict(list)
+        for job_id in term_state.callers_by_id:
+            plan = term_state.plan_by_id[job_id]
+            if plan.has_started:
+                continue
+            if term_state.takeover.may_start(plan.job):
+                plans_by_service[plan.job.service].append(plan)
+        return {
+            plan.job.job_id
+            for service, plans in plans_by_service.items()
+            for plan in without_prospect(
+                plans,
+                term_state.queue_by_service[service],
+                term_state.shares_by_service[service],
+                term_state.usable_cores(service, now),
+                now,
+            )
+        }
+
+    def _count_refusal(self, queue: str, reason: str) -> None:
+        self._metrics.count(
+            'baobabgap_queue_refused_total'
+            f'{{queue="{queue}",reason="{reason}"}}'
+        )
+
     def _submit(
         self, arrived: CallArrived, call: SubmitJob, match: QueueMatch
     ) -> None:
@@ -312,7 +351,8 @@
         calls = self._term_state.callers_by_id.get(job_id)
         if not calls or plan.has_started:
             return True
-        refusal = self._find_refusal(plan)
+        # A job that may have begun was not judged when it was submitted.
+        refusal = self._find_refusal(plan, is_new=plan.may_have_begun)
         if refusal is None:
             return True
         del self._term_state.callers_by_id[job_id]
@@ -334,20 +374,36 @@
             and self._term_state.takeover.may_start(plan.job)
         )
 
-    def _find_refusal(self, plan: JobPlan) -> Refusal | None:
-        """Return why a job can't be served, or None if it is admitted."""
+    def _find_refusal(
+        self, plan: JobPlan, *, is_new: bool = True
+    ) -> Refusal | None:
+        """Return why a job can't be served, or None if it is admitted.
+
+        A job that is judged again doesn't count twice in its queue's share.
+        """
         job = plan.job
         now = time.monotonic()
         pool = self._term_state.pool_by_service[job.service]
         queue = self._term_state.queue_by_service[job.service]
-        admission_input = AdmissionInput.from_queue(queue, plan, now)
+        shares = self._term_state.shares_by_service[job.service]
+        cores = self._term_state.usable_cores(job.service, now)
+        if is_new:
+            shares.note_asked(plan, cores, now)
+        admission_input = AdmissionInput.from_queue(
+            queue, plan, now
+        ).with_shares(queue, shares, plan, cores)
         returning = self._term_state.returning_upstreams(job.service, now)
         refusal = refuse_evacuated(
             self._term_state, job.service, admission_input.late_patience_s
         ) or admit(pool, job.steps, admission_input, returning)
         if refusal is None:
+            if is_new:
+                shares.note_admitted(plan, cores)
             return None
+        if not is_new:
+            shares.note_withdrawn(plan, cores)
         self._metrics.count('baobabgap_jobs_total{end="refused"}')
+        self._count_refusal(job.queue, refusal.kind.value)
         log_event(
             'job_refused',
             job=job.job_id,
@@ -361,6 +417,9 @@
             returning_upstreams=returning,
             retry_after_ms=refusal.retry_after_ms,
             may_have_begun=plan.may_have_begun,
+            overrun_s=round(max(admission_input.overrun_s, -9.0), 3),
+            usable_cores=round(cores, 1),
+            **_share_fields(shares.share_by_queue(cores, now).get(job.queue)),
         )
         return refusal
 
@@ -485,6 +544,17 @@
         )
 
 
+def _share_fields(share: QueueShare | None) -> dict[str, float]:
+    """Return the log fields of a share; none if the queue is forgotten."""
+    if share is None:
+        return {}
+    return {
+        'queue_asked_cores': round(share.asked_cores, 1),
+        'queue_due_cores': round(share.due_cores, 1),
+        'queue_had_cores': round(share.had_cores, 1),
+    }
+
+
 def _awaited_until(call: SubmitJob) -> float:
     """Return when the caller stops waiting, on the monotonic clock."""
     if not call.patience_ms:
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -38,6 +38,7 @@
 from baobabgap.dispatch._events import StartsNoted
 from baobabgap.dispatch._events import ZoneChanged
 from baobabgap.dispatch._job_closer import JobCloser
+from baobabgap.dispatch._queue_report import QueueReport
 from baobabgap.dispatch._replies import answer
 from baobabgap.dispatch._replies import answer_unavailable
 from baobabgap.dispatch._run_tracker import RunTracker
@@ -119,6 +120,8 @@
         self._starter = TaskStarter(
             term_state, runs, off_rack_factor, timing, metrics
         )
+        self._queue_report = QueueReport(term_state)
+        metrics.add_source(self._queue_report.values)
 
     def post_event(self, event: Event) -> None:
         """Queue an event."""
@@ -166,6 +169,7 @@
         if is_check_due:
             # Only jobs that found no room, as estimates are rough.
             self._calls.give_up_late_jobs(now)
+            self._queue_report.update(now)
         self._deferral.check(now)
 
     def _handle_events(self) -> None:
