--- a/baobabgap/dispatch/_entry_registry.py
+++ b/baobabgap/dispatch/_entry_registry.py
@@ -1,6 +1,7 @@
 """Incarnations of entries whose jobs may have runs of an earlier term."""
 
 from collections.abc import Iterable
+import time
 from typing import Final
 
 from baobabgap.accepted import AcceptedState
@@ -45,8 +46,17 @@
         """Process the first report of an entry on a new link."""
         entry = f'{event.name}/{event.incarnation}'
         self._term_state.takeover.note_entry_report(entry, event.begun_job_ids)
-        if not self._term_state.takeover.is_over:
+        takeover = self._term_state.takeover
+        if not takeover.is_over:
             self._mark_begun(event.begun_job_ids)
+        log_event(
+            'entry_reported',
+            entry=entry,
+            may_have_begun=len(event.begun_job_ids),
+            term_ms=round(1000 * self._term_state.age_s(time.monotonic())),
+            takeover=not takeover.is_over,
+            waits_for=sorted(takeover.unreported_entries),
+        )
         member = f'{ENTRY_ROLE}/{entry}'
         self._member_by_entry[event.name] = member
         self._unlinked_at_by_member.pop(member, None)
--- a/baobabgap/dispatch/_takeover.py
+++ b/baobabgap/dispatch/_takeover.py
@@ -53,6 +53,11 @@
         """The agents that the takeover waits for."""
         return frozenset(self._unreported_agents)
 
+    @property
+    def unreported_entries(self) -> frozenset[str]:
+        """The entries, as `name/incarnation`, that haven't reported."""
+        return frozenset(self._unreported_entries)
+
     def may_have_begun(self, job_id: str) -> bool:
         """Return whether an entry sent this job to an earlier leader."""
         return job_id in self._begun_before
@@ -82,6 +87,7 @@
             'takeover_ended',
             term=self._term,
             unheard=sorted(self._unreported_agents),
+            unheard_entries=sorted(self._unreported_entries),
         )
         return True
 
