Submit the job that is too large once upstreams are known

Cause: test_jobs_of_a_queue_are_counted failed once beside other load (0 of 1 refusals for want of size): before the first report of an upstream a job's demand can't be judged, so that the job waits and is given up later. The order of the test's two submissions is changed, its checks aren't.

--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -233,9 +233,10 @@
 
     def test_jobs_of_a_queue_are_counted(self) -> None:
         deployment = self.deployment
+        # Which demand is too large is known once upstreams have reported.
+        deployment.submit('a', step(3), volatile=True).result(WAIT_S)
         huge = deployment.submit('huge', step_of(99), volatile=True)
         self.assertEqual(CallOutcome.OVERLOADED, huge.result(WAIT_S).outcome)
-        deployment.submit('a', step(3), volatile=True).result(WAIT_S)
         leader = deployment.leader
         assert leader is not None
         metrics = leader.metrics
