Elect a leader at once after a restart of all control hosts

Cause: after a power loss each control host waited for a whole election timeout (0.25 to 0.5 s) although none of them had heard a leader, and peers that were down at the first attempt were dialled again with a doubling delay.

A host that has heard no leader in this life runs its pre-vote at a random time within a fifth of the timeout after it is linked to a majority, and up to two more in doubling windows. Pre-vote and votes keep all their rules, so that a host that restarts beside a living leader is refused. A host whose peer links to it dials that peer at once, and the first tick is not delayed.

--- a/baobabgap/replication/_election.py
+++ b/baobabgap/replication/_election.py
@@ -1,6 +1,7 @@
 """Elections: pre-vote, votes, quorum checks, leadership transfer."""
 
 from collections.abc import Callable
+import random
 import time
 from typing import Final
 
@@ -12,6 +13,12 @@
 from baobabgap.replication._writer import LogWriter
 from baobabgap.telemetry import log_event
 
+# The share of the election timeout within which a host that has just started
+# seeks an election; doubles with each one.
+_EARLY_SHARE: Final = 0.2
+# Elections that it seeks so before it waits for the timeout.
+_MOST_EARLY_ELECTIONS: Final = 3
+
 
 class Election:
     """Requests and grants votes.
@@ -21,6 +28,11 @@
     host that returns after a network partition keeps its old term and
     does not disrupt the leader. All methods are called with the lock of
     `GroupState` held.
+
+    If all hosts have restarted, none waits for the election timeout: a host
+    that hasn't heard of a leader since its start runs a pre-vote soon after it
+    is linked to a majority. If a leader lives, the hosts that hear from it
+    refuse.
     """
 
     def __init__(
@@ -29,6 +41,7 @@
         writer: LogWriter,
         broadcast: Callable[[object], None],
         answering_voters: Callable[[], set[str]],
+        linked_voters: Callable[[], set[str]],
     ) -> None:
         self._state: Final = state
         self._writer: Final = writer
@@ -37,13 +50,24 @@
         self._pre_votes: set[str] = set()
         self._votes: set[str] = set()
         self._pre_vote_term = 0
+        self._linked_voters: Final = linked_voters
+        # Elections that this host may seek before the timeout, as nobody has
+        # led in the life of this process.
+        self._early_left = _MOST_EARLY_ELECTIONS
+        # When to seek the next one, once a majority is linked.
+        self._early_at = float('inf')
 
     def tick(self) -> None:
         """Check the quorum as the leader, else the election timer."""
         if self._state.is_leader:
+            self._early_left = 0
             self._check_quorum()
-        elif time.monotonic() >= self._state.election_due_at:
+        elif time.monotonic() >= min(
+            self._state.election_due_at, self._early_due_at()
+        ):
             self._state.postpone_election()
+            self._early_left = max(0, self._early_left - 1)
+            self._postpone_early()
             self._start_pre_vote()
 
     def start_without_pre_vote(self) -> None:
@@ -57,9 +81,10 @@
         """Grant or refuse a vote; the answer is sent once it is synced."""
         state = self._state
         if request.pre_vote:
-            send_answer(
-                self._make_vote_answer(request, self._would_grant(request))
-            )
+            would_grant = self._would_grant(request)
+            if would_grant:
+                self._postpone_early()
+            send_answer(self._make_vote_answer(request, would_grant))
             return
         if state.leader_is_recent() and not request.transfer:
             send_answer(self._make_vote_answer(request, False))
@@ -75,6 +100,7 @@
             state.schedule_vote_write()
         if granted:
             state.postpone_election()
+            self._postpone_early()
         reply = self._make_vote_answer(request, granted)
         self._writer.after_sync(
             f'vote {request.term} {request.store}', lambda: send_answer(reply)
@@ -98,6 +124,33 @@
             self._votes.add(name)
             self._count_votes()
 
+    def _early_due_at(self) -> float:
+        """Return when to seek an election before the timeout, or infinity."""
+        state = self._state
+        may_seek = (
+            self._early_left > 0
+            and state.leader_heard_at == float('-inf')
+            and state.is_voter
+            and state.membership.has_quorum(self._linked_voters())
+        )
+        if not may_seek:
+            self._early_at = float('inf')
+        elif self._early_at == float('inf'):
+            self._seek_early_after(0.0)
+        return self._early_at
+
+    def _seek_early_after(self, windows: float) -> None:
+        """Choose a random time in the window after this many windows."""
+        window_s = _EARLY_SHARE * self._state.election_timeout_s
+        window_s *= 2 ** (_MOST_EARLY_ELECTIONS - self._early_left)
+        self._early_at = time.monotonic() + window_s * (
+            windows + random.random()
+        )
+
+    def _postpone_early(self) -> None:
+        """Leave time for the election that has begun here or elsewhere."""
+        self._seek_early_after(1.0)
+
     def _check_quorum(self) -> None:
         """Step down if no majority answered within the election timeout."""
         state = self._state
--- a/baobabgap/replication/_log.py
+++ b/baobabgap/replication/_log.py
@@ -166,6 +166,9 @@
             if self._state.stopping:
                 return
             self._session_connections.add(connection)
+            peer = self._peers.get(connection.peer.name)
+            if peer is not None:
+                peer.dial_now()
         try:
             session.run()
         finally:
@@ -268,7 +271,7 @@
         interval_s = (
             self._state.election_timeout_s / _TICKS_PER_ELECTION_TIMEOUT
         )
-        while not self._stopped.wait(interval_s):
+        while not self._stopped.is_set():
             with self._state.lock:
                 if self._state.stopping:
                     return
@@ -276,6 +279,7 @@
                 self._founding.tick()
                 self._election.tick()
                 self._changes.tick()
+            self._stopped.wait(interval_s)
 
     def _fail_remaining(self) -> None:
         with self._state.lock:
--- a/baobabgap/replication/_parts.py
+++ b/baobabgap/replication/_parts.py
@@ -93,7 +93,11 @@
             state, settings.control_hosts, peers, settings.control.may_found
         )
         election = Election(
-            state, writer, peers.broadcast, peers.answering_voters
+            state,
+            writer,
+            peers.broadcast,
+            peers.answering_voters,
+            peers.linked_voters,
         )
         applier = Applier(state, machine, storage, writer, limits, reads, pool)
         state.run_later = pool.submit
--- a/baobabgap/replication/_peer.py
+++ b/baobabgap/replication/_peer.py
@@ -81,6 +81,11 @@
             self._dialer.stop()
         self._wake.set()
 
+    def dial_now(self) -> None:
+        """Connect without further delay, as the peer is known to be up."""
+        if self._dialer is not None and self._link is None:
+            self._dialer.dial_now()
+
     @property
     def progress(self) -> Progress:
         """The replication progress of the peer, on the leader."""
--- a/baobabgap/replication/_peers.py
+++ b/baobabgap/replication/_peers.py
@@ -116,6 +116,17 @@
             names.add(self._state.own_host.name)
         return names
 
+    def linked_voters(self) -> set[str]:
+        """Return the voters that this host has a link to, and itself."""
+        names = {
+            peer.host.name
+            for peer in self
+            if peer.introduction is not None and peer.is_voting
+        }
+        if self._state.is_voter:
+            names.add(self._state.own_host.name)
+        return names
+
     def _may_be_voting(self, peer: Peer) -> bool:
         """Return whether the peer is a voter, or may be one while offline.
 
--- a/baobabgap/replication/tests/_group.py
+++ b/baobabgap/replication/tests/_group.py
@@ -93,6 +93,8 @@
         are_connected: Callable[[str, str], bool],
     ) -> None:
         self.name = name
+        # In force at the next start.
+        self.election_timeout_s = ELECTION_TIMEOUT_S
         self.folder = FaultyFolder()
         self.machine = ListMachine()
         self.log: ReplicatedLog | None = None
@@ -129,7 +131,9 @@
             name=self.name,
             control_hosts=self.configured,
             links=Links(0.1, 0.5),
-            control=ControlSettings(election_timeout_s=ELECTION_TIMEOUT_S),
+            control=ControlSettings(
+                election_timeout_s=self.election_timeout_s
+            ),
         )
         self.machine = ListMachine()
         self.log = ReplicatedLog.from_folder(
--- a/baobabgap/transport/_dialer.py
+++ b/baobabgap/transport/_dialer.py
@@ -59,6 +59,8 @@
         self._session = session
         self._on_error = on_error
         self._stopping = threading.Event()
+        # Ends the pause before the next attempt.
+        self._must_dial = threading.Event()
         self._connection: Connection | None = None
 
     @property
@@ -70,9 +72,14 @@
         """Start dialling in a task of the pool."""
         self._pool.submit(self._run)
 
+    def dial_now(self) -> None:
+        """Dial without further delay, as the other side is known to be up."""
+        self._must_dial.set()
+
     def stop(self) -> None:
         """Stop dialling and close the link, if any."""
         self._stopping.set()
+        self._must_dial.set()
         connection = self._connection
         if connection is not None:
             connection.close()
@@ -80,11 +87,12 @@
     def _run(self) -> None:
         delay_s = _INITIAL_RETRY_DELAY_S
         while not self._stopping.is_set():
+            self._must_dial.clear()
             if self._run_once():
                 delay_s = _INITIAL_RETRY_DELAY_S
             else:
                 delay_s = min(2 * delay_s, _MAX_RETRY_DELAY_S)
-            self._stopping.wait(delay_s * random.uniform(0.5, 1.0))
+            self._must_dial.wait(delay_s * random.uniform(0.5, 1.0))
 
     def _run_once(self) -> bool:
         """Run a session on one link; return whether the link was opened."""
