Evacuate a zone of the standalone product by the tool

Cause: the order existed on the platform's path only. `baobabgap evacuate ZONE [--end]` puts a ticket with the key evacuation/ZONE; entries place nothing there and don't count its slots, its agents offer nothing, return what waits and refuse what arrives. The command returns once all entries and the zone's agents report the version.

Ruled out: commands of their own in the control log (tickets have the storage, numbers and distribution already, by key, so that an operator's other ticket ends no evacuation).

Before: no such command.

--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -87,7 +87,7 @@
             self._scheduler,
             self._refresh_offer,
         )
-        self.directory: Final = EntryDirectory(self._update_dialers)
+        self.directory: Final = EntryDirectory(self._apply_directory)
         self._control = ControlClient.from_settings(
             settings,
             'agent',
@@ -98,7 +98,10 @@
             ('entry',),
         )
         self._upstream = AnnouncedUpstream(
-            health, self._monitor, self.directory
+            health,
+            self._monitor,
+            self.directory,
+            settings.place.availability_zone,
         )
         self._application = AgentApplication(
             self._handle_announcement,
@@ -198,6 +201,11 @@
         """Send the current offer to the entries if it has changed."""
         self._scheduler.set_offer(self._upstream.offer())
 
+    def _apply_directory(self) -> None:
+        """Act on a change from the control group before it is reported."""
+        self._refresh_offer()
+        self._update_dialers()
+
     def _update_dialers(self) -> None:
         """Dial new entries, and stop dialing entries that are gone.
 
--- a/baobabgap/agent/_announced_upstream.py
+++ b/baobabgap/agent/_announced_upstream.py
@@ -25,10 +25,12 @@
         health: UpstreamHealth,
         monitor: UpstreamMonitor,
         directory: EntryDirectory,
+        availability_zone: str,
     ) -> None:
         self._health = health
         self._monitor = monitor
         self._directory = directory
+        self._availability_zone = availability_zone
         self._lock = threading.Lock()
         self._announcement: Announcement | None = None
         self._earlier_incarnations: dict[str, None] = {}
@@ -87,6 +89,10 @@
             return 'the upstream is not bound to the agent yet'
         if slots == 0:
             return 'a ticket has taken the upstream out of use'
+        zone = self._availability_zone
+        ticket = self._directory.ticket_of_evacuation(zone)
+        if ticket is not None:
+            return f'{zone} is evacuated by ticket {ticket}'
         return ''
 
     def _check_identity(self, announcement: Announcement) -> None:
--- a/baobabgap/agent/_directory.py
+++ b/baobabgap/agent/_directory.py
@@ -1,21 +1,25 @@
-"""Entry addresses and upstream limits from the control group."""
+"""Entry addresses, limits and evacuations from the control group."""
 
 from collections.abc import Callable
 import threading
 from typing import Final
 
 from baobabgap._exceptions import InvalidInput
+from baobabgap.configuration import EVACUATION_PREFIX
 from baobabgap.configuration import PlacementPolicy
 from baobabgap.configuration import Policy
 from baobabgap.configuration import UpstreamLimit
 from baobabgap.configuration import validate_state
+from baobabgap.configuration import ZoneEvacuation
 from baobabgap.messages import Changes
+from baobabgap.messages import ConfigurationEntry
 from baobabgap.messages import MemberRecord
 from baobabgap.telemetry import log_event
 
 _ENTRY_ROLE: Final = 'entry'
 _POLICY_KEY: Final = 'policy'
 _UPSTREAM_PREFIX: Final = 'upstream/'
+_PREFIXES: Final = (_UPSTREAM_PREFIX, EVACUATION_PREFIX)
 
 
 class EntryDirectory:
@@ -30,6 +34,8 @@
         self._lock = threading.Lock()
         self._entry_by_name: dict[str, MemberRecord] = {}
         self._limit_by_upstream: dict[str, int] = {}
+        # Versions of the orders by evacuated availability zone.
+        self._ticket_by_evacuated_zone: dict[str, int] = {}
         self._policy = Policy()
 
     def apply(self, changes: Changes) -> None:
@@ -38,11 +44,12 @@
             if changes.from_version == 0:
                 self._entry_by_name.clear()
                 self._limit_by_upstream.clear()
+                self._ticket_by_evacuated_zone.clear()
                 self._policy = Policy()
             for member in changes.members:
                 self._apply_member(member)
             for entry in changes.configuration:
-                self._apply_state(entry.key, entry.value)
+                self._apply_state(entry)
         self._on_change()
 
     def entry_addresses(self) -> set[str]:
@@ -55,6 +62,11 @@
         with self._lock:
             return self._limit_by_upstream.get(upstream)
 
+    def ticket_of_evacuation(self, zone: str) -> int | None:
+        """Return the ticket by which a zone is evacuated, or None."""
+        with self._lock:
+            return self._ticket_by_evacuated_zone.get(zone)
+
     @property
     def wants_load_reports(self) -> bool:
         """Whether the placement policy in force uses `UpstreamLoad`."""
@@ -68,11 +80,12 @@
         else:
             self._entry_by_name.pop(member.name, None)
 
-    def _apply_state(self, key: str, value: object) -> None:
-        if key != _POLICY_KEY and not key.startswith(_UPSTREAM_PREFIX):
+    def _apply_state(self, entry: ConfigurationEntry) -> None:
+        key = entry.key
+        if key != _POLICY_KEY and not key.startswith(_PREFIXES):
             return
         try:
-            state = validate_state(key, value)
+            state = validate_state(key, entry.value)
         except InvalidInput as error:
             log_event('agent:bad_configuration', key=key, why=str(error))
             return
@@ -82,5 +95,11 @@
             case UpstreamLimit():
                 name = key.removeprefix(_UPSTREAM_PREFIX)
                 self._limit_by_upstream[name] = state.slots
+            case ZoneEvacuation():
+                zone = key.removeprefix(EVACUATION_PREFIX)
+                if state.evacuated:
+                    self._ticket_by_evacuated_zone[zone] = entry.ticket
+                else:
+                    self._ticket_by_evacuated_zone.pop(zone, None)
             case _:
                 pass
--- a/baobabgap/agent/tests/test_agent.py
+++ b/baobabgap/agent/tests/test_agent.py
@@ -11,6 +11,7 @@
 import threading
 import unittest
 
+from baobabgap.agent.tests.deployment import agent_settings
 from baobabgap.agent.tests.deployment import Deployment
 from baobabgap.agent.tests.relay import Relay
 from baobabgap.messages import AcknowledgeResults
@@ -206,6 +207,24 @@
         self.deployment.apply(**{'upstream/upstream-1': {'slots': 0}})
         self.entry.wait_until_accepting(False)
 
+    def test_an_evacuated_zone_gets_no_tasks_and_drops_waiting_ones(
+        self,
+    ) -> None:
+        zone = agent_settings().place.availability_zone
+        running = {f't{n}': {'sleep_ms': 600} for n in range(4)}
+        self.entry.place('a.1.x', running)
+        self.wait_for_starts(4)
+        self.entry.place('a.2.x', {'waits': {}})
+        key = f'evacuation/{zone}'
+        self.deployment.apply(**{key: {'evacuated': True}})
+        # At once, as the control group is then told that it is in force.
+        self.assertFalse(self.deployment.agent._scheduler.offer.accepting)
+        outcomes = self.outcomes(5)
+        self.assertIs(TaskOutcome.NOT_STARTED, outcomes.pop('waits'))
+        self.assertEqual({TaskOutcome.DONE}, set(outcomes.values()))
+        self.deployment.apply(**{key: {'evacuated': False}})
+        self.entry.wait_until_accepting()
+
     def test_planned_stop_waits_for_running_tasks(self) -> None:
         self.entry.place('a.1.x', {'t1': {'sleep_ms': 300}})
         self.wait_for_starts(1)
--- a/baobabgap/configuration/_model.py
+++ b/baobabgap/configuration/_model.py
@@ -1,4 +1,4 @@
-"""Data model of the configuration: quotas, policy, upstream limits."""
+"""Data model of the configuration: quotas, policy, limits, evacuations."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -18,6 +18,7 @@
 POLICY_KEY: Final = 'policy'
 QUOTA_PREFIX: Final = 'quota/'
 UPSTREAM_PREFIX: Final = 'upstream/'
+EVACUATION_PREFIX: Final = 'evacuation/'
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,9 +87,20 @@
     slots: Annotated[int, Field(ge=0, le=1024)]
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneEvacuation:
+    """Whether tasks may start in one availability zone."""
+
+    __pydantic_config__ = _STRICT
+
+    # Whether nothing more starts there; what runs ends by itself.
+    evacuated: bool
+
+
 _POLICY_ADAPTER: Final = TypeAdapter(Policy)
 _QUOTA_ADAPTER: Final = TypeAdapter(TeamQuota)
 _LIMIT_ADAPTER: Final = TypeAdapter(UpstreamLimit)
+_EVACUATION_ADAPTER: Final = TypeAdapter(ZoneEvacuation)
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +120,8 @@
     limit_by_upstream: dict[str, UpstreamLimit]
     # The policy in force.
     policy: Policy
+    # Availability zones in which nothing may start.
+    evacuated_zones: frozenset[str] = frozenset()
 
     @classmethod
     def from_state(
@@ -117,6 +131,7 @@
         quota_by_team: dict[str, TeamQuota] = {}
         limit_by_upstream: dict[str, UpstreamLimit] = {}
         policy = Policy()
+        evacuated_zones: set[str] = set()
         for key, value in state_by_key.items():
             validated = validate_state(key, value)
             match validated:
@@ -127,14 +142,24 @@
                 case UpstreamLimit():
                     name = key.removeprefix(UPSTREAM_PREFIX)
                     limit_by_upstream[name] = validated
-        return cls(version, quota_by_team, limit_by_upstream, policy)
+                case ZoneEvacuation(evacuated=True):
+                    evacuated_zones.add(key.removeprefix(EVACUATION_PREFIX))
+        return cls(
+            version,
+            quota_by_team,
+            limit_by_upstream,
+            policy,
+            frozenset(evacuated_zones),
+        )
 
     def quota_of(self, team: str) -> TeamQuota | None:
         """Return the team's quota, or None if the team is unknown."""
         return self.quota_by_team.get(team, self.policy.default_quota)
 
 
-def validate_state(key: str, value: Any) -> Policy | TeamQuota | UpstreamLimit:
+def validate_state(
+    key: str, value: Any
+) -> Policy | TeamQuota | UpstreamLimit | ZoneEvacuation:
     """Validate the state that a ticket sets for one key.
 
     Raises `InvalidInput` with the key and the reason.
@@ -146,6 +171,8 @@
             return _QUOTA_ADAPTER.validate_python(value)
         if key.startswith(UPSTREAM_PREFIX) and key != UPSTREAM_PREFIX:
             return _LIMIT_ADAPTER.validate_python(value)
+        if key.startswith(EVACUATION_PREFIX) and key != EVACUATION_PREFIX:
+            return _EVACUATION_ADAPTER.validate_python(value)
     except ValidationError as error:
         detail = error.errors(include_url=False, include_input=False)[0]
         location = '.'.join([key, *(str(part) for part in detail['loc'])])
@@ -153,7 +180,7 @@
             f'{location}: {detail["msg"]}', step='ticket'
         ) from error
     raise InvalidInput(
-        f'{key}: unknown key; allowed are policy, quota/TEAM and '
-        'upstream/NAME',
+        f'{key}: unknown key; allowed are policy, quota/TEAM, '
+        'upstream/NAME and evacuation/ZONE',
         step='ticket',
     )
--- a/baobabgap/control/_pages.py
+++ b/baobabgap/control/_pages.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from baobabgap._exceptions import InvalidInput
+from baobabgap.configuration import Configuration
 from baobabgap.control._sessions import Sessions
 from baobabgap.control._state import ControlState
 from baobabgap.replication import ReplicatedLog
@@ -53,10 +54,17 @@
         with self._state.lock:
             version = self._state.version
             members = self._state.members.all()
+            configuration = Configuration.from_state(
+                version, self._state.tickets.merged_state({})
+            )
         rows = [
             {
                 **asdict(member.record),
                 'has_left': member.has_left,
+                'evacuated': (
+                    member.record.availability_zone
+                    in configuration.evacuated_zones
+                ),
                 'control_host': member.attachment.host,
                 'version_in_force': self._sessions.version_in_force(
                     member.record.name
--- a/baobabgap/entry/_dispatcher.py
+++ b/baobabgap/entry/_dispatcher.py
@@ -93,6 +93,7 @@
         with self.lock:
             self._configuration = configuration
             self._has_configuration = True
+            self.pool.set_evacuated_zones(configuration.evacuated_zones)
             self._dispatch()
 
     def active_job_count(self) -> int:
@@ -196,7 +197,12 @@
             is_same_zone = (
                 link.peer.availability_zone == self._availability_zone
             )
-            self.pool.add(agent, link.peer.incarnation, is_same_zone)
+            self.pool.add(
+                agent,
+                link.peer.incarnation,
+                is_same_zone,
+                link.peer.availability_zone,
+            )
             outstanding = self._outstanding.link_returned(agent)
             for incarnation, tasks in outstanding.items():
                 link.send(ResumeTasks(incarnation, tuple(tasks)))
--- a/baobabgap/entry/_queueing_placement.py
+++ b/baobabgap/entry/_queueing_placement.py
@@ -36,7 +36,7 @@
         """Return an agent that accepts tasks of this size, or None."""
         fitting = pool.agents_where(
             lambda tokens: (
-                tokens.offer.accepting and size.fits_in(tokens.offer.capacity)
+                tokens.is_accepting and size.fits_in(tokens.offer.capacity)
             )
         )
         if not fitting:
--- a/baobabgap/entry/_token_pool.py
+++ b/baobabgap/entry/_token_pool.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
@@ -37,11 +38,19 @@
     idle: int = 0
     # Whether the entry has suspended the upstream for being slow.
     is_suspended: bool = False
+    # The agent's availability zone, and whether it is evacuated.
+    availability_zone: str = ''
+    is_evacuated: bool = False
+
+    @property
+    def is_accepting(self) -> bool:
+        """Whether new tasks may be placed there."""
+        return self.offer.accepting and not self.is_evacuated
 
     @property
     def usable(self) -> int:
         """Idle tokens that may be spent now."""
-        if self.is_suspended or not self.offer.accepting:
+        if self.is_suspended or not self.is_accepting:
             return 0
         return self.idle
 
@@ -54,6 +63,8 @@
         # Agents by (is_same_zone, usable tokens). Dicts keep insertion
         # order, so that agents of equal rank are used in rotation.
         self._bucket_by_rank: dict[tuple[bool, int], dict[str, None]] = {}
+        # Availability zones in which nothing may start.
+        self._evacuated_zones: Collection[str] = ()
 
     def __iter__(self) -> Iterator[AgentTokens]:
         return iter(self._tokens_by_agent.values())
@@ -65,10 +76,22 @@
         """Return the state of a connected agent, or None."""
         return self._tokens_by_agent.get(agent)
 
-    def add(self, agent: str, incarnation: str, is_same_zone: bool) -> None:
+    def add(
+        self,
+        agent: str,
+        incarnation: str,
+        is_same_zone: bool,
+        availability_zone: str = '',
+    ) -> None:
         """Add an agent on a new link, replacing its earlier state."""
         self.remove(agent)
-        tokens = AgentTokens(agent, incarnation, is_same_zone)
+        tokens = AgentTokens(
+            agent,
+            incarnation,
+            is_same_zone,
+            availability_zone=availability_zone,
+            is_evacuated=availability_zone in self._evacuated_zones,
+        )
         self._tokens_by_agent[agent] = tokens
         self._add_to_bucket(tokens)
 
@@ -78,6 +101,14 @@
         if tokens is not None:
             self._remove_from_bucket(tokens)
 
+    def set_evacuated_zones(self, zones: Collection[str]) -> None:
+        """Set the availability zones in which nothing may start."""
+        self._evacuated_zones = zones
+        for tokens in self._tokens_by_agent.values():
+            self._remove_from_bucket(tokens)
+            tokens.is_evacuated = tokens.availability_zone in zones
+            self._add_to_bucket(tokens)
+
     def set_offer(self, agent: str, offer: UpstreamOffer) -> None:
         """Replace the offer of the agent's upstream."""
         agent_tokens = self._tokens_by_agent[agent]
@@ -132,7 +163,7 @@
     def spend_at(self, agent: str, size: TaskSize) -> AgentTokens | None:
         """Spend a token of one agent, even if it is suspended."""
         tokens = self._tokens_by_agent.get(agent)
-        if tokens is None or tokens.idle < 1 or not tokens.offer.accepting:
+        if tokens is None or tokens.idle < 1 or not tokens.is_accepting:
             return None
         if not size.fits_in(tokens.offer.capacity):
             return None
@@ -180,7 +211,7 @@
         slots_of_suspended = 0
         slots = 0
         for tokens in self._tokens_by_agent.values():
-            if not tokens.offer.accepting:
+            if not tokens.is_accepting:
                 continue
             if tokens.is_suspended:
                 slots_of_suspended += tokens.offer.slots
--- a/baobabgap/entry/tests/test_dispatcher.py
+++ b/baobabgap/entry/tests/test_dispatcher.py
@@ -85,6 +85,48 @@
         self.assertEqual('kurek.3.a', agent.pop_sent(PlaceTasks)[0].job)
 
 
+class TestEvacuations(unittest.TestCase):
+    """Nothing is placed in an evacuated zone; the rest alone is capacity."""
+
+    def configure(self, entry: FakeEntry, *, evacuated: bool) -> None:
+        state = {
+            'policy': {'default_quota': {'tasks_per_second': 1000}},
+            'evacuation/z': {'evacuated': evacuated},
+        }
+        entry.dispatcher.set_configuration(Configuration.from_state(2, state))
+
+    def test_zone_gets_nothing_until_it_is_taken_back(self) -> None:
+        entry = FakeEntry()
+        near = entry.add_agent('near', 4)
+        far = entry.add_agent('far', 4, zone='other')
+        self.configure(entry, evacuated=True)
+        late = entry.add_agent('late', 4)
+        self.assertEqual(4, entry.dispatcher.pool.accepting_slots())
+        self.assertEqual(4, entry.dispatcher.pool.idle_tokens())
+        entry.submit(job(1, tasks=10))
+        self.assertEqual([], near.pop_sent(PlaceTasks))
+        self.assertEqual([], late.pop_sent(PlaceTasks))
+        self.assertEqual(4, len(far.pop_sent(PlaceTasks)[0].tasks))
+        # Six tasks wait for it.
+        self.configure(entry, evacuated=False)
+        placed = near.pop_sent(PlaceTasks) + late.pop_sent(PlaceTasks)
+        self.assertEqual(6, sum(len(message.tasks) for message in placed))
+
+    def test_policies_without_tokens_obey_too(self) -> None:
+        entry = FakeEntry()
+        near = entry.add_agent('near', 4)
+        state = {
+            'policy': {
+                'default_quota': {'tasks_per_second': 1000},
+                'placement': 'random',
+            },
+            'evacuation/z': {'evacuated': True},
+        }
+        entry.dispatcher.set_configuration(Configuration.from_state(2, state))
+        entry.submit(job(1, tasks=3))
+        self.assertEqual([], near.pop_sent(PlaceTasks))
+
+
 class TestTaskFailures(unittest.TestCase):
     """An unstarted task is requeued; any other failure ends its job.
 
--- a/baobabgap/tool/_commands.py
+++ b/baobabgap/tool/_commands.py
@@ -18,6 +18,7 @@
 from fire.decorators import SetParseFn
 
 from baobabgap._exceptions import InvalidInput
+from baobabgap.tool._evacuation_action import evacuate
 from baobabgap.tool._exit import ExitCode
 from baobabgap.tool._job_actions import cancel
 from baobabgap.tool._job_actions import show_status
@@ -177,6 +178,24 @@
         """Drain the entry at ENTRY (host:port) for a planned stop."""
         self._deferred_action.store(drain, entry)
 
+    @_with_string_arguments
+    def evacuate(
+        self,
+        zone: str,
+        *,
+        end: str = 'False',
+        entries: str = DEFAULT_ENTRIES,
+        json: str = 'False',
+    ) -> None:
+        """Start nothing more in ZONE; with --end, take that back."""
+        self._deferred_action.store(
+            evacuate,
+            zone,
+            _parse_switch('end', end),
+            entries,
+            _parse_flag(json),
+        )
+
     @_with_string_arguments
     def metrics(self, entry: str = DEFAULT_ENTRIES) -> None:
         """Print the metrics of the entry at ENTRY (host:port)."""
@@ -199,8 +218,12 @@
 
 
 def _parse_flag(text: str) -> bool:
+    return _parse_switch('json', text)
+
+
+def _parse_switch(name: str, text: str) -> bool:
     if text not in ('True', 'False'):
-        raise InvalidInput(f'takes no value (got {text!r})', step='--json')
+        raise InvalidInput(f'takes no value (got {text!r})', step=f'--{name}')
     return text == 'True'
 
 
