--- a/baobabgap/review/_tickets.py
+++ b/baobabgap/review/_tickets.py
@@ -11,11 +11,13 @@
 from baobabgap.configuration import TeamQuota
 from baobabgap.configuration import UpstreamLimit
 from baobabgap.configuration import validate_state
+from baobabgap.configuration import ZoneEvacuation
 from baobabgap.review._findings import differences_of
 from baobabgap.review._findings import Finding
 from baobabgap.review._findings import Review
 
 _UPSTREAM_PREFIX = 'upstream/'
+KeyState = Policy | TeamQuota | UpstreamLimit | ZoneEvacuation
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +39,7 @@
     error.
     """
     findings: list[Finding] = []
-    state_after: dict[str, Policy | TeamQuota | UpstreamLimit] = {}
+    state_after: dict[str, KeyState] = {}
     for key, value in {**context.state_by_key, **state_by_key}.items():
         try:
             state_after[key] = validate_state(key, value)
@@ -71,7 +73,7 @@
 
 
 def _review_limits(
-    state_after: Mapping[str, Policy | TeamQuota | UpstreamLimit],
+    state_after: Mapping[str, KeyState],
     context: TicketContext,
 ) -> Iterator[Finding]:
     """Yield limits that contradict each other once the ticket is in force."""
