Look ahead in placement: ends of runs, gaps, speeds

Cause: a pass stopped at the first step without a place, and each task took the fastest free upstream. Large tasks found no room beside small ones, and jobs started on upstreams on which they could only be late.

Now targets know when their runs are expected to end; a few steps behind the one that waits fill what it can't use; a job waits for an upstream on which it is on time; small tasks keep room for the largest demand.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -414,5 +414,5 @@
         upstream.capacity,
     )
     for run in view.run_by_task.values():
-        target.occupy(run.demand)
+        target.occupy(run.demand, expected=run.expected)
     return target
--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -7,6 +7,7 @@
 from baobabgap.accepted import TaskId
 from baobabgap.protocol import boottime_clock
 from baobabgap.protocol import UpstreamState
+from baobabgap.scheduling import ExpectedRun
 from baobabgap.scheduling import PlacementTarget
 from baobabgap.transport import Connection
 
@@ -26,6 +27,8 @@
     was_found: bool = False
     # Whether a stop was ordered.
     is_stopping: bool = False
+    # When the upstream's capacity should be free again, if that is known.
+    expected: ExpectedRun | None = None
 
 
 @dataclass(slots=True)
--- a/baobabgap/dispatch/_run_tracker.py
+++ b/baobabgap/dispatch/_run_tracker.py
@@ -74,7 +74,7 @@
         """Remove an ended run and release its resources."""
         run = view.run_by_task.pop(task_id)
         if view.target is not None:
-            view.target.release(run.demand)
+            view.target.release(run.demand, run.expected)
         return run
 
     def drop(self, view: AgentView, task_id: TaskId, reason: str) -> None:
@@ -123,8 +123,15 @@
         self, view: AgentView, run: Run, *, is_exclusive: bool = False
     ) -> None:
         view.run_by_task[run.task] = run
-        if view.target is not None:
-            view.target.occupy(run.demand, is_exclusive=is_exclusive)
+        if view.target is None:
+            return
+        if run.expected_s < math.inf:
+            run.expected = view.target.expect_run(
+                run.demand, run.expected_s, run.started_at
+            )
+        view.target.occupy(
+            run.demand, is_exclusive=is_exclusive, expected=run.expected
+        )
 
     def _send_stop(self, view: AgentView, run: Run) -> None:
         if view.connection is None:
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -1,6 +1,7 @@
 """Start orders for waiting tasks."""
 
 from collections import defaultdict
+import math
 import time
 from typing import Final
 
@@ -12,6 +13,7 @@
 from baobabgap.protocol import LeaseTiming
 from baobabgap.protocol import RunOrder
 from baobabgap.protocol import StartRuns
+from baobabgap.scheduling import Claim
 from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import place_waiting
 from baobabgap.scheduling import Placement
@@ -49,6 +51,7 @@
         term_state.release_held_plans()
         orders_by_agent: dict[str, list[RunOrder]] = defaultdict(list)
         runs_by_job: dict[str, list[str]] = defaultdict(list)
+        claim_by_job: dict[str, Claim] = {}
         for service, queue in term_state.queue_by_service.items():
             if not queue:
                 continue
@@ -72,10 +75,15 @@
                 runs_by_job[task.job_id].append(
                     f'{task_text(task)}#{number}@{name}'
                 )
+                if placement.claim is not None:
+                    self._metrics.count('baobabgap_starts_beside_claims_total')
+                    claim_by_job[task.job_id] = placement.claim
         for name, orders in orders_by_agent.items():
             self._send(term_state.view_by_name[name], tuple(orders))
         for job_id, runs in runs_by_job.items():
-            self._log(term_state.plan_by_id[job_id], runs)
+            self._log(
+                term_state.plan_by_id[job_id], runs, claim_by_job.get(job_id)
+            )
 
     def _may_start_on(self, target: PlacementTarget) -> bool:
         view = self._term_state.view_by_name[target.name]
@@ -101,7 +109,9 @@
             )
         )
 
-    def _log(self, plan: JobPlan, runs: list[str]) -> None:
+    def _log(
+        self, plan: JobPlan, runs: list[str], claim: Claim | None
+    ) -> None:
         waited_s = time.monotonic() - plan.arrived_at
         self._metrics.observe_seconds('baobabgap_wait_seconds', waited_s)
         log_event(
@@ -110,8 +120,24 @@
             runs=runs,
             waited_ms=round(1000 * waited_s),
             term=self._term_state.term,
+            **_claim_fields(claim, time.monotonic()),
         )
 
     def _next_run(self, job: AcceptedJob, task: PlannedTask) -> int:
         terms = max(0, self._term_state.term - job.term)
         return max(1 + _RUNS_PER_TERM * terms, task.last_run + 1)
+
+
+def _claim_fields(claim: Claim | None, now: float) -> dict[str, object]:
+    """Return what a start beside a more urgent waiting step is logged with."""
+    if claim is None:
+        return {}
+    fields: dict[str, object] = {
+        'beside_job': claim.job_id,
+        'beside_millicores': claim.demand.cpu_millicores,
+    }
+    if claim.fits_at < math.inf:
+        fields['beside_fits_in_ms'] = round(1000 * (claim.fits_at - now))
+    if claim.most_slowness < math.inf:
+        fields['beside_most_slowness'] = round(claim.most_slowness, 2)
+    return fields
--- a/baobabgap/scheduling/__init__.py
+++ b/baobabgap/scheduling/__init__.py
@@ -7,11 +7,13 @@
 from baobabgap.scheduling._admission import admit
 from baobabgap.scheduling._admission import Refusal
 from baobabgap.scheduling._admission import retry_after
+from baobabgap.scheduling._forecast import ExpectedRun
 from baobabgap.scheduling._health import is_overdue
 from baobabgap.scheduling._health import TargetHealth
 from baobabgap.scheduling._job_plan import JobPlan
 from baobabgap.scheduling._job_plan import LATE_FACTOR
 from baobabgap.scheduling._job_plan import PlannedTask
+from baobabgap.scheduling._look_ahead import Claim
 from baobabgap.scheduling._planner import place_waiting
 from baobabgap.scheduling._planner import Placement
 from baobabgap.scheduling._run_times import RunTimes
@@ -22,6 +24,8 @@
 __all__ = [
     'AdmissionInput',
     'admit',
+    'Claim',
+    'ExpectedRun',
     'is_overdue',
     'JobPlan',
     'LATE_FACTOR',
--- a/baobabgap/scheduling/_target_pool.py
+++ b/baobabgap/scheduling/_target_pool.py
@@ -8,7 +8,10 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
+import itertools
+import math
 from typing import Final
 from typing import Self
 
@@ -18,6 +21,7 @@
 from baobabgap.accepted import Demand
 from baobabgap.accepted import Step
 from baobabgap.scheduling._isolation import IsolationLimit
+from baobabgap.scheduling._look_ahead import LookAhead
 from baobabgap.scheduling._targets import _ignore_change
 from baobabgap.scheduling._targets import PlacementTarget
 
@@ -27,6 +31,16 @@
 # Seconds for which a target gets no new runs, to become idle.
 _RESERVATION_S: Final = 1.0
 
+# Targets of a group, those with the most free processors, at which a look for
+# the one that frees first stops.
+_LOOKED_AT_FOR_END: Final = 2
+# Least share of the processors that must be fast enough for a step to wait
+# for them while slower ones are free.
+_LEAST_WAITED_SHARE: Final = 0.5
+# Free share of the fastest targets below which they are left to the steps
+# that need them.
+_SCARCE_SHARE: Final = 0.2
+
 # Slowness and processors of equal targets, among which the one with the most
 # free processors also has the largest free share.
 _GroupKey = tuple[float, int]
@@ -58,6 +72,9 @@
         # Targets with a suspension that may not be over.
         self._suspended_names: set[str] = set()
         self._next_suspension_check_at = float('-inf')
+        # Free and all processors of the open targets by slowness.
+        self._room_by_slowness: SortedDict = SortedDict()
+        self.look_ahead = LookAhead()
         # Number of targets that choices have looked at so far.
         self.examined = 0
 
@@ -79,6 +96,63 @@
         """The processors of the open targets, occupied or free."""
         return self._open_millicores / 1000
 
+    def largest_free(self, above_slowness: float = -math.inf) -> int:
+        """Return the free processors of the open target that has most.
+
+        In thousandths, of the targets that are slower than `above_slowness`.
+        """
+        return max(
+            (
+                -ranks[0][0]
+                for (slowness, _), ranks in self._ranks_by_group.items()
+                if slowness > above_slowness
+            ),
+            default=0,
+        )
+
+    @property
+    def is_uneven(self) -> bool:
+        """Whether open targets differ in speed."""
+        return len(self._room_by_slowness) > 1
+
+    def is_worth_waiting(self, most_slowness: float) -> bool:
+        """Return whether to wait for targets up to a slowness.
+
+        They must have a good part of the processors.
+        """
+        open_millicores = sum(
+            room[1]
+            for slowness, room in self._room_by_slowness.items()
+            if slowness <= most_slowness
+        )
+        least = max(1.0, _LEAST_WAITED_SHARE * self._open_millicores)
+        return bool(open_millicores >= least)
+
+    def fits_at(
+        self,
+        demand: Demand,
+        most_slowness: float,
+        now: float,
+        may_start: Callable[[PlacementTarget], bool],
+    ) -> float:
+        """Return when a demand is expected to fit somewhere.
+
+        Looks at the targets with the most free capacity only, up to a
+        slowness. Infinity if it fits on none of them.
+        """
+        times = [math.inf]
+        for (slowness, _), ranks in self._ranks_by_group.items():
+            if slowness > most_slowness:
+                break
+            for _, name in itertools.islice(ranks, _LOOKED_AT_FOR_END):
+                target = self.target_by_name[name]
+                self.examined += 1
+                if may_start(target) and target.health.accepts_run(
+                    target.running, now
+                ):
+                    times.append(target.free_at(demand, now))
+        return min(times)
+
     def add(self, target: PlacementTarget) -> None:
         """Add a target, in place of an earlier one of the same name."""
         earlier = self.target_by_name.get(target.name)
@@ -142,21 +216,24 @@
         off_rack_factor: float,
         now: float,
         may_start: Callable[[PlacementTarget], bool],
+        most_slowness: float = math.inf,
     ) -> PlacementTarget | None:
         """Choose a target for one more task of a step, or None.
 
-        The target where the task ends soonest wins; among equally fast ones
-        the one with the largest free share: spreading the load limits the
-        jobs that the loss of one upstream affects.
+        The target where the task ends soonest wins, of those that aren't
+        slower than `most_slowness`; while the fastest ones are scarce, one
+        of the slowest of those. Among equally fast ones it is the one with
+        the largest free share: spreading the load limits the jobs that the
+        loss of one upstream affects. Once that would leave no room for the
+        largest demand, it is the one with the least room that is enough.
         """
         best: PlacementTarget | None = None
         best_cost = (0.0, 0.0)
-        for (slowness, _), ranks in self._ranks_by_group.items():
-            if best is not None and slowness > best_cost[0]:
+        for (slowness, _), ranks in self._groups(step, most_slowness):
+            if best is not None and slowness != best_cost[0]:
+                # Those in the groups that follow are no better.
                 break
-            for free_negated, name in ranks:
-                if -free_negated < step.demand.cpu_millicores:
-                    break
+            for name in self._names_with_room(ranks, step):
                 target = self.target_by_name[name]
                 self.examined += 1
                 if not may_start(target) or not _is_eligible(
@@ -167,10 +244,46 @@
                 if best is None or cost < best_cost:
                     best, best_cost = target, cost
                 if not step.data_rack:
-                    # The others of the group have less free capacity.
+                    # The others of the group are no better.
                     break
         return best
 
+    def _groups(
+        self, step: Step, most_slowness: float
+    ) -> list[tuple[_GroupKey, SortedList]]:
+        """Return the groups up to a slowness, the best ones first."""
+        if most_slowness == math.inf:
+            return list(self._ranks_by_group.items())
+        groups = [
+            (key, ranks)
+            for key, ranks in self._ranks_by_group.items()
+            if key[0] <= most_slowness
+        ]
+        if not step.data_rack and self._are_fastest_scarce():
+            groups.reverse()
+        return groups
+
+    def _are_fastest_scarce(self) -> bool:
+        if not self.is_uneven:
+            return False
+        free, millicores = self._room_by_slowness.peekitem(0)[1]
+        return bool(free < _SCARCE_SHARE * millicores)
+
+    def _names_with_room(self, ranks: SortedList, step: Step) -> Iterator[str]:
+        """Yield a group's targets with enough processors, the best first."""
+        needed = step.demand.cpu_millicores
+        left = -ranks[0][0] - needed
+        if step.data_rack or left >= self.look_ahead.largest_millicores:
+            for free_negated, name in ranks:
+                if -free_negated < needed:
+                    return
+                yield name
+            return
+        # Sorts behind all ranks of targets with just enough.
+        end = (-needed + 1, '')
+        for _, name in ranks.irange(maximum=end, reverse=True):
+            yield name
+
     def choose_idle(
         self,
         step: Step,
@@ -271,6 +384,7 @@
         self._place_by_name[target.name] = (group, rank)
         self._open_millicores += target.capacity.cpu_millicores
         self._free_millicores += target.free.cpu_millicores
+        self._add_room(group, target.free.cpu_millicores, group[1])
 
     def _take_out(self, target: PlacementTarget) -> None:
         self._idle_by_name.pop(target.name, None)
@@ -285,6 +399,16 @@
         # The capacity may have changed since.
         self._open_millicores -= group[1]
         self._free_millicores += rank[0]
+        self._add_room(group, rank[0], -group[1])
+
+    def _add_room(self, group: _GroupKey, free: int, millicores: int) -> None:
+        slowness = group[0]
+        room = self._room_by_slowness.get(slowness, (0, 0))
+        free, millicores = room[0] + free, room[1] + millicores
+        if millicores:
+            self._room_by_slowness[slowness] = (free, millicores)
+        else:
+            self._room_by_slowness.pop(slowness, None)
 
 
 def _cost(
--- a/baobabgap/scheduling/_targets.py
+++ b/baobabgap/scheduling/_targets.py
@@ -3,8 +3,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+import math
 
 from baobabgap.accepted import Demand
+from baobabgap.scheduling._forecast import ExpectedRun
+from baobabgap.scheduling._forecast import RunForecast
 from baobabgap.scheduling._health import TargetHealth
 
 
@@ -34,6 +37,8 @@
     # Run time factor of its kind of upstream; 1 is average.
     kind_slowness: float = 1.0
     health: TargetHealth = field(default_factory=TargetHealth)
+    # When its runs are expected to end.
+    forecast: RunForecast = field(default_factory=RunForecast)
     # Called after each change that matters to the choice among targets.
     on_change: Callable[['PlacementTarget'], None] = _ignore_change
 
@@ -52,20 +57,58 @@
         """The free fraction of the processors."""
         return self.free.cpu_millicores / max(1, self.capacity.cpu_millicores)
 
-    def occupy(self, demand: Demand, *, is_exclusive: bool = False) -> None:
-        """Reserve capacity for a run, exclusively if it must run alone."""
+    def occupy(
+        self,
+        demand: Demand,
+        *,
+        is_exclusive: bool = False,
+        expected: ExpectedRun | None = None,
+    ) -> None:
+        """Reserve capacity for a run, exclusively if it must run alone.
+
+        `expected` tells when it should end; without it that is unknown.
+        """
+        if expected is not None:
+            self.forecast.add(expected)
         self.free = self.free.minus(demand)
         self.running += 1
         self.is_exclusive = self.is_exclusive or is_exclusive
         self.on_change(self)
 
-    def release(self, demand: Demand) -> None:
-        """Release the capacity of a run that has ended."""
+    def release(
+        self, demand: Demand, expected: ExpectedRun | None = None
+    ) -> None:
+        """Release the capacity of a run that has ended.
+
+        `expected` is what the call of `occupy` for the run was given.
+        """
+        if expected is not None:
+            self.forecast.remove(expected)
         self.free = self.free.plus(demand)
         self.running -= 1
         self._end_exclusive_use()
         self.on_change(self)
 
+    def expect_run(
+        self, demand: Demand, expected_s: float, now: float
+    ) -> ExpectedRun:
+        """Return when a run is expected to end that starts, or is found, now.
+
+        `expected_s` is its run time on an average upstream.
+        """
+        run_s = expected_s * self.slowness
+        return ExpectedRun.from_start(now, run_s, demand)
+
+    def free_at(self, demand: Demand, now: float) -> float:
+        """Return when a demand is expected to fit; infinity if unknown."""
+        if not demand.fits_in(self.capacity):
+            return math.inf
+        return self.forecast.free_at(demand, self.free, now)
+
+    def free_by(self, time: float, now: float) -> Demand:
+        """Return what is expected to be free at a time."""
+        return self.forecast.free_by(time, self.free, now)
+
     def set_open(self, is_open: bool) -> None:
         """Set whether new runs may start."""
         if self.is_open != is_open:
