--- a/baobabgap/scheduling/__init__.py
+++ b/baobabgap/scheduling/__init__.py
@@ -11,11 +11,13 @@
 from baobabgap.scheduling._admission import usable_cores
 from baobabgap.scheduling._admission import without_prospect
 from baobabgap.scheduling._deferral import WaitingJobs
+from baobabgap.scheduling._forecast import ExpectedRun
 from baobabgap.scheduling._health import is_overdue
 from baobabgap.scheduling._health import TargetHealth
 from baobabgap.scheduling._job_plan import JobPlan
 from baobabgap.scheduling._job_plan import LATE_FACTOR
 from baobabgap.scheduling._job_plan import PlannedTask
+from baobabgap.scheduling._look_ahead import Claim
 from baobabgap.scheduling._planner import place_waiting
 from baobabgap.scheduling._planner import Placement
 from baobabgap.scheduling._run_times import RunTimes
@@ -29,6 +31,8 @@
 __all__ = [
     'AdmissionInput',
     'admit',
+    'Claim',
+    'ExpectedRun',
     'is_overdue',
     'JobPlan',
     'LATE_FACTOR',
