Let credit fade, and ask less of it from large jobs

A queue kept its debt after contention, as one that is due all of its work never pays it back; the next moment of waiting refused its jobs though there was room on average. Credit now fades like the averages, and a queue that is due all of its work isn't limited.

--- a/baobabgap/scheduling/_shares.py
+++ b/baobabgap/scheduling/_shares.py
@@ -21,6 +21,9 @@
 # Part of its work that a queue is due, relative to a queue of the next more
 # urgent priority.
 _PRIORITY_FACTOR: Final = 0.95
+# Part of what a job exceeds an average one by that the credit must cover.
+# Smaller jobs are preferred by it, as more of them are served.
+_COVERED_PART: Final = 0.75
 # Largest credit or debt of a queue: in seconds of the work that it asks for,
 # and at least in average jobs.
 _LARGEST_CREDIT_S: Final = 0.3
@@ -126,13 +129,16 @@
     def is_due(self, plan: JobPlan, cores: float) -> bool:
         """Return whether a queue may have one more job.
 
-        With it, the queue has had at most an average job more than it is
-        due, or the job is so large that no credit could cover it.
+        It may have all its work, or has credit for part of what the job
+        exceeds an average one by, or the job is so large that no credit
+        could cover that. A job below the average may put it in debt.
         """
         use = self._use_by_queue.get(plan.job.queue)
-        if use is None:
+        if use is None or self._part_by_queue[plan.job.queue] >= 1:
             return True
-        needed = self._counted_core_s(plan, cores) - use.mean_core_s
+        needed = _COVERED_PART * (
+            self._counted_core_s(plan, cores) - use.mean_core_s
+        )
         return use.credit >= min(needed, use.largest_credit)
 
     def share_by_queue(
@@ -169,6 +175,7 @@
             use.jobs *= factor
             use.asked *= factor
             use.had *= factor
+            use.credit *= factor
             if use.jobs < _FORGOTTEN_JOBS:
                 del self._use_by_queue[name]
         self._task_core_s *= factor
