Let a leader that steps down say which waiting jobs have not begun

Cause: on a step-down all waiting calls were answered unknown, and the links were closed before any of these answers left.

Now the scheduler answers first, for at most 0.1 s, and the links of entries are flushed before they are closed. A job without any start is answered as not begun, which it stays, as the term has ended. An entry unmarks a job also by such an answer, and by a refusal, to its only call, if it was deferred and announced before, too.

A failed scheduler still answers unknown.

--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -136,6 +136,26 @@
         if is_cancelled:
             self._closer.close(JobEnd(event.job_id, JobState.CANCELLED))
 
+    def calls_not_begun(self) -> list[CallArrived]:
+        """Return the calls for volatile jobs that certainly have not begun.
+
+        They don't begin either once the term has ended.
+        """
+        term_state = self._term_state
+        return [
+            call
+            for job_id, calls in term_state.callers_by_id.items()
+            if self._has_not_begun(term_state.plan_by_id[job_id])
+            for call in calls
+        ]
+
+    def _has_not_begun(self, plan: JobPlan) -> bool:
+        return (
+            not plan.has_started
+            and not plan.may_have_begun
+            and self._term_state.takeover.may_start(plan.job)
+        )
+
     def give_up_late_jobs(self, now: float) -> None:
         """Answer waiting volatile jobs that can't be served in time.
 
--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -56,6 +56,8 @@
 from baobabgap.transport import PROCESS_TRAFFIC
 
 _MAX_THREADS: Final = 4096
+# Seconds for the last answers of a term.
+_FLUSH_S: Final = 0.1
 # Queues whose objectives entries are told; more would be a large message.
 _MOST_OBJECTIVES: Final = 200
 
@@ -382,7 +384,11 @@
         with self._member_lock:
             members = list(self._members)
         for connection in members:
-            connection.close()
+            if connection.peer.role == ENTRY_ROLE:
+                # It waits for answers.
+                self._pool.submit(connection.flush_and_close, _FLUSH_S)
+            else:
+                connection.close()
 
 
 def _objectives(
--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field
+import threading
 from typing import Any
 
 from baobabgap.accepted import JobEnd
@@ -28,6 +30,9 @@
 class LeadershipLost:
     """This host no longer leads."""
 
+    # Set once all waiting calls are answered.
+    handled: threading.Event = field(default_factory=threading.Event)
+
 
 @dataclass(frozen=True, slots=True)
 class CallArrived:
--- a/baobabgap/dispatch/_leadership.py
+++ b/baobabgap/dispatch/_leadership.py
@@ -18,6 +18,8 @@
 _CONFIRM_INTERVAL_S: Final = 0.1
 # Seconds between checks of the role of this host.
 _CHECK_INTERVAL_S: Final = 0.03
+# Seconds for which links are kept for the answers to waiting calls.
+_ANSWERS_WAIT_S: Final = 0.1
 
 
 class Leadership:
@@ -79,7 +81,10 @@
         self._confirmed_at = float('-inf')
         if self.term:
             self.term = 0
-            scheduler.post_event(LeadershipLost())
+            lost = LeadershipLost()
+            scheduler.post_event(lost)
+            # Entries learn from the answers what has not begun.
+            lost.handled.wait(_ANSWERS_WAIT_S)
             self._on_step_down()
 
     def _begin_term(self, scheduler: Scheduler, term: int) -> None:
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -140,7 +140,7 @@
                     error=repr(error),
                     trace=traceback.format_exc(limit=-6),
                 )
-                self._step_down()
+                self._step_down(is_consistent=False)
                 self._on_failure()
 
     def _run_once(self) -> None:
@@ -176,8 +176,9 @@
         match event:
             case LeadershipGained():
                 self._begin_term(event)
-            case LeadershipLost():
+            case LeadershipLost(handled=handled):
                 self._step_down()
+                handled.set()
             case CallArrived():
                 self._handle_call(event)
             case _ if self._term_state.term:
@@ -247,15 +248,21 @@
             members=event.members,
         )
 
-    def _step_down(self) -> None:
+    def _step_down(self, *, is_consistent: bool = True) -> None:
         term_state = self._term_state
         waiting = term_state.waiting_calls()
+        not_begun = self._calls.calls_not_begun() if is_consistent else []
         log_event(
             'scheduler:stood_down',
             term=term_state.term,
             jobs=len(term_state.plan_by_id),
             calls=len(waiting),
+            not_begun=len(not_begun),
         )
         term_state.begin_term(0, Takeover.none())
+        not_begun_ids = {id(call) for call in not_begun}
+        for call in not_begun:
+            answer_unavailable(call, 'leader changed, not begun')
         for call in waiting:
-            answer(call, CallOutcome.UNKNOWN, detail='leader changed')
+            if id(call) not in not_begun_ids:
+                answer(call, CallOutcome.UNKNOWN, detail='leader changed')
--- a/baobabgap/dispatch/tests/test_cut_leader.py
+++ b/baobabgap/dispatch/tests/test_cut_leader.py
@@ -12,6 +12,7 @@
 from baobabgap.dispatch.tests.deployment import step
 from baobabgap.dispatch.tests.deployment import WAIT_S
 from baobabgap.dispatch.tests.deployment import wait_until
+from baobabgap.protocol import LeaseTiming
 from baobabgap.transport import Connection
 
 # Validity of a confirmation, seconds.
@@ -75,6 +76,31 @@
         self.assertEqual({'completed'}, {end.state for end in ends})
         self.assertEqual(24, self.starts())
 
+    def test_jobs_that_wait_when_it_is_cut_need_no_takeover(self) -> None:
+        """The agent that is cut off at that moment holds up none of them.
+
+        Authority that the leader granted to it lapses after over 4 s.
+        """
+        deployment = self.deployment
+        for upstream in deployment.upstreams:
+            upstream.run_ms = 300
+        leader = deployment.leader
+        assert leader is not None
+        for number in range(8):
+            deployment.submit(f'first{number}', step(1, 300), volatile=True)
+        wait_until(lambda: self.starts() == 8, 'full upstreams')
+        waiting = [
+            deployment.submit(f'j{number}', step(1, 3000), volatile=True)
+            for number in range(8)
+        ]
+        time.sleep(0.1)
+        cut_from_group(leader)
+        deployment._agent_links[1].stop()
+        began_at = time.monotonic()
+        for job in waiting:
+            self.assertEqual('completed', job.result(WAIT_S).state)
+        self.assertLess(time.monotonic() - began_at, LeaseTiming().authority_s)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/baobabgap/dispatch/tests/test_late_jobs.py
+++ b/baobabgap/dispatch/tests/test_late_jobs.py
@@ -192,3 +192,19 @@
         plan = self.term_state.plan_by_id['a']
         plan.note_started(next(iter(plan.task_by_id.values())), 'agent', 1)
         self.assertIsNone(self.give_up_after(USEFUL_END_S + 1))
+
+    def test_calls_of_jobs_that_have_not_begun_when_the_term_ends(
+        self,
+    ) -> None:
+        self.takeover.note_entry_report('e/1', ('reported',))
+        for job_id in ('reported', 'waits', 'started'):
+            self.submit(job_id)
+        self.submit('repeated', is_repeat=True)
+        plan = self.term_state.plan_by_id['started']
+        plan.note_started(next(iter(plan.task_by_id.values())), 'agent', 1)
+        paths = [call.call.path for call in self.handler.calls_not_begun()]
+        self.assertEqual([PREFIX + 'waits'], paths)
+
+    def test_nothing_is_known_before_all_entries_report(self) -> None:
+        self.submit()
+        self.assertEqual([], self.handler.calls_not_begun())
--- a/baobabgap/leaderlink/_begun_jobs.py
+++ b/baobabgap/leaderlink/_begun_jobs.py
@@ -30,6 +30,8 @@
 
     def __init__(self) -> None:
         self._mark_by_id: dict[str, _Mark] = {}
+        # The marks that deferred jobs had.
+        self._deferred_by_id: dict[str, _Mark] = {}
         self._next_prune_at = 0.0
 
     def may_have_begun(self, job_id: str) -> bool:
@@ -39,18 +41,24 @@
     def note_sent(self, job_id: str, call: int, now: float) -> None:
         """Record that a job is about to be sent."""
         is_sole = job_id not in self._mark_by_id
+        self._deferred_by_id.pop(job_id, None)
         self._mark_by_id[job_id] = _Mark(now, call if is_sole else 0)
 
     def note_deferred(self, job_id: str, call: int) -> None:
-        """Record that the leader has not begun the job of a call."""
+        """Record that the leader has not begun the job of a call.
+
+        It has deferred or refused it.
+        """
         mark = self._mark_by_id.get(job_id)
         if mark is not None and mark.sole_call == call:
-            del self._mark_by_id[job_id]
+            self._deferred_by_id[job_id] = self._mark_by_id.pop(job_id)
 
     def note_announced(self, job_ids: Iterable[str], now: float) -> None:
         """Record that the leader may begin jobs from now on."""
         for job_id in job_ids:
-            self._mark_by_id[job_id] = _Mark(now, 0)
+            deferred = self._deferred_by_id.pop(job_id, None)
+            sole_call = deferred.sole_call if deferred is not None else 0
+            self._mark_by_id[job_id] = _Mark(now, sole_call)
 
     def keep(self, job_ids: Iterable[str], now: float) -> None:
         """Extend the marks of jobs for which calls wait."""
@@ -67,9 +75,10 @@
         """Remove the marks of jobs that can't run any more."""
         self._next_prune_at = now + _RETENTION_S / 4
         oldest = now - _RETENTION_S
-        for job_id, mark in list(self._mark_by_id.items()):
-            if mark.marked_at < oldest:
-                del self._mark_by_id[job_id]
+        for mark_by_id in (self._mark_by_id, self._deferred_by_id):
+            for job_id, mark in list(mark_by_id.items()):
+                if mark.marked_at < oldest:
+                    del mark_by_id[job_id]
 
     def job_ids(self) -> tuple[str, ...]:
         """Return all jobs that may have begun."""
--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -281,6 +281,8 @@
             if self._begun_jobs.is_prune_due(now):
                 self._prune_begun_jobs(now)
             pending = self._pending_by_call.pop(answer.call, None)
+            if pending is not None and answer.outcome in _NOT_BEGUN:
+                self._begun_jobs.note_deferred(pending.job_id, answer.call)
         if pending is not None:
             pending.future.set_result(answer)
 
--- a/baobabgap/leaderlink/tests/test_begun_jobs.py
+++ b/baobabgap/leaderlink/tests/test_begun_jobs.py
@@ -60,6 +60,14 @@
                 True,
                 (sent(1), deferred(1), announced(), sent(2), deferred(2)),
             ),
+            'announced, then refused': (
+                False,
+                (sent(1), deferred(1), announced(), deferred(1)),
+            ),
+            'announced late': (
+                True,
+                (sent(1), deferred(1), sent(2), announced(), deferred(2)),
+            ),
             'old': (False, (sent(1), pruned(20.1))),
             'announced lately': (
                 True,
