--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
+import threading
 from typing import Any
 
 from baobabgap.accepted import JobEnd
@@ -32,6 +34,9 @@
 class LeadershipLost:
     """This host no longer leads."""
 
+    # Set once all waiting calls are answered.
+    handled: threading.Event = field(default_factory=threading.Event)
+
 
 @dataclass(frozen=True, slots=True)
 class CallArrived:
