--- a/baobabgap/daemon/_run.py
+++ b/baobabgap/daemon/_run.py
@@ -13,7 +13,7 @@
 from baobabgap.settings import Role
 from baobabgap.settings import Settings
 from baobabgap.standin import StandInUpstream
-from baobabgap.timeline import start_logging
+from baobabgap.telemetry import start_logging
 
 
 class RoleProcess(Protocol):
--- a/baobabgap/telemetry/_bounded_sink.py
+++ b/baobabgap/telemetry/_bounded_sink.py
@@ -45,7 +45,7 @@
         self._report_fields.update(fields)
 
     def __call__(self, message: dict[str, Any]) -> None:
-        """Queue one message, or drop it; never blocks."""
+        """Queue one eliot message, or drop it; never blocks."""
         if not self._take_token():
             self._dropped_count += 1
             return
--- a/baobabgap/telemetry/_logs.py
+++ b/baobabgap/telemetry/_logs.py
@@ -1,46 +1,41 @@
-"""Events of this process, sent to the destination that it has chosen."""
+"""Structured logs: one JSON line per event, written by eliot."""
 
-from collections.abc import Callable
+from pathlib import Path
 import sys
-import time
 from typing import Any
 
-from baobabgap.telemetry._bounded_sink import BoundedSink
-
-EventWriter = Callable[[str, dict[str, Any]], None]
-
-
-def _discard(event: str, fields: dict[str, Any]) -> None:
-    """Discard an event of a process that does not log."""
+from eliot import add_destinations
+from eliot import add_global_fields
+from eliot import FileDestination
+from eliot import log_message
 
+from baobabgap.telemetry._bounded_sink import BoundedSink
 
-class _ProcessLog:
-    """The destination of the events of this process."""
-
-    write: EventWriter = staticmethod(_discard)
 
+def start_logging(log_file: str, process: str, role: str) -> None:
+    """Send all log messages of this process to a file or standard error.
 
-def send_events_to(writer: EventWriter) -> None:
-    """Have `writer` get the name and the fields of each event."""
-    _ProcessLog.write = staticmethod(writer)
+    Every line names the process so that the lines of several files can
+    be merged into one timeline.
+    """
+    add_global_fields(process=process, role=role)
+    if log_file:
+        Path(log_file).parent.mkdir(parents=True, exist_ok=True)
+        stream: Any = open(log_file, 'ab', buffering=0)
+    else:
+        stream = sys.stderr
+    add_destinations(FileDestination(file=stream))
 
 
 def start_bounded_logging(process: str, role: str) -> BoundedSink:
-    """Write events to standard output without blocking."""
+    """Write log messages to standard output without blocking."""
     sink = BoundedSink(sys.stdout.buffer)
     sink.add_fields(process=process, role=role)
-
-    def write(event: str, fields: dict[str, Any]) -> None:
-        fields['timestamp'] = time.time()
-        fields['message_type'] = event
-        fields['process'] = process
-        fields['role'] = role
-        sink(fields)
-
-    send_events_to(write)
+    add_global_fields(process=process, role=role)
+    add_destinations(sink)
     return sink
 
 
 def log_event(event: str, /, **fields: Any) -> None:
-    """Log one event; safe to call from any thread."""
-    _ProcessLog.write(event, fields)
+    """Log one event within the current eliot action, if there is one."""
+    log_message(message_type=event, **fields)
--- a/baobabgap/timeline/_timeline.py
+++ b/baobabgap/telemetry/_timeline.py
@@ -15,8 +15,8 @@
 from pathlib import Path
 from typing import Final
 
-from baobabgap.timeline._records import LogRecord
-from baobabgap.timeline._records import read_records
+from baobabgap.telemetry._records import LogRecord
+from baobabgap.telemetry._records import read_records
 
 _US_PER_MS: Final = 1000
 
--- a/baobabgap/timeline/tests/test_timeline.py
+++ b/baobabgap/telemetry/tests/test_timeline.py
@@ -12,9 +12,9 @@
 from eliot import Logger
 from eliot import start_action
 
-from baobabgap.timeline import read_records
-from baobabgap.timeline import summarize_jobs
-from baobabgap.timeline import Timeline
+from baobabgap.telemetry import read_records
+from baobabgap.telemetry import summarize_jobs
+from baobabgap.telemetry import Timeline
 
 _JOB = 'kurek.1764800000000.heat-4'
 
--- a/baobabgap/tool/_timeline_action.py
+++ b/baobabgap/tool/_timeline_action.py
@@ -7,11 +7,11 @@
 
 from baobabgap._exceptions import InvalidInput
 from baobabgap.jobs import JobIdentifier
-from baobabgap.timeline import JobSummary
-from baobabgap.timeline import read_records
-from baobabgap.timeline import summarize_jobs
-from baobabgap.timeline import Timeline
-from baobabgap.timeline import TimelineEvent
+from baobabgap.telemetry import JobSummary
+from baobabgap.telemetry import read_records
+from baobabgap.telemetry import summarize_jobs
+from baobabgap.telemetry import Timeline
+from baobabgap.telemetry import TimelineEvent
 from baobabgap.tool._exit import ExitCode
 from baobabgap.tool._exit import ToolError
 from baobabgap.tool._tables import render_table
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -16,7 +16,7 @@
 from typing import Final
 
 from baobabgap import ConnectionLost
-from baobabgap.timeline import read_records
+from baobabgap.telemetry import read_records
 from baobabgap.webclient import WebClient
 
 _START_LIMIT_S: Final = 30.0
