--- a/baobabgap/leaderlink/_outage.py
+++ b/baobabgap/leaderlink/_outage.py
@@ -10,7 +10,7 @@
 import math
 from typing import Final
 
-from baobabgap.accepted import Step
+from baobabgap.jobmodel import Step
 from baobabgap.protocol import QueueObjective
 
 # Seconds after the loss of a leader within which calls wait for the next one;
