--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -331,7 +331,7 @@
             upstreams=len(pool.target_by_name),
             returning_upstreams=returning,
             retry_after_ms=refusal.retry_after_ms,
-            overrun_s=round(max(admission_input.overrun_s, -9.0), 3),
+            overrun_s=round(max(admission_input.overrun_s, 0.0), 3),
             usable_cores=round(cores, 1),
             **_share_fields(shares.share_by_queue(cores, now)[job.queue]),
         )
--- a/baobabgap/scheduling/_admission.py
+++ b/baobabgap/scheduling/_admission.py
@@ -75,10 +75,9 @@
     # How long it may wait and still be worth running.
     late_patience_s: float
     # By how much a job that can be on time would start too late if this one
-    # is admitted; negative if all can start in time.
+    # is admitted; negative if all can start in time, or if the job's queue
+    # has had no more than it is due.
     overrun_s: float = -math.inf
-    # Whether the job's queue has had no more than it is due.
-    is_due: bool = True
 
     @classmethod
     def from_queue(
@@ -100,7 +99,7 @@
         plan: JobPlan,
         cores: float,
     ) -> 'AdmissionInput':
-        """Add what the job does to others, and what its queue is due.
+        """Add what the job does to others if its queue has had its share.
 
         Without contention or priorities, or for a job that is late already,
         the input stays as it is.
@@ -108,10 +107,10 @@
         is_contended = len(queue) > 0 and self.on_time_patience_s > 0
         if not cores or not is_contended or not shares.has_priorities:
             return self
+        if shares.is_due(plan, cores):
+            return self
         return replace(
-            self,
-            overrun_s=queue.overrun_s(plan, cores, _PATIENCE_PART),
-            is_due=shares.is_due(plan, cores),
+            self, overrun_s=queue.overrun_s(plan, cores, _PATIENCE_PART)
         )
 
 
@@ -145,7 +144,7 @@
     wait_s = admission_input.total_core_s / cores
     if ahead_s <= max(admission_input.on_time_patience_s, _NEGLIGIBLE_WAIT_S):
         # A job that is late already is served too if it need not wait.
-        if admission_input.overrun_s <= 0 or admission_input.is_due:
+        if admission_input.overrun_s <= 0:
             return None
         return Refusal(
             retry_after(
