--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -437,7 +437,7 @@
             returning_upstreams=returning,
             retry_after_ms=refusal.retry_after_ms,
             may_have_begun=plan.may_have_begun,
-            overrun_s=round(max(admission_input.overrun_s, -9.0), 3),
+            overrun_s=round(max(admission_input.overrun_s, 0.0), 3),
             usable_cores=round(cores, 1),
             **_share_fields(shares.share_by_queue(cores, now).get(job.queue)),
         )
