--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -4,11 +4,11 @@
 from collections.abc import Iterator
 from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
+import secrets
 import threading
 import traceback
 from typing import Any
 from typing import Final
-import uuid
 
 from baobabgap._exceptions import BaobabgapError
 from baobabgap._exceptions import ConnectionLost
@@ -67,7 +67,7 @@
         self, settings: Settings, options: ControlNodeOptions
     ) -> None:
         self._settings: Final = settings
-        self._incarnation = uuid.uuid4().hex[:16]
+        self._incarnation = secrets.token_hex(8)
         self._pool = ThreadPoolExecutor(_MAX_THREADS, 'control')
         self.metrics: Final = Metrics()
         self.metrics.add_source(PROCESS_TRAFFIC.as_metrics)
--- a/baobabgap/leaderlink/_guide.py
+++ b/baobabgap/leaderlink/_guide.py
@@ -5,8 +5,8 @@
 
 from collections.abc import Callable
 from concurrent.futures import Executor
+import secrets
 from typing import Final
-import uuid
 
 from baobabgap._exceptions import BaobabgapError
 from baobabgap._exceptions import ConnectionLost
@@ -39,7 +39,7 @@
         hello = Hello(
             settings.name,
             ENTRY_ROLE,
-            uuid.uuid4().hex[:16],
+            secrets.token_hex(8),
             availability_zone=settings.place.availability_zone,
         )
         self._listener = Listener(
