Serve calls by the threads that run if the host has no room for more

Cause: threads are started while serving now, and a failure would have ended the acceptance of that connection. It is logged, and the connection waits for one of the other threads; a test lets all further starts fail.

--- a/baobabgap/web/_threads.py
+++ b/baobabgap/web/_threads.py
@@ -8,6 +8,8 @@
 from cheroot.workers.threadpool import ThreadPool
 from cheroot.workers.threadpool import WorkerThread
 
+from baobabgap.telemetry import log_event
+
 
 class GrowingThreadPool(ThreadPool):
     """Starts a thread for a connection only if all others are busy.
@@ -38,11 +40,20 @@
         with self._lock:
             self._unfinished += 1
             if len(self._threads) < min(self._unfinished, self.max):
-                worker = _new_worker(self.server)
-                worker.start()
-                self._threads.append(worker)
+                self._start_thread()
         super().put(obj)
 
+    def _start_thread(self) -> None:
+        worker = _new_worker(self.server)
+        try:
+            worker.start()
+        except RuntimeError as error:
+            # The host has no room for another thread: the connection waits
+            # for one of those that run.
+            log_event('server_thread_not_started', error=str(error))
+            return
+        self._threads.append(worker)
+
     def _take(self) -> Any:
         """Return the next connection, once the last one is served."""
         thread = threading.get_ident()
--- a/baobabgap/web/tests/test_threads.py
+++ b/baobabgap/web/tests/test_threads.py
@@ -6,6 +6,9 @@
 import time
 from typing import Any
 import unittest
+from unittest.mock import patch
+
+from cheroot.workers.threadpool import WorkerThread
 
 from baobabgap.web import WebServer
 from baobabgap.webclient import WebClient
@@ -78,6 +81,16 @@
         )
         self.assertEqual(_MOST_THREADS, len(self.application.threads))
 
+    def test_calls_are_served_if_no_more_threads_can_be_started(self) -> None:
+        self.application.released.set()
+        self.assertEqual(200, self.call())
+        with patch.object(
+            WorkerThread, 'start', side_effect=RuntimeError('no room')
+        ):
+            calls = [self.pool.submit(self.call) for _ in range(5)]
+            for call in calls:
+                self.assertEqual(200, call.result(_TIMEOUT_S))
+
     def test_reuses_a_thread_that_has_served(self) -> None:
         self.application.released.set()
         for _ in range(20):
