Count returning upstreams without a look at each in quiet times

The estimate of the upstreams that return after an election looked at all targets for each job of the first second; it does so now only while a zone is evacuated. Ruled out: a count kept by zone (more state for one second).

Before: a sum over all targets each time; after: their number. The tests of dispatch/tests/test_evacuations (three hosts, decisions) and test_takeover were run on it before this commit.

--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -188,10 +188,13 @@
             len(pool.target_by_name) for pool in self.pool_by_service.values()
         )
         missing = len(self.view_by_name) - targets
-        known_of_service = sum(
-            not self.is_evacuated(target.availability_zone)
-            for target in self.pool_by_service[service].target_by_name.values()
-        )
+        target_by_name = self.pool_by_service[service].target_by_name
+        known_of_service = len(target_by_name)
+        if self.version_by_evacuated_zone:
+            known_of_service -= sum(
+                self.is_evacuated(target.availability_zone)
+                for target in target_by_name.values()
+            )
         return missing * known_of_service // max(1, targets)
 
     def _queue_of(self, plan: JobPlan) -> StartQueue:
