Tell the speed of upstreams apart from the run times of queues

Cause: a queue's ratio was learned over all kinds of upstreams. Since jobs are placed by speed, a queue that mostly runs on slow upstreams took their slowness for its own, and they seemed fast (1.39 for 2.43).

--- a/baobabgap/scheduling/_run_times.py
+++ b/baobabgap/scheduling/_run_times.py
@@ -12,23 +12,28 @@
 class RunTimes:
     """Moving averages of the ratio of observed to predicted run time.
 
-    One average per queue corrects the submitters' estimates over all kinds
-    of upstreams. One per kind of upstream compares its run times with
-    those that the queue's average predicts.
+    One average per queue corrects the submitters' estimates. One per kind
+    of upstream compares its run times with those that the queue's average
+    predicts. Each is updated with what the other leaves unexplained, as
+    queues may mostly run on one kind; the average run has slowness 1.
     """
 
     def __init__(self) -> None:
         self._ratio_by_queue: dict[str, float] = {}
         self._slowness_by_kind: dict[str, float] = {}
+        self._mean_slowness = 1.0
 
     def slowness(self, kind: str) -> float:
         """Return the run time factor of a kind of upstream; 1 is average."""
-        return self._slowness_by_kind.get(kind, 1.0)
+        if kind not in self._slowness_by_kind:
+            return 1.0
+        return self._slowness_by_kind[kind] / self._mean_slowness
 
     def expected_s(self, queue: str, estimate_ms: int) -> float:
         """Return the expected run time in seconds on a healthy upstream."""
         estimate_s = estimate_ms / 1000 if estimate_ms else _DEFAULT_ESTIMATE_S
-        return estimate_s * self._ratio_by_queue.get(queue, 1.0)
+        ratio = self._ratio_by_queue.get(queue, 1.0)
+        return estimate_s * ratio * self._mean_slowness
 
     def observe(
         self, queue: str, kind: str, estimate_ms: int, run_s: float
@@ -37,8 +42,12 @@
         estimate_s = estimate_ms / 1000 if estimate_ms else _DEFAULT_ESTIMATE_S
         ratio = run_s / max(estimate_s, _MIN_ESTIMATE_S)
         expected = self._ratio_by_queue.get(queue, 1.0)
-        _update_average(self._ratio_by_queue, queue, ratio)
+        slowness = self._slowness_by_kind.get(kind, 1.0)
+        _update_average(self._ratio_by_queue, queue, ratio / slowness)
         _update_average(self._slowness_by_kind, kind, ratio / expected)
+        self._mean_slowness += _SMOOTHING_FACTOR * (
+            slowness - self._mean_slowness
+        )
 
 
 def _update_average(
