--- a/baobabgap/wire/tests/test_schemas.py
+++ b/baobabgap/wire/tests/test_schemas.py
@@ -17,9 +17,11 @@
 from pydantic_core import ValidationError
 
 from baobabgap import accepted
+from baobabgap import control
 from baobabgap import messages
 from baobabgap import protocol
 from baobabgap import queues
+from baobabgap import replication
 from baobabgap.jobs import TaskSize
 from baobabgap.wire._codec import registered_classes
 from baobabgap.wire._schemas import NotPlain
@@ -43,7 +45,14 @@
 class PlainSchemasTest(unittest.TestCase):
     def setUp(self) -> None:
         # These packages register their messages when they are imported.
-        self.assertTrue(accepted and messages and protocol and queues)
+        self.assertTrue(
+            accepted
+            and control
+            and messages
+            and protocol
+            and queues
+            and replication
+        )
 
     def test_only_messages_with_limits_need_pydantic(self) -> None:
         refused = set()
