Let the end of an earlier submission's run start nothing

Cause: a volatile job whose caller leaves is cancelled and its runs are stopped; submitted again, it is a new plan that starts elsewhere. The end of the old run, or its loss, was applied to the new plan: its task was queued again while it ran, and had two runs at once. A job was also started again while its stopped run still ran.

Now an end counts as the current one only on the agent where the task runs, and a task whose earlier run is still there waits for its end.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -309,7 +309,9 @@
             self._runs.remove(view, row.task)
         found = self._term_state.find(row.task)
         if found is not None:
-            self._apply_end(view, row, *found, is_current=run is not None)
+            # A job that was submitted again may run elsewhere by now.
+            is_current = run is not None and found[1].upstream == view.name
+            self._apply_end(view, row, *found, is_current=is_current)
         elif self._may_be_submitted(row.task.job_id):
             self._term_state.orphans.add_end(row, time.monotonic())
 
--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -411,9 +411,23 @@
             else:
                 self._runs.remove(view, row.task)
                 self._runs.add(view, *found, row.run, was_found=True)
+        self._await_earlier_runs(plan)
         if plan.is_done:
             self._closer.close(JobEnd(job_id, JobState.COMPLETED))
 
+    def _await_earlier_runs(self, plan: JobPlan) -> None:
+        """Start no task whose run of an earlier submission still stops.
+
+        Its end lets the task start.
+        """
+        for view in self._term_state.view_by_name.values():
+            if not view.run_by_task:
+                continue
+            for task_id, task in plan.task_by_id.items():
+                run = view.run_by_task.get(task_id)
+                if run is not None and not task.upstream:
+                    plan.note_started(task, view.name, run.number)
+
     def _activate(self, plan: JobPlan) -> None:
         """Make a job's tasks available for starts."""
         job = plan.job
--- a/baobabgap/dispatch/_run_tracker.py
+++ b/baobabgap/dispatch/_run_tracker.py
@@ -93,7 +93,9 @@
             plan, task = found
             if reason in _SUSPICIOUS_REASONS:
                 task.avoided.add(view.name)
-            plan.requeue(task)
+            if task.upstream == view.name:
+                # Else the job was submitted again and runs elsewhere.
+                plan.requeue(task)
 
     def drop_all(self, view: AgentView, reason: str) -> None:
         """Drop all runs of an upstream."""
--- a/baobabgap/dispatch/tests/test_late_jobs.py
+++ b/baobabgap/dispatch/tests/test_late_jobs.py
@@ -7,7 +7,9 @@
 
 from baobabgap.accepted import AcceptedState
 from baobabgap.accepted import Demand
+from baobabgap.accepted import TaskId
 from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch._agent_view import Run
 from baobabgap.dispatch._call_handler import CallHandler
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._start_deferral import StartDeferral
@@ -193,6 +195,19 @@
         plan.note_started(next(iter(plan.task_by_id.values())), 'agent', 1)
         self.assertIsNone(self.give_up_after(USEFUL_END_S + 1))
 
+    def test_job_waits_for_a_run_of_its_earlier_submission(self) -> None:
+        """Its caller left, and the run has yet to stop."""
+        self.end_takeover()
+        view = self.term_state.view_by_name['a'] = AgentView('a')
+        task_id = TaskId('a', 0, 0)
+        view.run_by_task[task_id] = Run(task_id, 7, Demand(), 0.0, 0.1)
+        self.submit()
+        plan = self.term_state.plan_by_id['a']
+        self.assertFalse(plan.has_waiting)
+        plan.requeue(plan.task_by_id[task_id])
+        self.assertTrue(plan.has_waiting)
+        self.assertEqual(7, plan.task_by_id[task_id].last_run)
+
     def test_calls_of_jobs_that_have_not_begun_when_the_term_ends(
         self,
     ) -> None:
