--- a/baobabgap/scheduling/_look_ahead.py
+++ b/baobabgap/scheduling/_look_ahead.py
@@ -19,6 +19,8 @@
 # Shortest expected wait in seconds during which gaps are filled. Before the
 # end of a shorter one, the capacity is better left to the step that waits.
 _SHORTEST_FILLED_WAIT_S: Final = 0.05
+# Largest demand that fills gaps, as a share of the demand that waits.
+_LARGEST_FILLER_SHARE: Final = 0.4
 # Seconds for which an expectation of what a step waits for is used.
 _EXPECTATION_AGE_S: Final = 0.02
 # Passes after which one looks at the waiting steps, even if there is no room
@@ -54,6 +56,16 @@
         valid_until = max(self.fits_at, self.made_at + _EXPECTATION_AGE_S)
         return is_its and now <= valid_until
 
+    def leaves_gap_for(self, demand: Demand) -> bool:
+        """Return whether a demand is so much smaller that gaps are its place.
+
+        Among like demands, filling gaps only lets the later task go first.
+        """
+        return (
+            demand.cpu_millicores
+            <= _LARGEST_FILLER_SHARE * self.demand.cpu_millicores
+        )
+
     def is_long(self, now: float) -> bool:
         """Return whether the wait is long enough to fill gaps meanwhile."""
         return self.fits_at - now >= _SHORTEST_FILLED_WAIT_S
--- a/baobabgap/scheduling/_planner.py
+++ b/baobabgap/scheduling/_planner.py
@@ -166,6 +166,10 @@
         if most_slowness == math.inf and claim.most_slowness < math.inf:
             # A late job must not take what others need to be on time.
             return
+        if claim.most_slowness == math.inf and not claim.leaves_gap_for(
+            demand_of(waiting_step)
+        ):
+            return
         beside = replace(
             self,
             may_start=lambda target: (
