--- a/baobabgap/dispatch/tests/test_resubmission.py
+++ b/baobabgap/dispatch/tests/test_resubmission.py
@@ -11,6 +11,7 @@
 from baobabgap.accepted import TaskId
 from baobabgap.dispatch._agent_handler import AgentHandler
 from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch._evacuations import Evacuations
 from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch._term_state import TermState
@@ -43,6 +44,7 @@
             self.runs,
             Mock(),
             Mock(),
+            Evacuations(self.term_state),
             state,
             Mock(),
             LeaseTiming(),
