Fill gaps with like demands only while little waits

Gaps are open to like demands while less than 0.1 s of work of all open cores waits, to much smaller ones always.

test_contention (13) and test_look_ahead (17) passed, one run each, beside other load.

--- a/baobabgap/scheduling/_planner.py
+++ b/baobabgap/scheduling/_planner.py
@@ -27,6 +27,8 @@
 from baobabgap.scheduling._target_pool import TargetPool
 from baobabgap.scheduling._targets import PlacementTarget
 
+# Seconds of work of all open cores that wait under contention.
+_CONTENDED_S: Final = 0.1
 # A target is made idle only for a task that can wait this long, seconds.
 _SHORTEST_RESERVED_PATIENCE_S: Final = 1.0
 
@@ -166,7 +168,7 @@
         if most_slowness == math.inf and claim.most_slowness < math.inf:
             # A late job must not take what others need to be on time.
             return
-        if claim.most_slowness == math.inf and not claim.leaves_gap_for(
+        if self._is_contended() and not claim.leaves_gap_for(
             demand_of(waiting_step)
         ):
             return
@@ -181,6 +183,11 @@
             self.pool.look_ahead.starts_beside += 1
             yield replace(placement, claim=claim)
 
+    def _is_contended(self) -> bool:
+        """Return whether more waits than the upstreams run in a moment."""
+        waiting_core_s = self.queue.on_time_core_s
+        return waiting_core_s > _CONTENDED_S * self.pool.open_cores
+
     def _place_step(
         self, waiting_step: WaitingStep, most_slowness: float
     ) -> Iterator[Placement]:
