--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -300,6 +300,8 @@
         deployment = self.deployment
         deployment.submit('a', step(1), volatile=True).result(WAIT_S)
         deployment.upstreams[0].is_silent = True
+        # A busy machine may have cost the first one its leadership.
+        wait_until(lambda: deployment.leader is not None, 'a leader')
         leader = deployment.leader
         assert leader is not None
         leader.stop()
