Guard jobs that are sent again with control hosts as processes

The deployment with watched upstreams moves from test_leader_loss to a module of its own, unchanged but for a wait between the answer to a stop and its effect; the assertions of test_leader_loss are the same.

--- a/tools/tests/test_leader_loss.py
+++ b/tools/tests/test_leader_loss.py
@@ -1,58 +1,28 @@
-"""What callers get while the leader is killed or frozen.
-
-Control hosts are processes with the timing of the platform; entries, agents
-and upstreams run here.
-"""
+"""What callers get while the leader is killed or frozen."""
 
 from collections.abc import Callable
 from concurrent.futures import Future
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
-from pathlib import Path
 import signal
-import tempfile
 import threading
 import time
 from typing import Final
 import unittest
-import uuid
 
-from baobabgap.accepted import TaskId
-from baobabgap.dispatch.tests.deployment import describe_upstream
 from baobabgap.dispatch.tests.deployment import PREFIX
 from baobabgap.dispatch.tests.deployment import QUEUE_HOST
 from baobabgap.dispatch.tests.deployment import step
-from baobabgap.dispatch.tests.deployment import wait_until
-from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
-from baobabgap.leaderlink import LeaderCalls
-from baobabgap.leaderlink import LeaderLink
-from baobabgap.messages import Hello
-from baobabgap.protocol import AGENT_ROLE
 from baobabgap.protocol import CallAnswer
 from baobabgap.protocol import CallOutcome
-from baobabgap.protocol import ENTRY_ROLE
-from baobabgap.protocol import LeaseTiming
-from baobabgap.protocol import RunOrder
 from baobabgap.protocol import SubmitJob
-from baobabgap.settings import Links
-from baobabgap.telemetry import Metrics
-from baobabgap.transport import LinkTiming
-from baobabgap.upstreams import RunAgent
-from baobabgap.upstreams import StartOutcome
-from tools.job_history._control_group import ControlGroup
 from tools.job_history._control_group import ControlProcess
+from tools.tests.watched_deployment import ROOM
+from tools.tests.watched_deployment import RUN_MS
+from tools.tests.watched_deployment import WatchedDeploymentTest
 
-_LINKS: Final = Links(heartbeat_s=0.1, silence_s=0.4)
-_ELECTION_TIMEOUT_S: Final = 0.25
-_AGENTS: Final = 4
-_ENTRIES: Final = 2
-_CORES: Final = 4
-# Duration of each task, and the objective of its job.
-_RUN_MS: Final = 500
-_OBJECTIVE_S: Final = (1.6 * _RUN_MS + 60) / 1000
+# The objective of each job.
+_OBJECTIVE_S: Final = (1.6 * RUN_MS + 60) / 1000
 _DEADLINE_S: Final = 10.0
-# Jobs of one task a second that the upstreams can run.
-_ROOM: Final = _AGENTS * _CORES * 1000 / _RUN_MS
 # When the leader is lost, after the start of the load, and when calls end.
 _LOSS_S: Final = 1.5
 _END_S: Final = 4.0
@@ -64,27 +34,6 @@
 _WANTED_SHARE: Final = 0.65
 
 
-class WatchedUpstream(FakeUpstream):
-    """Records tasks that start while they run on another upstream."""
-
-    def __init__(self, others: list['WatchedUpstream']) -> None:
-        super().__init__(run_ms=_RUN_MS)
-        self._others = others
-        self.doubled: list[TaskId] = []
-
-    def carry_out(
-        self, order: RunOrder, fence: int, lease_until_ms: int
-    ) -> StartOutcome:
-        outcome = super().carry_out(order, fence, lease_until_ms)
-        if outcome is StartOutcome.STARTED and any(
-            order.task in other.running
-            for other in self._others
-            if other is not self
-        ):
-            self.doubled.append(order.task)
-        return outcome
-
-
 @dataclass(frozen=True, slots=True)
 class Served:
     """A call and what its caller was told; seconds since the load began."""
@@ -101,65 +50,15 @@
         return is_completed and self.taken_s <= _OBJECTIVE_S
 
 
-class LeaderLossTest(unittest.TestCase):
-    def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.group = self.enterContext(
-            ControlGroup(Path(folder.name), 3, _LINKS, _ELECTION_TIMEOUT_S)
-        )
-        self.pool = ThreadPoolExecutor(1024)
-        self.addCleanup(self.pool.shutdown, wait=False, cancel_futures=True)
-        self.upstreams: list[WatchedUpstream] = []
-        self.upstreams += [
-            WatchedUpstream(self.upstreams) for _ in range(_AGENTS)
-        ]
-        self.entries = [LeaderCalls() for _ in range(_ENTRIES)]
-        for number, calls in enumerate(self.entries):
-            self._link(f'entry-{number}', ENTRY_ROLE, calls.session)
-        self.agent_links: list[LeaderLink] = []
-        for number, upstream in enumerate(self.upstreams):
-            agent = RunAgent(upstream, LeaseTiming(), self.pool, Metrics())
-            agent.announce(describe_upstream(number, 1, _CORES))
-            agent.start()
-            self.addCleanup(agent.stop)
-            self.agent_links.append(
-                self._link(f'agent-{number}', AGENT_ROLE, agent.session)
-            )
-        wait_until(self._is_configured, 'a configuration')
-        wait_until(
-            lambda: all(calls.is_linked for calls in self.entries), 'links'
-        )
-
-    def _link(
-        self, name: str, role: str, session: Callable[..., None]
-    ) -> LeaderLink:
-        hello = Hello(name, role, uuid.uuid4().hex[:16])
-        link = LeaderLink(
-            lambda: hello,
-            LinkTiming(_LINKS.heartbeat_s, _LINKS.silence_s),
-            self.pool,
-            lambda: self.group.addresses,
-            session,
-        )
-        link.start()
-        self.addCleanup(link.stop)
-        return link
-
-    def _is_configured(self) -> bool:
-        return any(
-            process.ask('put', 1)[0] == 'done'
-            for process in self.group.processes
-        )
-
+class LeaderLossTest(WatchedDeploymentTest):
     def _call(self, number: int, began_at: float) -> Served:
         """Call as an entry does for a client with this deadline."""
         job = f'{number:016x}'
         call = SubmitJob(
-            0, QUEUE_HOST, PREFIX + job, '', (step(1, _RUN_MS),), True
+            0, QUEUE_HOST, PREFIX + job, '', (step(1, RUN_MS),), True
         )
         sent_at = time.monotonic()
-        answer = self.entries[number % _ENTRIES].forward(
+        answer = self.entries[number % len(self.entries)].forward(
             call, 0.4 * _DEADLINE_S, 0.9 * _DEADLINE_S, lambda: False
         )
         taken_s = time.monotonic() - sent_at
@@ -186,10 +85,9 @@
                 self.pool.submit(self._call, len(futures), began_at)
             )
             share = share_before if at_s < _LOSS_S else share_after
-            at_s += 1 / (share * _ROOM)
+            at_s += 1 / (share * ROOM)
         served = [future.result(2 * _DEADLINE_S) for future in futures]
-        doubled = [task for up in self.upstreams for task in up.doubled]
-        self.assertEqual([], doubled)
+        self.assert_none_doubled()
         return served
 
     def assert_none_unknown_without_a_start(
