Let callers leave, and members restart, in job histories

The histories had callers that wait for each answer, and faults of control hosts and upstreams only, one agent and entry for the whole run, runs of 40 ms and stops with immediate effect. Two runs of a task at the same time after a caller has left need a run that goes on for a while.

Half of the calls for volatile jobs now end before the answer and are sent again to any entry, a third of the runs take 300 ms, a stop takes up to 50 ms, and a third series of faults, which overlaps the other two, kills and starts entries and agents and cuts agents off from the leader. Upstreams also restart with a late announcement.

--- a/tools/job_history/_callers.py
+++ b/tools/job_history/_callers.py
@@ -27,10 +27,16 @@
 from tools.job_history._records import ZoneOrder
 
 _ANSWER_TIMEOUT_S: Final = 3.0
+_ATTEMPTS: Final = 3
 _PAUSE_S: Final = 0.15
 _CANCELLED_SHARE: Final = 0.1
 _STORED_SHARE: Final = 0.6
 _HARMFUL_SHARE: Final = 0.03
+# The share of calls for volatile jobs whose caller leaves, for how long such
+# a caller waits, and the longest pause until the job is sent again, seconds.
+_LEAVING_SHARE: Final = 0.5
+_PATIENCE_S: Final = (0.01, 0.4)
+_LONGEST_RESEND_PAUSE_S: Final = 0.3
 # The longest pause between two evacuations, and the longest evacuation.
 _ZONE_PAUSE_S: Final = 0.5
 _EVACUATED_S: Final = 3.0
@@ -78,10 +84,16 @@
         call = SubmitJob(
             0, QUEUE_HOST, PREFIX + job, '', (step(tasks, 40),), not is_stored
         )
-        for _ in range(3):
+        for _ in range(_ATTEMPTS):
             entry = rng.choice(self._entries)
-            if self._call('submit', job, call, entry) not in _RETRIED_OUTCOMES:
+            is_leaving = not is_stored and rng.random() < _LEAVING_SHARE
+            patience_s = (
+                rng.uniform(*_PATIENCE_S) if is_leaving else _ANSWER_TIMEOUT_S
+            )
+            outcome = self._call('submit', job, call, entry, patience_s)
+            if outcome not in _RETRIED_OUTCOMES:
                 break
+            time.sleep(rng.uniform(0.0, _LONGEST_RESEND_PAUSE_S))
         if is_stored and rng.random() < _CANCELLED_SHARE:
             self.cancel(job, rng)
         elif is_stored:
@@ -130,6 +142,7 @@
         job: str,
         call: SubmitJob | ReadPath | CancelPath,
         entry: LeaderCalls,
+        patience_s: float = _ANSWER_TIMEOUT_S,
     ) -> CallOutcome:
         match call:
             case SubmitJob(is_volatile=False):
@@ -138,7 +151,7 @@
                 self._points.report(InjectionPoint.CANCEL)
         asked_at = time.monotonic()
         answer: CallAnswer = entry.forward(
-            call, _ANSWER_TIMEOUT_S, _ANSWER_TIMEOUT_S, lambda: False
+            call, _ANSWER_TIMEOUT_S, patience_s, lambda: False
         )
         self._history.add(
             Called(
--- a/tools/job_history/_faults.py
+++ b/tools/job_history/_faults.py
@@ -1,7 +1,6 @@
-"""Seeded random faults of control hosts and of upstreams."""
+"""Seeded random faults of control hosts, upstreams, agents and entries."""
 
 from collections import Counter
-from collections.abc import Callable
 import random
 import signal
 import threading
@@ -9,7 +8,7 @@
 
 from tools.job_history._control_group import ControlGroup
 from tools.job_history._control_group import ControlProcess
-from tools.job_history._recorded_upstream import RecordedUpstream
+from tools.job_history._deployment import Members
 
 # The range of a fault's duration.
 _MIN_FAULT_S: Final = 0.1
@@ -27,14 +26,12 @@
     def __init__(
         self,
         group: ControlGroup,
-        upstreams: list[RecordedUpstream],
-        announce: Callable[[int], None],
+        members: Members,
         seed: int,
     ) -> None:
         self._group = group
-        self._upstreams = upstreams
-        # Announces an upstream's new instance to its agent, by number.
-        self._announce = announce
+        self._members = members
+        self._upstreams = members.upstreams
         self._seed = seed
         self._lock = threading.Lock()
         self.counts: Counter[str] = Counter()
@@ -51,7 +48,21 @@
     def inject_upstream_faults(self, stopping: threading.Event) -> None:
         """Inject faults into upstreams until the run ends."""
         rng = random.Random(f'{self._seed} upstreams')
-        faults = (self._crash, self._silence, self._lose_answers)
+        faults = (
+            self._crash,
+            self._crash_unannounced,
+            self._silence,
+            self._lose_answers,
+        )
+        while not stopping.wait(rng.uniform(0.0, _MAX_PAUSE_S)):
+            fault = rng.choice(faults)
+            self._count(fault.__name__)
+            fault(rng)
+
+    def inject_member_faults(self, stopping: threading.Event) -> None:
+        """Inject faults into agents and entries until the run ends."""
+        rng = random.Random(f'{self._seed} members')
+        faults = (self._restart_entry, self._restart_agent, self._cut_agent)
         while not stopping.wait(rng.uniform(0.0, _MAX_PAUSE_S)):
             fault = rng.choice(faults)
             self._count(fault.__name__)
@@ -97,7 +108,33 @@
         number = rng.randrange(len(self._upstreams))
         upstream = self._upstreams[number]
         upstream.restart(upstream.born_ms + 1)
-        self._announce(number)
+        self._members.announce(number)
+
+    def _crash_unannounced(self, rng: random.Random) -> None:
+        """Crash an upstream whose next announcement comes late."""
+        number = rng.randrange(len(self._upstreams))
+        upstream = self._upstreams[number]
+        upstream.restart(upstream.born_ms + 1)
+        _pause(rng)
+        self._members.announce(number)
+
+    def _restart_entry(self, rng: random.Random) -> None:
+        number = rng.randrange(len(self._members.entries))
+        self._members.kill_entry(number)
+        _pause(rng)
+        self._members.start_entry(number)
+
+    def _restart_agent(self, rng: random.Random) -> None:
+        number = rng.randrange(len(self._upstreams))
+        self._members.kill_agent(number)
+        _pause(rng)
+        self._members.start_agent(number)
+
+    def _cut_agent(self, rng: random.Random) -> None:
+        number = rng.randrange(len(self._upstreams))
+        self._members.cut_agent(number)
+        _pause(rng)
+        self._members.connect_agent(number)
 
     def _silence(self, rng: random.Random) -> None:
         upstream = rng.choice(self._upstreams)
--- a/tools/job_history/_recorded_upstream.py
+++ b/tools/job_history/_recorded_upstream.py
@@ -24,6 +24,11 @@
 _FAILURE_SHARE: Final = 0.03
 
 
+# Durations of runs, milliseconds, and how many runs have each.
+_RUN_MS: Final = (40, 300)
+_RUN_MS_WEIGHTS: Final = (2, 1)
+# The longest time from the answer to a stop to the end of the run, seconds.
+_MAX_STOP_S: Final = 0.05
 # Time from the start of a harmful task to the crash of its upstream, and for
 # which the upstream is down then.
 _CRASH_DELAY_S: Final = 0.005
@@ -73,7 +78,7 @@
         self._rng = random.Random(seed)
         # The share of starts that are not answered and are carried out late.
         self.lost_answer_share = 0.0
-        super().__init__(born_ms=1, run_ms=40)
+        super().__init__(born_ms=1)
 
     def start(
         self, instance: str, order: RunOrder, fence: int, lease_until_ms: int
@@ -100,6 +105,7 @@
     ) -> StartOutcome:
         with self._lock:
             before = len(self.starts)
+            self.run_ms = self._rng.choices(_RUN_MS, _RUN_MS_WEIGHTS)[0]
             outcome = super().carry_out(order, fence, lease_until_ms)
             if len(self.starts) > before:
                 record = RunRecord(
@@ -111,6 +117,25 @@
                     self._after(_CRASH_DELAY_S, self._crash)
             return outcome
 
+    def stop(self, instance: str, task: TaskId, run: int, fence: int) -> bool:
+        with self._lock:
+            held = self._running.get(task)
+            if held is None or held.run > run or self.is_refusing:
+                return super().stop(instance, task, run, fence)
+            born_ms = self.born_ms
+            self._after(
+                self._rng.uniform(0.0, _MAX_STOP_S),
+                lambda: self._stop_later(born_ms, instance, task, run, fence),
+            )
+            return fence >= self._fence
+
+    def _stop_later(
+        self, born_ms: int, instance: str, task: TaskId, run: int, fence: int
+    ) -> None:
+        with self._lock:
+            if self.born_ms == born_ms:
+                super().stop(instance, task, run, fence)
+
     def poll(
         self,
         instance: str,
--- a/tools/job_history/_run.py
+++ b/tools/job_history/_run.py
@@ -73,16 +73,19 @@
     def inject_faults(
         targets: FaultTargets, stopping: threading.Event
     ) -> None:
-        members = targets.members
-        faults = Faults(
-            targets.group, members.upstreams, members.announce, seed
-        )
-        upstream_thread = threading.Thread(
-            target=faults.inject_upstream_faults, args=(stopping,)
-        )
-        upstream_thread.start()
+        faults = Faults(targets.group, targets.members, seed)
+        threads = [
+            threading.Thread(target=inject, args=(stopping,))
+            for inject in (
+                faults.inject_upstream_faults,
+                faults.inject_member_faults,
+            )
+        ]
+        for thread in threads:
+            thread.start()
         faults.inject_control_faults(stopping)
-        upstream_thread.join()
+        for thread in threads:
+            thread.join()
         counts.update(faults.counts)
 
     result = run_with_faults(seed, [inject_faults], seconds)
