Ignore late announcements of an upstream's earlier life in the agent

Callers would see: a task that runs twice at the same time. The agent may learn from an answer to a poll that its upstream restarted under its identity, before the new life's first heartbeat. A late heartbeat or leave notice of the earlier life then replaced the new one: the agent reported its runs as crashed or gone while they ran, and the leader started them elsewhere.

Cause: announce() took whatever differed for newer. Now what an incarnation says that started before the current one of the same identity is logged and ignored; leave() says whose leave it is.

Evidence: on the code before, the test of the late announcement fails (RunsGone, 'crashed', born_ms 2, while the run goes on), and there is no leave(). After: both pass.

--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -167,6 +167,15 @@
         """Set what the upstream announces of itself; None if it has left."""
         with self._lock:
             current = self._upstream
+            if upstream is not None and self._is_earlier_life(
+                upstream.instance, upstream.born_ms
+            ):
+                log_event(
+                    'announcement_too_late',
+                    instance=upstream.instance,
+                    born_ms=upstream.born_ms,
+                )
+                return
             is_same = (
                 current is not None
                 and upstream is not None
@@ -196,6 +205,23 @@
                     self._report_upstream()
             self._poll_wakeup.notify_all()
 
+    def leave(self, instance: str, born_ms: int) -> None:
+        """Process that the incarnation that started at `born_ms` leaves."""
+        with self._lock:
+            if self._is_earlier_life(instance, born_ms):
+                log_event('leave_too_late', instance=instance, born_ms=born_ms)
+                return
+            self.announce(None)
+
+    def _is_earlier_life(self, instance: str, born_ms: int) -> bool:
+        """Return whether a later incarnation of it is the current one."""
+        current = self._upstream
+        return (
+            current is not None
+            and current.instance == instance
+            and born_ms < current.born_ms
+        )
+
     def session(
         self,
         connection: Connection,
--- /dev/null
+++ b/baobabgap/upstreams/tests/test_restarted_upstream.py
@@ -0,0 +1,130 @@
+"""Tests of the agent of an upstream that restarts under its identity.
+
+A run that the leader takes for ended too early is started elsewhere while it
+runs.
+"""
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+import time
+from typing import cast
+from typing import Final
+import unittest
+from unittest.mock import Mock
+
+from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import TaskId
+from baobabgap.protocol import FullReport
+from baobabgap.protocol import LeaderReady
+from baobabgap.protocol import LeaseTiming
+from baobabgap.protocol import RunOrder
+from baobabgap.protocol import StartRuns
+from baobabgap.protocol import UpstreamChanged
+from baobabgap.protocol import UpstreamState
+from baobabgap.telemetry import Metrics
+from baobabgap.transport import Connection
+from baobabgap.upstreams import RunAgent
+from baobabgap.upstreams.tests.test_run_agent import LeaderInMemory
+
+FENCE: Final = 3
+WAIT_S: Final = 20.0
+TASK: Final = TaskId('a', 0, 0)
+STATE: Final = UpstreamState(
+    'upstream-1',
+    1,
+    'desk',
+    'zone',
+    ('a', 'r1'),
+    Demand(4000, 4000, 0),
+    is_draining=False,
+    is_reachable=True,
+)
+
+
+def wait_until(condition: Callable[[], object], what: str) -> None:
+    give_up_at = time.monotonic() + WAIT_S
+    while not condition():
+        if time.monotonic() > give_up_at:
+            raise AssertionError(f'not within {WAIT_S} s: {what}')
+        time.sleep(0.002)
+
+
+class AgentTest(unittest.TestCase):
+    """An agent, its upstream and its leader in memory."""
+
+    def make_upstream(self) -> FakeUpstream:
+        return FakeUpstream(run_ms=60_000)
+
+    def setUp(self) -> None:
+        self.pool = ThreadPoolExecutor(16)
+        self.addCleanup(self.pool.shutdown, wait=False)
+        self.upstream = self.make_upstream()
+        self.agent = self.start_agent()
+        self.leader = self.link_leader(self.agent)
+        self.agent.announce(STATE)
+        wait_until(lambda: self.reported_start() == 1, 'a report')
+
+    def start_agent(self) -> RunAgent:
+        agent = RunAgent(self.upstream, LeaseTiming(), self.pool, Metrics())
+        agent.start()
+        self.addCleanup(agent.stop)
+        return agent
+
+    def link_leader(self, agent: RunAgent) -> LeaderInMemory:
+        leader = LeaderInMemory(acknowledges=True)
+        ready = Mock(LeaderReady, fence=FENCE)
+        connection = cast(Connection, leader)
+        self.pool.submit(agent.session, connection, ready, leader.messages())
+        self.addCleanup(leader.order, None)
+        return leader
+
+    def order(self, born_ms: int, run: int = 1) -> None:
+        """Order a run of the task once the leader grants authority."""
+        self.leader.has_granted.clear()
+        self.assertTrue(self.leader.has_granted.wait(WAIT_S))
+        time.sleep(0.05)
+        order = RunOrder(TASK, run, 'x', Demand(1000, 10, 0))
+        self.leader.order(StartRuns(FENCE, STATE.instance, born_ms, (order,)))
+
+    def reported_start(self) -> int | None:
+        """Return when the upstream started, as last reported; None if gone."""
+        for message in reversed(self.leader.reports):
+            match message:
+                case (
+                    FullReport(upstream=upstream)
+                    | UpstreamChanged(upstream=upstream)
+                ):
+                    return upstream.born_ms if upstream else None
+        return None
+
+
+class LateAnnouncementTest(AgentTest):
+    """The agent learns of the restart from an answer of the upstream."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.upstream.restart(2)
+        wait_until(lambda: self.reported_start() == 2, 'the next report')
+        self.order(2)
+        wait_until(lambda: self.upstream.running, 'a run')
+        wait_until(lambda: not self.agent.is_idle, 'a report of the run')
+
+    def assert_still_running(self) -> None:
+        time.sleep(0.5)
+        self.assertEqual(2, self.reported_start())
+        self.assertFalse(self.agent.is_idle)
+        self.assertEqual([], self.leader.gone)
+
+    def test_late_announcement_of_the_earlier_life_ends_no_run(self) -> None:
+        self.agent.announce(replace(STATE, is_draining=True))
+        self.assert_still_running()
+
+    def test_late_leave_of_the_earlier_life_ends_no_run(self) -> None:
+        self.agent.leave(STATE.instance, 1)
+        self.assert_still_running()
+
+
+if __name__ == '__main__':
+    unittest.main()
