Tie authority to renew leases to one life of the upstream

Callers would see: a task that runs twice at the same time. A grant is a time on the upstream's clock, which starts anew when the upstream restarts under its identity. One that an earlier life had asked for was taken for the next one: up for a minute before, the agent could renew leases for a minute after it had lost its leader, which takes them for lapsed after 4.2 s and starts the tasks elsewhere.

Cause: neither AuthorityRequest nor Authority said when the upstream had started. Both do now (born_ms, 0 by default, which is taken as before from a leader that doesn't state it), and the agent refuses a grant for another life.

Evidence: with the fields and without the comparison, the test's run still runs 3 s after the link has ended, although it was granted 1.5 s; with the comparison it has ended.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -177,7 +177,12 @@
         view.authority_granted_at = boottime_clock()
         until_ms = request.clock_ms + int(1000 * self._timing.authority_s)
         connection.send(
-            Authority(self._term_state.term, request.instance, until_ms)
+            Authority(
+                self._term_state.term,
+                request.instance,
+                until_ms,
+                request.born_ms,
+            )
         )
 
     def _handle_full_report(self, view: AgentView, report: FullReport) -> None:
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -290,6 +290,8 @@
     instance: str
     # The number of runs that the upstream lists.
     running: int
+    # Start of the instance whose clock was read, milliseconds since 1970.
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -299,6 +301,8 @@
     fence: int
     instance: str
     until_clock_ms: int
+    # As in the request; 0 from a leader that doesn't state it.
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -290,16 +290,30 @@
                 with self._lock:
                     if fence == self._fence:
                         self._zone_gate.note(message)
-            case Authority(
-                fence=fence, instance=instance, until_clock_ms=until_ms
+            case Authority():
+                self._handle_authority(message)
+
+    def _handle_authority(self, message: Authority) -> None:
+        with self._lock:
+            upstream = self._upstream
+            if (
+                message.fence != self._fence
+                or upstream is None
+                or upstream.instance != message.instance
             ):
-                with self._lock:
-                    upstream = self._upstream
-                    if fence == self._fence and (
-                        upstream is not None and upstream.instance == instance
-                    ):
-                        self._authority_until_ms = until_ms
-                        self._poll_wakeup.notify_all()
+                return
+            if message.born_ms not in (0, upstream.born_ms):
+                # It was counted from the clock of another incarnation.
+                log_event(
+                    'authority_refused',
+                    instance=message.instance,
+                    born_ms=message.born_ms,
+                    current_born_ms=upstream.born_ms,
+                    until_clock_ms=message.until_clock_ms,
+                )
+                return
+            self._authority_until_ms = message.until_clock_ms
+            self._poll_wakeup.notify_all()
 
     def _handle_starts(self, message: StartRuns) -> None:
         with self._lock:
@@ -800,6 +814,7 @@
                 self._clock.last_read_ms,
                 self._upstream.instance,
                 len(self._table.run_by_task),
+                self._upstream.born_ms,
             )
         )
 
--- a/baobabgap/upstreams/tests/test_restarted_upstream.py
+++ b/baobabgap/upstreams/tests/test_restarted_upstream.py
@@ -16,6 +16,8 @@
 from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
 from baobabgap.jobmodel import Demand
 from baobabgap.jobmodel import TaskId
+from baobabgap.protocol import Authority
+from baobabgap.protocol import AuthorityRequest
 from baobabgap.protocol import FullReport
 from baobabgap.protocol import LeaderReady
 from baobabgap.protocol import LeaseTiming
@@ -43,6 +45,33 @@
 )
 
 
+class GrantingLeader(LeaderInMemory):
+    """Grants authority for a short time, and keeps the requests for it."""
+
+    def __init__(self) -> None:
+        super().__init__(acknowledges=True, fence=FENCE)
+        self.requests: list[AuthorityRequest] = []
+
+    def _handle(self, message: object) -> None:
+        match message:
+            case AuthorityRequest():
+                self.requests.append(message)
+                self.grant(message)
+                self.has_granted.set()
+            case _:
+                super()._handle(message)
+
+    def grant(self, request: AuthorityRequest) -> None:
+        self.order(
+            Authority(
+                FENCE,
+                request.instance,
+                request.clock_ms + 1500,
+                request.born_ms,
+            )
+        )
+
+
 def wait_until(condition: Callable[[], object], what: str) -> None:
     give_up_at = time.monotonic() + WAIT_S
     while not condition():
@@ -72,8 +101,8 @@
         self.addCleanup(agent.stop)
         return agent
 
-    def link_leader(self, agent: RunAgent) -> LeaderInMemory:
-        leader = LeaderInMemory(acknowledges=True)
+    def link_leader(self, agent: RunAgent) -> GrantingLeader:
+        leader = GrantingLeader()
         ready = Mock(LeaderReady, fence=FENCE)
         connection = cast(Connection, leader)
         self.pool.submit(agent.session, connection, ready, leader.messages())
@@ -126,5 +155,27 @@
         self.assert_still_running()
 
 
+class EarlierAuthorityTest(AgentTest):
+    def make_upstream(self) -> FakeUpstream:
+        upstream = super().make_upstream()
+        # The upstream has been up for a minute.
+        upstream._began_at -= 60
+        return upstream
+
+    def test_authority_for_an_earlier_life_renews_no_lease(self) -> None:
+        """Cut off from its leader, the agent renewed the lease on and on."""
+        wait_until(lambda: self.leader.requests, 'a request')
+        earlier = self.leader.requests[-1]
+        self.upstream.restart(2)
+        wait_until(lambda: self.reported_start() == 2, 'the next report')
+        self.order(2)
+        wait_until(lambda: self.upstream.running, 'a run')
+        self.leader.grant(earlier)
+        # The link ends.
+        self.leader.order(None)
+        time.sleep(3.0)
+        self.assertEqual(set(), self.upstream.running)
+
+
 if __name__ == '__main__':
     unittest.main()
