Keep a stop order for a run whose start gets no answer

Callers would see: a cancelled or overdue task that goes on until it ends by itself, with its capacity, and a job submitted again that waits for it.

Cause: when a start call ended without an answer and a poll had listed the run meanwhile, _handle_start_outcome() cleared must_stop, also if the leader had ordered the stop; leaders order it once per link. Now it only sets it.

Evidence: the test waits 20 s in vain for the end of the run on the code before, and passes now.

--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -464,7 +464,7 @@
                 case StartOutcome.UNANSWERED:
                     # The upstream may still carry it out seconds later,
                     # unless a stop arrives first.
-                    run.must_stop = not run.is_confirmed
+                    run.must_stop = run.must_stop or not run.is_confirmed
                     run.reason = 'unanswered'
                     self._queue_due_stops()
                 case _:
--- a/baobabgap/upstreams/tests/test_restarted_upstream.py
+++ b/baobabgap/upstreams/tests/test_restarted_upstream.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
+import threading
 import time
 from typing import cast
 from typing import Final
@@ -22,7 +23,9 @@
 from baobabgap.protocol import LeaderReady
 from baobabgap.protocol import LeaseTiming
 from baobabgap.protocol import RunOrder
+from baobabgap.protocol import RunRow
 from baobabgap.protocol import StartRuns
+from baobabgap.protocol import StopRuns
 from baobabgap.protocol import UpstreamChanged
 from baobabgap.protocol import UpstreamState
 from baobabgap.telemetry import Metrics
@@ -177,5 +180,27 @@
         self.assertEqual(set(), self.upstream.running)
 
 
+class UnansweredStartTest(AgentTest):
+    def test_stop_of_a_run_whose_start_gets_no_answer(self) -> None:
+        """The stop was forgotten, and the run went on."""
+        is_stop_ordered = threading.Event()
+
+        def start_unanswered(order: RunOrder) -> bool:
+            self.upstream.carry_out(
+                order, FENCE, self.upstream.clock_ms + 1000
+            )
+            return is_stop_ordered.wait(WAIT_S)
+
+        self.upstream.leaves_unanswered = start_unanswered
+        self.order(1)
+        wait_until(lambda: self.upstream.running, 'a run')
+        time.sleep(0.6)
+        self.leader.order(StopRuns(FENCE, (RunRow(TASK, 1, True),)))
+        time.sleep(0.1)
+        is_stop_ordered.set()
+        wait_until(lambda: self.leader.ended_numbers, 'the end of the run')
+        self.assertEqual(set(), self.upstream.running)
+
+
 if __name__ == '__main__':
     unittest.main()
