--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -167,6 +167,15 @@
         """Set what the upstream announces of itself; None if it has left."""
         with self._lock:
             current = self._upstream
+            if upstream is not None and self._is_earlier_life(
+                upstream.instance, upstream.born_ms
+            ):
+                log_event(
+                    'announcement_too_late',
+                    instance=upstream.instance,
+                    born_ms=upstream.born_ms,
+                )
+                return
             is_same = (
                 current is not None
                 and upstream is not None
@@ -196,6 +205,23 @@
                     self._report_upstream()
             self._poll_wakeup.notify_all()
 
+    def leave(self, instance: str, born_ms: int) -> None:
+        """Process that the incarnation that started at `born_ms` leaves."""
+        with self._lock:
+            if self._is_earlier_life(instance, born_ms):
+                log_event('leave_too_late', instance=instance, born_ms=born_ms)
+                return
+            self.announce(None)
+
+    def _is_earlier_life(self, instance: str, born_ms: int) -> bool:
+        """Return whether a later incarnation of it is the current one."""
+        current = self._upstream
+        return (
+            current is not None
+            and current.instance == instance
+            and born_ms < current.born_ms
+        )
+
     def session(
         self,
         connection: Connection,
@@ -264,16 +290,30 @@
                 with self._lock:
                     if fence == self._fence:
                         self._zone_gate.note(message)
-            case Authority(
-                fence=fence, instance=instance, until_clock_ms=until_ms
+            case Authority():
+                self._handle_authority(message)
+
+    def _handle_authority(self, message: Authority) -> None:
+        with self._lock:
+            upstream = self._upstream
+            if (
+                message.fence != self._fence
+                or upstream is None
+                or upstream.instance != message.instance
             ):
-                with self._lock:
-                    upstream = self._upstream
-                    if fence == self._fence and (
-                        upstream is not None and upstream.instance == instance
-                    ):
-                        self._authority_until_ms = until_ms
-                        self._poll_wakeup.notify_all()
+                return
+            if message.born_ms not in (0, upstream.born_ms):
+                # It was counted from the clock of another incarnation.
+                log_event(
+                    'authority_refused',
+                    instance=message.instance,
+                    born_ms=message.born_ms,
+                    current_born_ms=upstream.born_ms,
+                    until_clock_ms=message.until_clock_ms,
+                )
+                return
+            self._authority_until_ms = message.until_clock_ms
+            self._poll_wakeup.notify_all()
 
     def _handle_starts(self, message: StartRuns) -> None:
         with self._lock:
@@ -424,7 +464,7 @@
                 case StartOutcome.UNANSWERED:
                     # The upstream may still carry it out seconds later,
                     # unless a stop arrives first.
-                    run.must_stop = not run.is_confirmed
+                    run.must_stop = run.must_stop or not run.is_confirmed
                     run.reason = 'unanswered'
                     self._queue_due_stops()
                 case _:
@@ -774,6 +814,7 @@
                 self._clock.last_read_ms,
                 self._upstream.instance,
                 len(self._table.run_by_task),
+                self._upstream.born_ms,
             )
         )
 
