Report an upstream as reachable after it counts as such

Cause: at the first answered poll after three unanswered ones the agent sent `UpstreamChanged` before it reset its count of unanswered polls. The message is computed from that count, so that it said `is_reachable=False` once more, and nothing is sent after it. The leader keeps the target closed until the next full report, which comes with a new link only.

--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -712,11 +712,13 @@
             self._send_runs_gone(rows, CRASHED)
 
     def _handle_answered_poll(self) -> None:
-        if self._unanswered_polls >= _UNREACHABLE_AFTER_POLLS:
-            self._report_reachability(True)
+        was_unreachable = self._unanswered_polls >= _UNREACHABLE_AFTER_POLLS
         self._unanswered_polls = 0
         self._unanswered_since = None
         self._lapsed_rows = ()
+        if was_unreachable:
+            # The report is computed from the state set above.
+            self._report_reachability(True)
 
     def _report_reachability(self, is_reachable: bool) -> None:
         log_event('upstream_reachable', reachable=is_reachable)
