Follow the platform's rule on ends and lapsed leases in job histories

The platform's rule excludes just that: an end isn't taken note of if the lease lapsed between the two. A leader can't know an end that nobody could tell it.

A recorded upstream now forgets the ends before a lapse of its lease, as the rule says; ends within a lease are checked as before. tools/job_history and tests only.

--- a/tools/job_history/_recorded_upstream.py
+++ b/tools/job_history/_recorded_upstream.py
@@ -144,6 +144,10 @@
         lease_until_ms: int,
         wait_ms: int,
     ) -> UpstreamReport | None:
+        with self._lock:
+            if self._lease_ms < self.clock_ms:
+                # The leader may have given up its runs, these ends included.
+                self._ended_records.clear()
         upstream_report = super().poll(
             instance, fence, noted, lease_until_ms, wait_ms
         )
