Let agents repeat their upstream's state, and compare the leader's view

Cause: an agent tells a change once, at the change. Nothing compares afterwards what the leader believes.

The request for authority, which each agent sends four times a second while its upstream answers, now carries the incarnation and whether the upstream is draining and reachable, and its capacity. The leader compares its view with it, takes over a difference, logs `view_corrected` with what was believed, what was told and for how long it was believed, and counts `baobabgap_views_corrected_total`. Requests and reports share a link, so that no report under way can end a difference; another incarnation is none, as its full report follows. The cold time goes on as the leader counts it.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -19,6 +19,7 @@
 from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._run_tracker import task_text
 from baobabgap.dispatch._term_state import TermState
+from baobabgap.dispatch._view_check import ViewCheck
 from baobabgap.jobmodel import JobState
 from baobabgap.jobmodel import RunEnd
 from baobabgap.jobmodel import TaskEnd
@@ -65,6 +66,7 @@
         closer: JobCloser,
         crashes: CrashRecorder,
         evacuations: Evacuations,
+        view_check: ViewCheck,
         state: AcceptedState,
         committer: Committer,
         timing: LeaseTiming,
@@ -75,6 +77,7 @@
         self._closer: Final = closer
         self._crashes: Final = crashes
         self._evacuations: Final = evacuations
+        self._view_check: Final = view_check
         self._state: Final = state
         self._committer: Final = committer
         self._timing: Final = timing
@@ -120,6 +123,9 @@
             case FullReport():
                 self._handle_full_report(view, message)
             case AuthorityRequest():
+                told = self._view_check.differing_state(view, message)
+                if told is not None:
+                    self._change_upstream(view, told)
                 if is_confirmed and view.is_enrolled:
                     self._grant_authority(view, connection, message)
             case UpstreamQuiet(fence=fence):
@@ -224,6 +230,7 @@
             view.last_end_number = 0
             self._term_state.set_target(view, None)
         view.upstream = upstream
+        view.upstream_told_at = now
         if upstream is None:
             self.dismiss(view)
             return
--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -55,6 +55,8 @@
     is_enrolled: bool = False
     is_enrolling: bool = False
     upstream: UpstreamState | None = None
+    # When the upstream's state was last told, monotonic clock.
+    upstream_told_at: float = 0.0
     target: PlacementTarget | None = None
     run_by_task: dict[TaskId, Run] = field(default_factory=dict)
     # The highest end number processed for the upstream's current instance.
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -47,6 +47,7 @@
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.dispatch._timeout_monitor import TimeoutMonitor
+from baobabgap.dispatch._view_check import ViewCheck
 from baobabgap.protocol import AGENT_ROLE
 from baobabgap.protocol import boottime_clock
 from baobabgap.protocol import CallOutcome
@@ -108,6 +109,7 @@
             self._closer,
             CrashRecorder(term_state, self._closer, state, metrics),
             self._evacuations,
+            ViewCheck(metrics),
             state,
             committer,
             timing,
--- /dev/null
+++ b/baobabgap/dispatch/_view_check.py
@@ -0,0 +1,94 @@
+"""Comparison of the leader's view of an upstream with what its agent tells.
+
+Answers the load of a report that was lost or wrong: an agent tells each
+change once, and what the leader takes for true decides on service. Each
+request for authority repeats it, a few times a second.
+"""
+
+from dataclasses import replace
+import time
+from typing import Final
+
+from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.protocol import AuthorityRequest
+from baobabgap.protocol import UpstreamState
+from baobabgap.telemetry import log_event
+from baobabgap.telemetry import Metrics
+
+
+class ViewCheck:
+    """Finds differences, logs and counts them.
+
+    Reports and requests of an agent arrive in the order in which they were
+    sent, so that a difference is none that a report under way would end.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics: Final = metrics
+
+    def differing_state(
+        self, view: AgentView, request: AuthorityRequest
+    ) -> UpstreamState | None:
+        """Return the state to assume if the agent's differs, or None.
+
+        Another instance is no difference: its full report follows.
+        """
+        believed = view.upstream
+        if (
+            believed is None
+            or not view.has_reported
+            or not view.is_current_instance(request.instance, request.born_ms)
+        ):
+            return None
+        if _is_as_told(believed, request):
+            return None
+        told = _state_told(believed, request)
+        now = time.monotonic()
+        self._metrics.count('baobabgap_views_corrected_total')
+        log_event(
+            'view_corrected',
+            agent=view.name,
+            instance=believed.instance,
+            believed=_fields(believed),
+            told=_fields(told),
+            believed_ms=round(1000 * (now - view.upstream_told_at)),
+        )
+        return replace(told, cold_left_ms=_cold_left_ms(view, now))
+
+
+def _is_as_told(believed: UpstreamState, request: AuthorityRequest) -> bool:
+    """Return whether a view agrees with what the agent tells, if it does."""
+    return request.capacity is None or (
+        believed.is_reachable is request.is_reachable
+        and believed.is_draining is request.is_draining
+        and believed.capacity == request.capacity
+    )
+
+
+def _state_told(
+    believed: UpstreamState, request: AuthorityRequest
+) -> UpstreamState:
+    """Return the believed state with all that a request tells."""
+    return replace(
+        believed,
+        is_draining=bool(request.is_draining),
+        is_reachable=bool(request.is_reachable),
+        capacity=request.capacity or believed.capacity,
+    )
+
+
+def _cold_left_ms(view: AgentView, now: float) -> int:
+    """Return the rest of the cold time, which the leader counts down."""
+    target = view.target
+    if target is None or not target.is_cold:
+        return 0
+    return max(0, round(1000 * (target.cold_until - now)))
+
+
+def _fields(state: UpstreamState) -> dict[str, object]:
+    return {
+        'reachable': state.is_reachable,
+        'draining': state.is_draining,
+        'cpu_millicores': state.capacity.cpu_millicores,
+        'memory_mb': state.capacity.memory_mb,
+    }
--- a/baobabgap/dispatch/tests/test_reachability.py
+++ b/baobabgap/dispatch/tests/test_reachability.py
@@ -1,13 +1,17 @@
 """Tests from agent to leader that a reachable upstream is used again."""
 
+from collections.abc import Callable
 from pathlib import Path
 import tempfile
+import time
 import unittest
+from unittest import mock
 
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch.tests.deployment import Deployment
 from baobabgap.dispatch.tests.deployment import step
 from baobabgap.dispatch.tests.deployment import wait_until
+from baobabgap.upstreams import RunAgent
 
 
 class ReachabilityTest(unittest.TestCase):
@@ -38,3 +42,46 @@
         # Less than a new link would take.
         answer = self.deployment.submit('a', step(1), volatile=True)
         self.assertEqual('completed', answer.result(3.0).state)
+
+    def test_lost_report_of_an_upstream_is_believed_for_ever(self) -> None:
+        upstream, agent = self.deployment.upstreams[0], self.agent
+        upstream.is_silent = True
+        wait_until(lambda: not self.is_open(), 'a closed target')
+        with mock.patch.object(agent, '_report_upstream'):
+            upstream.is_silent = False
+            self.assert_within_a_second(self.is_open)
+            agent.drain()
+            self.assert_within_a_second(lambda: not self.is_open())
+            agent.announce(self.deployment.announced_state(0, cores=2))
+            self.assert_within_a_second(lambda: self.cores() == 2)
+        leader = self.deployment.leader
+        assert leader is not None
+        corrected = leader.metrics.value('baobabgap_views_corrected_total')
+        self.assertEqual(3, corrected)
+
+    @property
+    def agent(self) -> RunAgent:
+        return self.deployment.agents[0]
+
+    def cores(self) -> int:
+        view = self.view
+        assert view is not None and view.target is not None
+        return view.target.capacity.cpu_millicores // 1000
+
+    def assert_within_a_second(self, condition: Callable[[], bool]) -> None:
+        began_at = time.monotonic()
+        wait_until(condition, 'a corrected view')
+        self.assertLess(time.monotonic() - began_at, 1.0)
+
+    def test_reports_that_arrive_are_counted_as_differences(self) -> None:
+        agent, upstream = self.agent, self.deployment.upstreams[0]
+        for cores in (2, 3, 4, 5) * 10:
+            agent.announce(self.deployment.announced_state(0, cores=cores))
+            upstream.is_silent = cores == 3
+            time.sleep(0.03)
+        wait_until(lambda: self.is_open() and self.cores() == 5, 'the last')
+        leader = self.deployment.leader
+        assert leader is not None
+        self.assertEqual(
+            0, leader.metrics.value('baobabgap_views_corrected_total')
+        )
--- a/baobabgap/dispatch/tests/test_resubmission.py
+++ b/baobabgap/dispatch/tests/test_resubmission.py
@@ -45,6 +45,7 @@
             Mock(),
             Mock(),
             Evacuations(self.term_state),
+            Mock(),
             state,
             Mock(),
             LeaseTiming(),
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -290,6 +290,13 @@
     instance: str
     # The number of runs that the upstream lists.
     running: int
+    # Start of the instance whose clock was read, milliseconds since 1970.
+    born_ms: int = 0
+    # The state as in `UpstreamState`, so that the leader can compare its view;
+    # None from an agent that doesn't tell it.
+    is_draining: bool | None = None
+    is_reachable: bool | None = None
+    capacity: Demand | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -768,14 +768,19 @@
         now = boottime_clock()
         if now - self._authority_requested_at < _AUTHORITY_PAUSE_S:
             return
-        if self._connection is None or self._upstream is None:
+        upstream = self._reported_upstream()
+        if self._connection is None or upstream is None:
             return
         self._authority_requested_at = now
         self._connection.send(
             AuthorityRequest(
                 self._clock.last_read_ms,
-                self._upstream.instance,
+                upstream.instance,
                 len(self._table.run_by_task),
+                upstream.born_ms,
+                upstream.is_draining,
+                upstream.is_reachable,
+                upstream.capacity,
             )
         )
 
