Repeat the enrolment of an agent whose outcome is unknown

Callers would see: a job runs twice after a change of leader. The next leader waits for the agents that are enrolled in the log, and not for this one.

Cause: the leader took an agent for enrolled once the proposal had ended, also without a result: while leadership is being transferred proposals are refused, and the same leader goes on in the same term if the transfer fails. It sent the agent runs then, and never enrolled it.

Why the fix works: `MembersEnrolled` says whether the enrolment is durable.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -106,11 +106,14 @@
         view.has_reported = False
 
     def handle_enrolled(self, event: MembersEnrolled) -> None:
-        """Process a durable enrolment; the agent may be sent runs."""
+        """Process an enrolment; if it is durable, runs may be sent.
+
+        Else the next request for authority repeats it.
+        """
         view = self._term_state.view_by_name.get(event.name)
         if event.term == self._term_state.term and view is not None:
-            view.is_enrolled = True
             view.is_enrolling = False
+            view.is_enrolled = view.is_enrolled or event.succeeded
 
     def handle(
         self, connection: Connection, message: object, is_confirmed: bool
@@ -123,11 +126,7 @@
             case FullReport():
                 self._handle_full_report(view, message)
             case AuthorityRequest():
-                told = self._view_check.differing_state(view, message)
-                if told is not None:
-                    self._change_upstream(view, told)
-                if is_confirmed and view.is_enrolled:
-                    self._grant_authority(view, connection, message)
+                self._handle_request(view, message, is_confirmed)
             case UpstreamQuiet(fence=fence):
                 if fence == self._term_state.term:
                     self._term_state.takeover.note_agent_report(view.name)
@@ -170,19 +169,30 @@
         name, term = view.name, self._term_state.term
         self._committer.propose(
             EnrolMembers((f'{AGENT_ROLE}/{name}',)),
-            lambda result: self._post_event(MembersEnrolled(term, name)),
+            lambda result: self._post_event(
+                MembersEnrolled(term, name, succeeded=result is not None)
+            ),
         )
 
+    def _handle_request(
+        self, view: AgentView, request: AuthorityRequest, is_confirmed: bool
+    ) -> None:
+        """Process a request for authority, and what it tells."""
+        told = self._view_check.differing_state(view, request)
+        if told is not None:
+            self._change_upstream(view, told)
+        self._enrol(view)
+        if is_confirmed and view.is_enrolled:
+            self._grant_authority(view, request)
+
     def _grant_authority(
-        self,
-        view: AgentView,
-        connection: Connection,
-        request: AuthorityRequest,
+        self, view: AgentView, request: AuthorityRequest
     ) -> None:
         """Grant an agent authority to renew leases, as confirmed leader."""
+        assert view.connection is not None
         view.authority_granted_at = boottime_clock()
         until_ms = request.clock_ms + int(1000 * self._timing.authority_s)
-        connection.send(
+        view.connection.send(
             Authority(self._term_state.term, request.instance, until_ms)
         )
 
--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -149,10 +149,12 @@
 
 @dataclass(frozen=True, slots=True)
 class MembersEnrolled:
-    """The enrolment of an agent is durable; it may be sent runs."""
+    """The enrolment of an agent is durable, or its outcome is unknown."""
 
     term: int
     name: str
+    # Whether it is durable, so that the agent may be sent runs.
+    succeeded: bool
 
 
 Event = (
