--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -292,6 +292,11 @@
     running: int
     # Start of the instance whose clock was read, milliseconds since 1970.
     born_ms: int = 0
+    # The state as in `UpstreamState`, so that the leader can compare its view;
+    # None from an agent that doesn't tell it.
+    is_draining: bool | None = None
+    is_reachable: bool | None = None
+    capacity: Demand | None = None
 
 
 @dataclass(frozen=True, slots=True)
