Send no job again for a caller that has disconnected

What callers saw: nothing at once; but a volatile job whose caller had left was stopped, started again by its own entry, stopped, and so on every 0.35 s until its end would have been too late.

Cause: an entry that drops a call as its caller has disconnected gets an outcome `UNKNOWN` from `_forward_once`, like after the loss of a leader. That outcome is retried for volatile jobs, and the loop didn't ask whether someone still waits.

Now the loop asks before each further try. The tests fail on the code before:

ERROR: test_job_of_a_disconnected_caller_is_not_sent_again TimeoutError (the call was still being sent again after 1 s) ERROR: test_job_lost_with_the_leader_is_not_sent_for_a_disconnected_caller TimeoutError

--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -151,7 +151,8 @@
 
         `UNAVAILABLE` means that nothing was done; `UNKNOWN` that the call
         may have taken effect. A volatile job is dropped when its caller
-        has disconnected or `wait_for_answer_s` seconds have passed.
+        has disconnected or `wait_for_answer_s` seconds have passed. Nothing
+        is sent again for a caller that has disconnected.
         """
         now = time.monotonic()
         waiting = WaitingCall(now, now + wait_for_answer_s, wait_for_leader_s)
@@ -185,6 +186,10 @@
                 time.sleep(_RETRY_INTERVAL_S)
             else:
                 self._linked.wait(_NO_LEADER_CHECK_INTERVAL_S)
+            if is_caller_disconnected():
+                return _give_up(
+                    call, answer, waiting, outage, 'its caller has left'
+                )
 
     def _note_failed_try(
         self, waiting: WaitingCall, call: Call, answer: CallAnswer
--- a/baobabgap/leaderlink/tests/test_calls.py
+++ b/baobabgap/leaderlink/tests/test_calls.py
@@ -228,6 +228,29 @@
         self.assertEqual(DropCall(call), link.next_sent())
         self.assertIs(CallOutcome.UNKNOWN, future.result(WAIT_S).outcome)
 
+    def test_job_of_a_disconnected_caller_is_not_sent_again(self) -> None:
+        """Regression: it was started anew while its dropped run stopped."""
+        link = self.link()
+        link.next_sent()
+        future = self.forward(VOLATILE, is_caller_disconnected=True)
+        self.assertIsInstance(link.next_sent(), SubmitJob)
+        self.assertIsInstance(link.next_sent(), DropCall)
+        self.assertIs(CallOutcome.UNKNOWN, future.result(1.0).outcome)
+        self.assertTrue(link.sent.empty())
+
+    def test_job_lost_with_the_leader_is_not_sent_for_a_disconnected_caller(
+        self,
+    ) -> None:
+        link = self.link()
+        link.next_sent()
+        future = self.forward(VOLATILE, is_caller_disconnected=True)
+        self.assertIsInstance(link.next_sent(), SubmitJob)
+        link.cut()
+        second = self.link()
+        self.assertIsInstance(second.next_sent(), EntryReport)
+        self.assertIs(CallOutcome.UNKNOWN, future.result(1.0).outcome)
+        self.assertTrue(second.sent.empty())
+
     def test_planned_stop_answers_at_once_and_drops_nothing(self) -> None:
         link = self.link()
         link.next_sent()
