Test that a job sent again elsewhere waits for the stop of its run

The caller of a volatile job leaves, the stop takes 600 ms on the upstream, and the job is submitted again through another entry. The test deployment can have several entries now, and its upstreams record when runs began and ended and can take time to stop a run.

--- a/baobabgap/dispatch/tests/deployment.py
+++ b/baobabgap/dispatch/tests/deployment.py
@@ -1,4 +1,4 @@
-"""A deployment in one process: control nodes, agents and an entry."""
+"""A deployment in one process: control nodes, agents and entries."""
 
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -86,6 +86,7 @@
         agents: int,
         upstreams: Sequence[FakeUpstream] = (),
         zones: Sequence[str] = (ZONE,),
+        entries: int = 1,
     ) -> None:
         # Upstreams are spread over the zones in turn.
         self._zones = tuple(zones)
@@ -103,10 +104,11 @@
             RunAgent(upstream, LeaseTiming(), self.pool, Metrics())
             for upstream in self.upstreams
         ]
-        self.calls = LeaderCalls()
-        self._entry_link = self._link(
-            'entry-1', ENTRY_ROLE, self.calls.session
-        )
+        self.entries = [LeaderCalls() for _ in range(entries)]
+        self._entry_links = [
+            self._link(f'entry-{number}', ENTRY_ROLE, calls.session)
+            for number, calls in enumerate(self.entries, 1)
+        ]
         self._agent_links = [
             self._link(f'agent-{number}', AGENT_ROLE, agent.session)
             for number, agent in enumerate(self.agents)
@@ -123,7 +125,10 @@
         for link in self._links:
             link.start()
         self.configure(1)
-        wait_until(lambda: self.calls.is_linked, 'a link to the leader')
+        wait_until(
+            lambda: all(calls.is_linked for calls in self.entries),
+            'links to the leader',
+        )
 
     def close(self) -> None:
         """Stop all parts."""
@@ -135,6 +140,11 @@
             node.stop()
         self.pool.shutdown(wait=False, cancel_futures=True)
 
+    @property
+    def calls(self) -> LeaderCalls:
+        """The first entry."""
+        return self.entries[0]
+
     @property
     def leader(self) -> ControlNode | None:
         """The node that leads, if one does."""
@@ -160,7 +170,7 @@
 
     @property
     def _links(self) -> list[LeaderLink]:
-        return [self._entry_link, *self._agent_links]
+        return [*self._entry_links, *self._agent_links]
 
     def configure(self, version: int) -> None:
         """Put a configuration in force, as an operator who sends it again."""
@@ -193,13 +203,19 @@
         *steps: Step,
         volatile: bool,
         patience_s: float = WAIT_S,
+        entry: int = 0,
+        is_caller_disconnected: Callable[[], bool] = lambda: False,
     ) -> Future[CallAnswer]:
         """Submit a job; the future returns the answer."""
         call = SubmitJob(
             0, QUEUE_HOST, PREFIX + job_id, 'payload', steps, volatile
         )
         return self.pool.submit(
-            self.calls.forward, call, WAIT_S, patience_s, lambda: False
+            self.entries[entry].forward,
+            call,
+            WAIT_S,
+            patience_s,
+            is_caller_disconnected,
         )
 
     def read(self, job_id: str) -> CallAnswer:
--- a/baobabgap/dispatch/tests/fake_upstream.py
+++ b/baobabgap/dispatch/tests/fake_upstream.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+import math
 import threading
 import time
 
@@ -22,18 +23,28 @@
 class FakeRun:
     """A run and its end on the upstream's clock."""
 
+    task: TaskId
     run: int
     done_at_ms: int
+    stopped_at_ms: float = math.inf
+    # Readings of the monotonic clock.
+    began_at: float = 0.0
+    ended_at: float = math.inf
 
 
 class FakeUpstream:
-    """Implements `UpstreamClient`; `starts` lists all runs ever started."""
+    """Implements `UpstreamClient`; `starts` lists all runs ever started.
+
+    So does `runs`, also those of earlier instances.
+    """
 
     def __init__(self, born_ms: int = 1, run_ms: int = 30) -> None:
         self.born_ms = born_ms
         self.run_ms = run_ms
         # Called for each start, which is left unanswered if it returns true.
         self.leaves_unanswered: Callable[[RunOrder], bool] = lambda _: False
+        # Milliseconds that a run goes on after its stop.
+        self.stop_ms = 0
         # Whether runs fail.
         self.fails = False
         # Whether `hold` requests get no answer.
@@ -43,6 +54,7 @@
         # The longest wait of the last `hold` request, milliseconds.
         self.last_wait_ms = 0
         self.starts: list[tuple[TaskId, int]] = []
+        self.runs: list[FakeRun] = []
         self._lock = threading.Condition()
         self._start_instance()
 
@@ -51,6 +63,8 @@
         with self._lock:
             self.born_ms = born_ms
             self.starts = []
+            for run in self._running.values():
+                run.ended_at = time.monotonic()
             self._start_instance()
             self._lock.notify_all()
 
@@ -99,9 +113,14 @@
                 return StartOutcome.LATE
             if order.task in self._running:
                 return StartOutcome.STARTED
-            self._running[order.task] = FakeRun(
-                order.run, self.clock_ms + self.run_ms
+            run = FakeRun(
+                order.task,
+                order.run,
+                self.clock_ms + self.run_ms,
+                began_at=time.monotonic(),
             )
+            self._running[order.task] = run
+            self.runs.append(run)
             self.starts.append((order.task, order.run))
             return StartOutcome.STARTED
 
@@ -114,7 +133,10 @@
                 return False
             held = self._running.get(task)
             if held is not None and held.run <= run:
-                self._end(task, RunEnd.INTERRUPTED)
+                held.stopped_at_ms = min(
+                    held.stopped_at_ms, self.clock_ms + self.stop_ms
+                )
+                self._advance()
             highest = self._highest_ended.get(task, 0)
             self._highest_ended[task] = max(highest, run)
             return True
@@ -165,12 +187,14 @@
         for task, run in list(self._running.items()):
             if run.done_at_ms <= min(now_ms, self._lease_ms):
                 self._end(task, RunEnd.FAILED if self.fails else RunEnd.DONE)
-            elif self._lease_ms < now_ms:
+            elif self._lease_ms < now_ms or run.stopped_at_ms <= now_ms:
                 self._end(task, RunEnd.INTERRUPTED)
 
     def _end(self, task: TaskId, end: RunEnd) -> None:
         run = self._running.pop(task)
+        run.ended_at = time.monotonic()
         self._last_number += 1
         self._ended.append(EndRow(self._last_number, task, run.run, end))
-        self._highest_ended[task] = run.run
+        highest = self._highest_ended.get(task, 0)
+        self._highest_ended[task] = max(highest, run.run)
         self._lock.notify_all()
