Keep an entry enrolled whose replaced link ends after its new one began

What callers saw: nothing until the leader changed, 30 s or more later. Then a volatile job that the entry had sent to the lost leader could be started again while its run went on (TWICE).

Cause: an entry that redials has its new link handled before the leader notes the end of the old one (a reset or silent connection). `EntryUnlinked` named the incarnation only, so that the end of the old link marked the entry as unlinked. After 30 s the linked entry was dismissed, and it wasn't enrolled again before its next link. The next leader didn't wait for its report of the jobs it had sent: jobs sent again by their callers through other entries started at once.

The events carry the link now, and only the end of the latest one counts.

--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -395,10 +395,7 @@
         try:
             self._serve_entry_messages(connection)
         finally:
-            peer = connection.peer
-            self._scheduler.post_event(
-                EntryUnlinked(peer.name, peer.incarnation)
-            )
+            self._scheduler.post_event(EntryUnlinked(connection))
 
     def _serve_entry_messages(self, connection: Connection) -> None:
         for message in connection.messages():
@@ -409,11 +406,7 @@
                     )
                 case EntryReport(begun_job_ids=job_ids):
                     self._scheduler.post_event(
-                        EntryLinked(
-                            connection.peer.name,
-                            connection.peer.incarnation,
-                            job_ids,
-                        )
+                        EntryLinked(connection, job_ids)
                     )
                 case StartsExpected(job_ids=job_ids):
                     self._scheduler.post_event(StartsNoted(job_ids))
--- a/baobabgap/dispatch/_entry_registry.py
+++ b/baobabgap/dispatch/_entry_registry.py
@@ -14,6 +14,7 @@
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.protocol import ENTRY_ROLE
 from baobabgap.telemetry import log_event
+from baobabgap.transport import Connection
 
 # Seconds after which a disconnected entry is dismissed: by then its clients
 # have submitted their jobs elsewhere or have given up.
@@ -40,11 +41,16 @@
         """Clear all state for a new term."""
         # The current incarnation of each entry, as a member name.
         self._member_by_entry: dict[str, str] = {}
-        self._unlinked_at_by_member: dict[str, float | None] = {}
+        # The latest link of each incarnation that has one.
+        self._connection_by_member: dict[str, Connection] = {}
+        # Since when the others have been known to have none.
+        self._unlinked_at_by_member: dict[str, float] = {}
 
     def handle_link(self, event: EntryLinked) -> None:
         """Process the first report of an entry on a new link."""
-        entry = f'{event.name}/{event.incarnation}'
+        name = event.connection.peer.name
+        member = _member_of(event.connection)
+        entry = member.removeprefix(f'{ENTRY_ROLE}/')
         self._term_state.takeover.note_entry_report(entry, event.begun_job_ids)
         takeover = self._term_state.takeover
         if not takeover.is_over:
@@ -57,8 +63,8 @@
             takeover=not takeover.is_over,
             waits_for=sorted(takeover.unreported_entries),
         )
-        member = f'{ENTRY_ROLE}/{entry}'
-        self._member_by_entry[event.name] = member
+        self._member_by_entry[name] = member
+        self._connection_by_member[member] = event.connection
         self._unlinked_at_by_member.pop(member, None)
         if member not in self._state.members:
             self._committer.propose(EnrolMembers((member,)), ignore_result)
@@ -74,9 +80,10 @@
                 plan.may_have_begun = True
 
     def handle_lost_link(self, event: EntryUnlinked) -> None:
-        """Process the loss of a link of an entry."""
-        member = f'{ENTRY_ROLE}/{event.name}/{event.incarnation}'
-        self._unlinked_at_by_member[member] = None
+        """Process the loss of a link of an entry, perhaps a replaced one."""
+        member = _member_of(event.connection)
+        if self._connection_by_member.get(member) is event.connection:
+            del self._connection_by_member[member]
 
     def check(self, now: float) -> None:
         """Dismiss incarnations that no takeover has to wait for."""
@@ -98,10 +105,13 @@
         current = self._member_by_entry.get(name)
         if current is not None and current != member:
             return True
-        if current == member and member not in self._unlinked_at_by_member:
-            return False
-        unlinked_at = self._unlinked_at_by_member.get(member)
-        if unlinked_at is None:
-            self._unlinked_at_by_member[member] = now
+        if member in self._connection_by_member:
             return False
+        unlinked_at = self._unlinked_at_by_member.setdefault(member, now)
         return now - unlinked_at > _UNLINKED_RETENTION_S
+
+
+def _member_of(connection: Connection) -> str:
+    """Return the member name of the entry at the other end of a link."""
+    peer = connection.peer
+    return f'{ENTRY_ROLE}/{peer.name}/{peer.incarnation}'
--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -111,8 +111,7 @@
 class EntryLinked:
     """An entry has a new link and has sent its first report."""
 
-    name: str
-    incarnation: str
+    connection: Connection
     # Volatile jobs that this incarnation sent to an earlier leader.
     begun_job_ids: tuple[str, ...]
 
@@ -121,8 +120,7 @@
 class EntryUnlinked:
     """A link of an entry has ended."""
 
-    name: str
-    incarnation: str
+    connection: Connection
 
 
 @dataclass(frozen=True, slots=True)
