Begin volatile jobs only after their entry is durably enrolled

What callers saw: nothing until the leader was lost, shortly after an entry's start or, if the enrolment failed, at any later time. Then a volatile job that the entry had sent to the lost leader could be started again, sent by its caller through another entry, while its run went on (TWICE).

Cause: a leader proposed an entry's enrolment and ignored the result; the entry's jobs started at once. With slow or full disks a commit takes seconds, and a proposal that failed (`NotLeader` during a transfer, or an unknown outcome) was never repeated before the next link. The next leader didn't know of the entry and didn't wait for its report. The same held for an entry that came back while its dismissal was being stored: its enrolment looked durable and ended right after.

Now `EntryRegistry.hold` keeps a submission of a volatile job until the enrolment of the entry's incarnation is durable. Held calls that are dropped, or whose link ends, are removed; at a step-down held calls are answered as not begun.

An incarnation is enrolled once, so this delays only the first calls of a process, by one commit.

--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -153,6 +153,17 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class EntryEnrolled:
+    """The outcome of an entry's enrolment is known, or remains unknown."""
+
+    term: int
+    # The incarnation of the entry, as a member name.
+    member: str
+    # Whether the enrolment is durable.
+    succeeded: bool
+
+
 Event = (
     LeadershipGained
     | LeadershipLost
@@ -166,6 +177,7 @@
     | CancelStored
     | EntryLinked
     | EntryUnlinked
+    | EntryEnrolled
     | StartsNoted
     | MembersEnrolled
     | ZoneChanged
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -27,6 +27,7 @@
 from baobabgap.dispatch._events import CallDropped
 from baobabgap.dispatch._events import CancelStored
 from baobabgap.dispatch._events import EndsStored
+from baobabgap.dispatch._events import EntryEnrolled
 from baobabgap.dispatch._events import EntryLinked
 from baobabgap.dispatch._events import EntryUnlinked
 from baobabgap.dispatch._events import Event
@@ -113,7 +114,9 @@
             timing,
             self.post_event,
         )
-        self._entries = EntryRegistry(term_state, state, committer)
+        self._entries = EntryRegistry(
+            term_state, state, committer, self.post_event
+        )
         self._timeout_monitor = TimeoutMonitor(
             term_state, runs, self._agents, timing
         )
@@ -200,6 +203,7 @@
     def _handle_as_leader(self, event: Event) -> None:
         match event:
             case CallDropped():
+                self._entries.handle_dropped_call(event)
                 self._calls.handle_dropped_call(event)
             case JobsStored():
                 self._calls.handle_stored_jobs(event)
@@ -207,10 +211,8 @@
                 self._calls.handle_stored_cancel(event)
             case EndsStored():
                 self._closer.handle_stored(event)
-            case EntryLinked():
-                self._entries.handle_link(event)
-            case EntryUnlinked():
-                self._entries.handle_lost_link(event)
+            case EntryLinked() | EntryUnlinked() | EntryEnrolled():
+                self._handle_entry_event(event)
             case ZoneChanged(change=change):
                 self._evacuations.handle_change(change)
             case StartsNoted(job_ids=job_ids):
@@ -218,6 +220,18 @@
             case _:
                 self._handle_agent_event(event)
 
+    def _handle_entry_event(
+        self, event: EntryLinked | EntryUnlinked | EntryEnrolled
+    ) -> None:
+        match event:
+            case EntryLinked():
+                self._entries.handle_link(event)
+            case EntryUnlinked():
+                self._entries.handle_lost_link(event)
+            case EntryEnrolled():
+                for call in self._entries.handle_enrolled(event):
+                    self._handle_call(call)
+
     def _handle_agent_event(self, event: Event) -> None:
         match event:
             case AgentReported(connection=connection, message=message):
@@ -230,10 +244,10 @@
                 self._agents.handle_enrolled(event)
 
     def _handle_call(self, event: CallArrived) -> None:
-        if self._term_state.term and self._is_confirmed():
-            self._calls.handle(event)
-        else:
+        if not self._term_state.term or not self._is_confirmed():
             answer_unavailable(event, 'this host does not lead')
+        elif not self._entries.hold(event):
+            self._calls.handle(event)
 
     def _begin_term(self, event: LeadershipGained) -> None:
         now = time.monotonic()
@@ -269,16 +283,18 @@
         term_state = self._term_state
         waiting = term_state.waiting_calls()
         not_begun = self._calls.calls_not_begun() if is_consistent else []
+        held = self._entries.pop_held()
         log_event(
             'scheduler:stood_down',
             term=term_state.term,
             jobs=len(term_state.plan_by_id),
             calls=len(waiting),
             not_begun=len(not_begun),
+            held=len(held),
         )
         term_state.begin_term(0, Takeover.none())
         not_begun_ids = {id(call) for call in not_begun}
-        for call in not_begun:
+        for call in (*not_begun, *held):
             answer_unavailable(call, 'leader changed, not begun')
         for call in waiting:
             if id(call) not in not_begun_ids:
--- a/baobabgap/dispatch/tests/deployment.py
+++ b/baobabgap/dispatch/tests/deployment.py
@@ -168,6 +168,17 @@
         agent.start()
         self._agent_links[number].start()
 
+    def replace_entry(self, number: int) -> None:
+        """Stop an entry and start a new process in its place."""
+        link = self._entry_links[number]
+        link.stop()
+        self.entries[number] = LeaderCalls()
+        self._entry_links[number] = self._link(
+            f'entry-{number + 1}', ENTRY_ROLE, self.entries[number].session
+        )
+        self._entry_links[number].start()
+        wait_until(lambda: self.entries[number].is_linked, 'a link')
+
     @property
     def _links(self) -> list[LeaderLink]:
         return [*self._entry_links, *self._agent_links]
--- a/baobabgap/dispatch/tests/test_runs_at_once.py
+++ b/baobabgap/dispatch/tests/test_runs_at_once.py
@@ -1,13 +1,19 @@
 """Tests that no task has two runs at the same time."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 from pathlib import Path
 import tempfile
 import threading
+import time
+from typing import Any
 import unittest
+from unittest.mock import patch
 
 from baobabgap.accepted import Demand
+from baobabgap.accepted import EnrolMembers
 from baobabgap.accepted import Step
+from baobabgap.dispatch import ControlNode
 from baobabgap.dispatch.tests.deployment import CORES
 from baobabgap.dispatch.tests.deployment import Deployment
 from baobabgap.dispatch.tests.deployment import WAIT_S
@@ -69,6 +75,39 @@
         self.assertGreater(len(self.runs()), 1)
         self.assertEqual([], overlapping(self.upstreams))
 
+    def test_job_starts_only_after_its_entry_is_enrolled(self) -> None:
+        """Regression: the next leader didn't know of the entry's jobs."""
+        node = self.deployment.leader
+        assert node is not None
+        withheld = self.withhold_enrolments(node)
+        self.deployment.replace_entry(1)
+        wait_until(lambda: bool(withheld), 'the enrolment')
+        answer = self.deployment.submit('a', STEP, volatile=True, entry=1)
+        time.sleep(0.5)
+        self.assertEqual([], self.runs())
+        for propose in withheld:
+            propose()
+        self.assertEqual('completed', answer.result(WAIT_S).state)
+
+    def withhold_enrolments(
+        self, node: ControlNode
+    ) -> list[Callable[[], None]]:
+        """Return the list to which enrolments go instead of the log."""
+        withheld: list[Callable[[], None]] = []
+        committer = node._committer
+        propose = committer.propose
+
+        def withhold(command: object, on_end: Callable[[Any], None]) -> None:
+            if isinstance(command, EnrolMembers):
+                withheld.append(lambda: propose(command, on_end))
+            else:
+                propose(command, on_end)
+
+        patcher = patch.object(committer, 'propose', withhold)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        return withheld
+
 
 if __name__ == '__main__':
     unittest.main()
