--- a/baobabgap/dispatch/_events.py
+++ b/baobabgap/dispatch/_events.py
@@ -111,8 +111,7 @@
 class EntryLinked:
     """An entry has a new link and has sent its first report."""
 
-    name: str
-    incarnation: str
+    connection: Connection
     # Volatile jobs that this incarnation sent to an earlier leader.
     begun_job_ids: tuple[str, ...]
 
@@ -121,8 +120,7 @@
 class EntryUnlinked:
     """A link of an entry has ended."""
 
-    name: str
-    incarnation: str
+    connection: Connection
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +155,17 @@
     succeeded: bool
 
 
+@dataclass(frozen=True, slots=True)
+class EntryEnrolled:
+    """The outcome of an entry's enrolment is known, or remains unknown."""
+
+    term: int
+    # The incarnation of the entry, as a member name.
+    member: str
+    # Whether the enrolment is durable.
+    succeeded: bool
+
+
 Event = (
     LeadershipGained
     | LeadershipLost
@@ -170,6 +179,7 @@
     | CancelStored
     | EntryLinked
     | EntryUnlinked
+    | EntryEnrolled
     | StartsNoted
     | MembersEnrolled
     | ZoneChanged
--- /dev/null
+++ b/baobabgap/dispatch/tests/test_runs_at_once.py
@@ -0,0 +1,113 @@
+"""Tests that no task has two runs at the same time."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from pathlib import Path
+import tempfile
+import threading
+import time
+from typing import Any
+import unittest
+from unittest.mock import patch
+
+from baobabgap.accepted import Demand
+from baobabgap.accepted import EnrolMembers
+from baobabgap.accepted import Step
+from baobabgap.dispatch import ControlNode
+from baobabgap.dispatch.tests.deployment import CORES
+from baobabgap.dispatch.tests.deployment import Deployment
+from baobabgap.dispatch.tests.deployment import WAIT_S
+from baobabgap.dispatch.tests.deployment import wait_until
+from baobabgap.dispatch.tests.fake_upstream import FakeRun
+from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
+from baobabgap.protocol import CallOutcome
+
+RUN_MS = 1000
+# Each task fills an upstream.
+STEP = Step(1, Demand(1000 * CORES, 10, 0), RUN_MS)
+
+
+def overlapping(
+    upstreams: Sequence[FakeUpstream],
+) -> list[tuple[FakeRun, FakeRun]]:
+    """Return the pairs of runs of one task that ran at the same time."""
+    runs = sorted(
+        (run for upstream in upstreams for run in upstream.runs),
+        key=lambda run: run.began_at,
+    )
+    return [
+        (earlier, later)
+        for number, later in enumerate(runs)
+        for earlier in runs[:number]
+        if earlier.task == later.task and later.began_at < earlier.ended_at
+    ]
+
+
+class ResubmittedJobTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.upstreams = [FakeUpstream(run_ms=RUN_MS) for _ in range(3)]
+        self.deployment = Deployment(
+            Path(folder.name), 1, 3, self.upstreams, entries=2
+        )
+        self.addCleanup(self.deployment.close)
+        self.deployment.start()
+
+    def runs(self) -> list[FakeRun]:
+        return [run for upstream in self.upstreams for run in upstream.runs]
+
+    def test_job_sent_again_elsewhere_waits_for_the_stop_of_its_run(
+        self,
+    ) -> None:
+        """Regression: it started on another upstream meanwhile."""
+        for upstream in self.upstreams:
+            upstream.stop_ms = 600
+        has_left = threading.Event()
+        first = self.deployment.submit(
+            'a', STEP, volatile=True, is_caller_disconnected=has_left.is_set
+        )
+        wait_until(lambda: bool(self.runs()), 'a start')
+        has_left.set()
+        self.assertIs(CallOutcome.UNKNOWN, first.result(WAIT_S).outcome)
+        second = self.deployment.submit('a', STEP, volatile=True, entry=1)
+        self.assertEqual('completed', second.result(WAIT_S).state)
+        self.assertGreater(len(self.runs()), 1)
+        self.assertEqual([], overlapping(self.upstreams))
+
+    def test_job_starts_only_after_its_entry_is_enrolled(self) -> None:
+        """Regression: the next leader didn't know of the entry's jobs."""
+        node = self.deployment.leader
+        assert node is not None
+        withheld = self.withhold_enrolments(node)
+        self.deployment.replace_entry(1)
+        wait_until(lambda: bool(withheld), 'the enrolment')
+        answer = self.deployment.submit('a', STEP, volatile=True, entry=1)
+        time.sleep(0.5)
+        self.assertEqual([], self.runs())
+        for propose in withheld:
+            propose()
+        self.assertEqual('completed', answer.result(WAIT_S).state)
+
+    def withhold_enrolments(
+        self, node: ControlNode
+    ) -> list[Callable[[], None]]:
+        """Return the list to which enrolments go instead of the log."""
+        withheld: list[Callable[[], None]] = []
+        committer = node._committer
+        propose = committer.propose
+
+        def withhold(command: object, on_end: Callable[[Any], None]) -> None:
+            if isinstance(command, EnrolMembers):
+                withheld.append(lambda: propose(command, on_end))
+            else:
+                propose(command, on_end)
+
+        patcher = patch.object(committer, 'propose', withhold)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        return withheld
+
+
+if __name__ == '__main__':
+    unittest.main()
