--- a/baobabgap/replication/_session.py
+++ b/baobabgap/replication/_session.py
@@ -236,6 +236,8 @@
                 lambda: self._send_snapshot_answer(
                     snapshot.index, installed=True
                 ),
+                # The leader sends nothing more on this link unanswered.
+                on_failure=self._connection.close,
             )
 
     def _send_snapshot_answer(self, index: int, installed: bool) -> None:
--- a/baobabgap/replication/_state.py
+++ b/baobabgap/replication/_state.py
@@ -82,12 +82,12 @@
         # While leading, the futures of proposals by entry index.
         self.future_by_index: dict[int, Future[Any]] = {}
         # Called with the lock held when there are new entries.
-        self.wake_peers: Callable[[], None] = _do_nothing
+        self.wake_peers: Callable[[], None] = do_nothing
         # Runs a function without the lock. Futures are resolved this way,
         # since their callbacks may take other locks.
         self.run_later: Callable[[Callable[[], None]], object] = _run_now
-        self.on_become_leader: Callable[[], None] = _do_nothing
-        self.on_step_down: Callable[[], None] = _do_nothing
+        self.on_become_leader: Callable[[], None] = do_nothing
+        self.on_step_down: Callable[[], None] = do_nothing
         self.durable_by_voter: Callable[[], dict[str, int]] = dict
         self.postpone_election()
 
@@ -276,5 +276,5 @@
     function()
 
 
-def _do_nothing() -> None:
+def do_nothing() -> None:
     """Default callback until `LogParts.build` sets the real one."""
--- a/baobabgap/replication/_writer.py
+++ b/baobabgap/replication/_writer.py
@@ -6,6 +6,7 @@
 
 from baobabgap.replication._entry import Entry
 from baobabgap.replication._errors import StorageUnavailable
+from baobabgap.replication._state import do_nothing
 from baobabgap.replication._state import GroupState
 from baobabgap.replication._storage import Storage
 from baobabgap.telemetry import log_event
@@ -13,6 +14,16 @@
 _PAUSE_AFTER_FAILURE_S: Final = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class _Callback:
+    """What waits for a sync; the lock is held for each call."""
+
+    # Called once the data is durable.
+    on_durable: Callable[[], None]
+    # Called instead if a write or the sync has failed.
+    on_failure: Callable[[], None]
+
+
 @dataclass(frozen=True, slots=True)
 class _Batch:
     """The content of one write and sync."""
@@ -28,36 +39,44 @@
     rewrite: bool
     # The index before the first entry, if `rewrite`.
     compacted_index: int
-    # Called once the batch is durable.
-    callbacks: tuple[Callable[[], None], ...]
+    # What to call once the batch is durable, or after a failure.
+    callbacks: tuple['_Callback', ...]
 
 
 class LogWriter:
     """Syncs entries, term and vote, and then runs callbacks.
 
     Acknowledgements are sent only by these callbacks. If a write or sync
-    fails, the callbacks are dropped, this host steps down, and rewriting
-    the whole log is retried until it succeeds.
+    fails, the callbacks are dropped, those who wait are told, this host
+    steps down, and rewriting the whole log is retried until it succeeds.
     """
 
     def __init__(self, state: GroupState, storage: Storage) -> None:
         self._state = state
         self._storage = storage
-        self._callback_by_key: dict[str, Callable[[], None]] = {}
+        self._callback_by_key: dict[str, _Callback] = {}
         self._rewrite_wanted = False
         self._is_writing = False
 
-    def after_sync(self, key: str, callback: Callable[[], None]) -> None:
+    def after_sync(
+        self,
+        key: str,
+        callback: Callable[[], None],
+        on_failure: Callable[[], None] = do_nothing,
+    ) -> None:
         """Call back, with the lock held, once all queued data is durable.
 
         A callback replaces a pending one with the same key. If there is
-        nothing to sync, it is called immediately.
+        nothing to sync, it is called immediately. If a write or sync fails,
+        `on_failure` is called instead.
         """
         if not self._has_work() and not self._is_writing:
             if self._state.storage_ok:
                 callback()
+            else:
+                on_failure()
             return
-        self._callback_by_key[key] = callback
+        self._callback_by_key[key] = _Callback(callback, on_failure)
         self._state.writer_work.notify()
 
     def request_rewrite(self) -> None:
@@ -121,7 +140,7 @@
             elif batch.has_changes:
                 self._storage.append(batch.term, batch.vote, batch.entries)
         except StorageUnavailable as error:
-            self._handle_failure(error)
+            self._handle_failure(error, batch)
             return
         with self._state.lock:
             self._is_writing = False
@@ -131,18 +150,23 @@
             self._state.durable_term = batch.term
             self._advance_durable_index(batch)
             for callback in batch.callbacks:
-                callback()
+                callback.on_durable()
             self._state.commit_by_quorum()
 
-    def _handle_failure(self, error: StorageUnavailable) -> None:
+    def _handle_failure(
+        self, error: StorageUnavailable, batch: _Batch
+    ) -> None:
         with self._state.lock:
             self._is_writing = False
             if self._state.storage_ok:
                 log_event('storage_failed', reason=str(error))
             self._state.storage_ok = False
             self._rewrite_wanted = True
+            dropped = (*batch.callbacks, *self._callback_by_key.values())
             self._callback_by_key = {}
             self._state.step_down('storage failed')
+            for callback in dropped:
+                callback.on_failure()
             if not self._state.stopping:
                 self._state.writer_work.wait(_PAUSE_AFTER_FAILURE_S)
 
--- a/baobabgap/replication/tests/_faults.py
+++ b/baobabgap/replication/tests/_faults.py
@@ -15,6 +15,8 @@
         self.locked = False
         # The bytes that can still be written; None for no limit.
         self.free_bytes: int | None = None
+        # The files for which there is no space.
+        self.full_names: set[str] = set()
         # Whether each sync fails.
         self.sync_fails = False
         # Each sync waits for this event; clear it to make the disk hang.
@@ -77,6 +79,8 @@
         self._content = folder.content_by_name[name]
 
     def append(self, data: bytes) -> None:
+        if self._name in self._folder.full_names:
+            raise OSError(28, 'No space left on device')
         free_bytes = self._folder.free_bytes
         if free_bytes is not None and len(data) > free_bytes:
             self._content += data[:free_bytes]
@@ -98,3 +102,11 @@
 
     def close(self) -> None:
         """Nothing to release."""
+
+    @property
+    def _name(self) -> str:
+        """The present name of the file; empty once it is removed."""
+        for name, content in list(self._folder.content_by_name.items()):
+            if content is self._content:
+                return name
+        return ''
