Keep a restarted entry's earlier incarnation enrolled for a while

What callers would see: a task that runs twice at the same time. An entry sends a volatile job and dies; its next process links to the leader, which dismissed the earlier incarnation at once. The leader is lost within the time in which the caller sends the job again, and it does so through another entry, to the next leader. All enrolled entries have reported, and none of them has sent the job to the lost leader, so it starts at once, while an agent that has yet to report still has its run.

Cause: EntryRegistry kept an incarnation without a link for 30 s, but not if its entry had come back. That the process is back says nothing about the runs of the jobs that its predecessor sent.

Now both are kept equally long. A leader that begins within 30 s of the restart of an entry starts volatile jobs once all agents have reported, at the latest when the authority that earlier leaders granted has lapsed; it did so before for an entry that hadn't come back.

Evidence: the test fails on the code before:

FAIL: test_restarted_entry_stays_enrolled_in_its_earlier_life_for_a_while AssertionError: Items in the first set but not the second: 'entry/e/1'

--- a/baobabgap/dispatch/_entry_registry.py
+++ b/baobabgap/dispatch/_entry_registry.py
@@ -40,8 +40,9 @@
     enrolled entries.
 
     An incarnation ends with its process: the next one doesn't know which
-    jobs were sent to a leader. An earlier incarnation is dismissed only
-    after a takeover, because its jobs may have runs until then.
+    jobs were sent to a leader. An earlier incarnation stays enrolled for as
+    long as an entry without a link: its jobs may still run, and no other
+    entry may have sent them yet when the leader is lost.
     """
 
     def __init__(
@@ -59,8 +60,6 @@
 
     def reset(self) -> None:
         """Clear all state for a new term."""
-        # The current incarnation of each entry, as a member name.
-        self._member_by_entry: dict[str, str] = {}
         # The latest link of each incarnation that has one.
         self._connection_by_member: dict[str, Connection] = {}
         # Since when the others have been known to have none.
@@ -77,7 +76,6 @@
 
     def handle_link(self, event: EntryLinked) -> None:
         """Process the first report of an entry on a new link."""
-        name = event.connection.peer.name
         member = _member_of(event.connection)
         entry = member.removeprefix(f'{ENTRY_ROLE}/')
         self._term_state.takeover.note_entry_report(entry, event.begun_job_ids)
@@ -92,7 +90,6 @@
             takeover=not takeover.is_over,
             waits_for=sorted(takeover.unreported_entries),
         )
-        self._member_by_entry[name] = member
         self._connection_by_member[member] = event.connection
         self._unlinked_at_by_member.pop(member, None)
         if (
@@ -214,10 +211,6 @@
             self._committer.propose(DismissMembers(expired), ignore_result)
 
     def _is_expired(self, member: str, now: float) -> bool:
-        name = member.split('/')[1]
-        current = self._member_by_entry.get(name)
-        if current is not None and current != member:
-            return True
         if member in self._connection_by_member:
             return False
         unlinked_at = self._unlinked_at_by_member.setdefault(member, now)
--- a/baobabgap/dispatch/tests/test_entry_registry.py
+++ b/baobabgap/dispatch/tests/test_entry_registry.py
@@ -167,6 +167,18 @@
         self.entries.check(LONG_S)
         self.assertEqual(set(), self.state.members)
 
+    def test_restarted_entry_stays_enrolled_in_its_earlier_life_for_a_while(
+        self,
+    ) -> None:
+        """Regression: a leader lost soon after that didn't wait for agents."""
+        self.unlink(self.link())
+        self.link('2')
+        self.entries.check(0.0)
+        self.entries.check(LONG_S / 2)
+        self.assertEqual({'entry/e/1', 'entry/e/2'}, self.state.members)
+        self.entries.check(LONG_S)
+        self.assertEqual({'entry/e/2'}, self.state.members)
+
     def test_entry_that_never_had_a_link_is_dismissed_after_a_while(
         self,
     ) -> None:
