Await the last grants of an earlier leader for agents without a link

What callers would see: a task that runs twice at the same time, after a change of leader that an agent doesn't get to hear of.

Cause: an earlier leader may grant authority for confirmation_s (0.4 s) after the election, and LeaseTiming.takeover_s counts that. TimeoutMonitor, though, took an agent that hadn't linked to the new leader for lapsed after lapse_s alone, counted from the begin of the term, and told the takeover so. If that agent was the last one, the takeover ended 0.4 s too early, and the jobs held by it started elsewhere while the upstream could still hold a lease.

The time of the last grant of inherited agents is now set to when an earlier leader's last grant may come.

Evidence: the test fails on the code before, 0.1 s before the end:

FAIL: test_authority_of_an_earlier_leader_is_awaited AssertionError: True is not false

--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -266,7 +266,10 @@
         for member in event.members:
             if member.startswith(prefix):
                 view = AgentView(member.removeprefix(prefix), is_enrolled=True)
-                view.authority_granted_at = boottime_clock()
+                # An earlier leader may grant authority until then.
+                view.authority_granted_at = (
+                    boottime_clock() + self._timing.confirmation_s
+                )
                 term_state.view_by_name[view.name] = view
         for unfinished in event.unfinished:
             plan = JobPlan.from_unfinished(
--- a/baobabgap/dispatch/tests/test_takeover.py
+++ b/baobabgap/dispatch/tests/test_takeover.py
@@ -3,19 +3,26 @@
 from types import SimpleNamespace
 from typing import cast
 import unittest
+from unittest.mock import Mock
+from unittest.mock import patch
 
+from baobabgap.accepted import AcceptedState
 from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch._events import LeadershipGained
 from baobabgap.dispatch._orphans import Orphans
 from baobabgap.dispatch._run_tracker import RunTracker
+from baobabgap.dispatch._scheduler import Scheduler
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.jobmodel import AcceptedJob
 from baobabgap.jobmodel import RunEnd
 from baobabgap.jobmodel import TaskId
+from baobabgap.protocol import boottime_clock
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import LeaseTiming
 from baobabgap.protocol import RunRow
 from baobabgap.protocol import StopRuns
+from baobabgap.telemetry import Metrics
 from baobabgap.transport import Connection
 
 TERM = 5
@@ -120,5 +127,34 @@
         self.assertEqual([('agent', row)], orphans.expire(3.0))
 
 
+class UnheardAgentTest(unittest.TestCase):
+    def is_over(self, after_s: float) -> bool:
+        """Return whether a takeover is over that long after its begin."""
+        state = Mock(AcceptedState, members={'agent/a'})
+        scheduler = Scheduler(
+            state,
+            Mock(),
+            LeaseTiming(),
+            1.0,
+            lambda: True,
+            Mock(),
+            Metrics(),
+        )
+        scheduler._begin_term(LeadershipGained(TERM, (), ('agent/a',), {}))
+        with patch(
+            'baobabgap.dispatch._timeout_monitor.boottime_clock',
+            return_value=boottime_clock() + after_s,
+        ):
+            scheduler._timeout_monitor.check(0.0)
+        # The time of the takeover itself has not come.
+        scheduler._term_state.takeover.end_if_due(0.0)
+        return scheduler._term_state.takeover.is_over
+
+    def test_authority_of_an_earlier_leader_is_awaited(self) -> None:
+        """An earlier leader grants some for a while after the election."""
+        self.assertFalse(self.is_over(LeaseTiming().takeover_s - 0.1))
+        self.assertTrue(self.is_over(LeaseTiming().takeover_s + 0.1))
+
+
 if __name__ == '__main__':
     unittest.main()
