Ask an agent for a full report that its requests show to be missing

Callers would see: an upstream that gets no runs, or whose runs never end, until its agent's next link, after one full report that is lost or rejected.

Cause: an agent reports in full once for each link and each incarnation of its upstream. Without the report the leader starts nothing there (new link), or orders starts for the earlier incarnation, which the agent ignores.

The request for authority names the incarnation. If it comes from one without a full report for 0.2 s (the second request in a row; the first one precedes the report by design), the leader sends `FullReportWanted`, at most once a second, logs `full_report_wanted` with what it believes and what was told, and counts `baobabgap_full_reports_wanted_total`. The agent reports in full with its next poll.

Tests: baobabgap.dispatch.tests.test_lost_reports test_lost_full_report_of_a_link_leaves_the_upstream_unused (failed before: 'completed' != ''), test_lost_full_report_of_an_incarnation_leaves_it_unused (failed before: TimeoutError after 3 s) and test_reports_that_arrive_are_asked_for (guards the comparison).

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -31,6 +31,7 @@
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import EndsNoted
 from baobabgap.protocol import FullReport
+from baobabgap.protocol import FullReportWanted
 from baobabgap.protocol import LeaseTiming
 from baobabgap.protocol import RunRow
 from baobabgap.protocol import RunsEnded
@@ -92,6 +93,7 @@
         view.connection = connection
         view.linked_incarnation = connection.peer.incarnation
         view.has_reported = False
+        view.unreported_since = None
         self._evacuations.handle_link(view)
         self._enrol(view)
 
@@ -181,10 +183,16 @@
         told = self._view_check.differing_state(view, request)
         if told is not None:
             self._change_upstream(view, told)
+        if self._view_check.is_report_missing(view, request):
+            self._want_full_report(view)
         self._enrol(view)
         if is_confirmed and view.is_enrolled:
             self._grant_authority(view, request)
 
+    def _want_full_report(self, view: AgentView) -> None:
+        if view.connection is not None:
+            view.connection.send(FullReportWanted(self._term_state.term))
+
     def _grant_authority(
         self, view: AgentView, request: AuthorityRequest
     ) -> None:
@@ -215,6 +223,7 @@
             return
         self._enrol(view)
         view.has_reported = True
+        view.unreported_since = None
         self._term_state.takeover.note_agent_report(view.name)
         self._handle_ends(view, report.ended)
         reported = {row.task for row in report.running}
--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -51,6 +51,10 @@
     unlinked_at: float = 0.0
     # Whether the full report has arrived on the current link.
     has_reported: bool = False
+    # Since when requests for authority have come from an incarnation without
+    # a full report, and when one was asked for last; monotonic clock.
+    unreported_since: float | None = None
+    report_wanted_at: float = float('-inf')
     # Whether the enrolment is durable, which is required for runs.
     is_enrolled: bool = False
     is_enrolling: bool = False
--- a/baobabgap/dispatch/_view_check.py
+++ b/baobabgap/dispatch/_view_check.py
@@ -15,6 +15,12 @@
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 
+# Seconds for which a full report may be under way: less than the time between
+# two requests for authority, so that the second one shows that it isn't.
+_REPORT_GRACE_S: Final = 0.2
+# Seconds between two times that an agent is asked for a full report.
+_REPORT_PAUSE_S: Final = 1.0
+
 
 class ViewCheck:
     """Finds differences, logs and counts them.
@@ -34,11 +40,7 @@
         Another instance is no difference: its full report follows.
         """
         believed = view.upstream
-        if (
-            believed is None
-            or not view.has_reported
-            or not view.is_current_instance(request.instance, request.born_ms)
-        ):
+        if believed is None or not _has_reported(view, request):
             return None
         if _is_as_told(believed, request):
             return None
@@ -55,6 +57,48 @@
         )
         return replace(told, cold_left_ms=_cold_left_ms(view, now))
 
+    def is_report_missing(
+        self, view: AgentView, request: AuthorityRequest
+    ) -> bool:
+        """Return whether to ask an agent for a full report.
+
+        An agent whose upstream answers reports in full at once, after each
+        new link and for each new incarnation.
+        """
+        now = time.monotonic()
+        if request.capacity is None or _has_reported(view, request):
+            view.unreported_since = None
+            return False
+        if view.unreported_since is None:
+            view.unreported_since = now
+        unreported_s = now - view.unreported_since
+        if (
+            unreported_s < _REPORT_GRACE_S
+            or now - view.report_wanted_at < _REPORT_PAUSE_S
+        ):
+            return False
+        view.report_wanted_at = now
+        believed = view.upstream
+        self._metrics.count('baobabgap_full_reports_wanted_total')
+        log_event(
+            'full_report_wanted',
+            agent=view.name,
+            reported=view.has_reported,
+            believed_instance=believed.instance if believed else '',
+            believed_born_ms=believed.born_ms if believed else 0,
+            instance=request.instance,
+            born_ms=request.born_ms,
+            unreported_ms=round(1000 * unreported_s),
+        )
+        return True
+
+
+def _has_reported(view: AgentView, request: AuthorityRequest) -> bool:
+    """Return whether the sender's incarnation has reported in full."""
+    return view.has_reported and view.is_current_instance(
+        request.instance, request.born_ms
+    )
+
 
 def _is_as_told(believed: UpstreamState, request: AuthorityRequest) -> bool:
     """Return whether a view agrees with what the agent tells, if it does."""
--- /dev/null
+++ b/baobabgap/dispatch/tests/test_lost_reports.py
@@ -0,0 +1,102 @@
+"""Tests from agent to leader that a lost message leaves no upstream unused."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+import tempfile
+import time
+import unittest
+from unittest import mock
+
+from baobabgap.dispatch import ControlNode
+from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch.tests.deployment import Deployment
+from baobabgap.dispatch.tests.deployment import step
+from baobabgap.dispatch.tests.deployment import wait_until
+from baobabgap.upstreams import RunAgent
+
+# Seconds until a job must be completed after a message was lost.
+HEALED_S = 3.0
+
+
+class LostMessageCase(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.deployment = Deployment(Path(folder.name), controls=1, agents=1)
+        self.addCleanup(self.deployment.close)
+        self.deployment.start()
+        wait_until(lambda: self.view.may_start(1.0), 'an upstream')
+
+    @property
+    def leader(self) -> ControlNode:
+        leader = self.deployment.leader
+        assert leader is not None
+        return leader
+
+    @property
+    def agent(self) -> RunAgent:
+        return self.deployment.agents[0]
+
+    @property
+    def view(self) -> AgentView:
+        """What the leader holds of the agent."""
+        views = self.leader._scheduler._term_state.view_by_name
+        return views.get('agent-0', AgentView('agent-0'))
+
+    def count(self, name: str) -> float:
+        return self.leader.metrics.value(f'baobabgap_{name}_total')
+
+    def renew_link(self) -> None:
+        connection = self.view.connection
+        assert connection is not None
+        connection.close()
+        wait_until(
+            lambda: self.view.connection not in (None, connection), 'a link'
+        )
+
+    def assert_used(self, job_id: str) -> None:
+        answer = self.deployment.submit(job_id, step(1), volatile=True)
+        self.assertEqual('completed', answer.result(HEALED_S).state)
+
+
+class LostFullReportTest(LostMessageCase):
+    @contextmanager
+    def losing_a_full_report(self) -> Iterator[None]:
+        agent = self.agent
+        send = agent._send_full_report
+        lost: list[int] = []
+
+        def lose_first(fence: int) -> None:
+            if lost or fence != agent._fence:
+                send(fence)
+                return
+            lost.append(fence)
+            agent._is_full_report_due = False
+
+        with mock.patch.object(agent, '_send_full_report', lose_first):
+            yield
+            wait_until(lambda: bool(lost), 'a lost report')
+
+    def test_lost_full_report_of_a_link_leaves_the_upstream_unused(
+        self,
+    ) -> None:
+        with self.losing_a_full_report():
+            self.renew_link()
+        self.assert_used('a')
+        self.assertEqual(1, self.count('full_reports_wanted'))
+
+    def test_lost_full_report_of_an_incarnation_leaves_it_unused(self) -> None:
+        with self.losing_a_full_report():
+            self.deployment.upstreams[0].restart(2)
+        self.assert_used('a')
+        self.assertEqual(2, self.view.upstream and self.view.upstream.born_ms)
+        self.assertEqual(1, self.count('full_reports_wanted'))
+
+    def test_reports_that_arrive_are_asked_for(self) -> None:
+        for born_ms in range(2, 8):
+            self.renew_link()
+            self.deployment.upstreams[0].restart(born_ms)
+            self.assert_used(f'job-{born_ms}')
+            time.sleep(0.3)
+        self.assertEqual(0, self.count('full_reports_wanted'))
--- a/baobabgap/protocol/__init__.py
+++ b/baobabgap/protocol/__init__.py
@@ -15,6 +15,7 @@
 from baobabgap.protocol._messages import EntryReport
 from baobabgap.protocol._messages import EVACUATED
 from baobabgap.protocol._messages import FullReport
+from baobabgap.protocol._messages import FullReportWanted
 from baobabgap.protocol._messages import JoinGroup
 from baobabgap.protocol._messages import LeaderReady
 from baobabgap.protocol._messages import QueueObjective
@@ -62,6 +63,7 @@
     'EntryReport',
     'EVACUATED',
     'FullReport',
+    'FullReportWanted',
     'JOINER_ROLE',
     'JoinGroup',
     'LeaderReady',
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -299,6 +299,13 @@
     capacity: Demand | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class FullReportWanted:
+    """Asks an agent for a full report, as the leader lacks one or differs."""
+
+    fence: int
+
+
 @dataclass(frozen=True, slots=True)
 class Authority:
     """Permits renewal of leases until a time on the upstream's clock."""
@@ -380,6 +387,7 @@
     EndsNoted,
     EntryReport,
     FullReport,
+    FullReportWanted,
     JoinGroup,
     LeaderReady,
     ReadPath,
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -18,6 +18,7 @@
 from baobabgap.protocol import EndsNoted
 from baobabgap.protocol import EVACUATED
 from baobabgap.protocol import FullReport
+from baobabgap.protocol import FullReportWanted
 from baobabgap.protocol import LeaderReady
 from baobabgap.protocol import LeaseTiming
 from baobabgap.protocol import RunOrder
@@ -292,6 +293,11 @@
                         self._zone_gate.note(message)
             case Authority():
                 self._handle_authority(message)
+            case FullReportWanted(fence=fence):
+                with self._lock:
+                    if fence == self._fence:
+                        self._is_full_report_due = True
+                        self._poll_wakeup.notify_all()
 
     def _handle_authority(self, message: Authority) -> None:
         with self._lock:
