Use a link over which an agent requests authority

Callers would see: an upstream that is free and linked gets no runs until its agent's link ends, while it renews nothing and its lease expires.

Cause: each link has a thread of its own that posts `AgentLinked` and `AgentUnlinked`. If the thread of an ended link is delayed, its events come after those of the next link; the leader then holds no link and ignores all messages of the agent, which has no reason to renew its link. After the lapse of the lease it forgets the agent altogether.

Requests for authority come only over a link that the agent uses. If one comes over an open link that the leader doesn't hold, and the one it holds is none or closed, the leader processes the link as a new one, asks for a full report, logs `link_recovered` with how long it was taken for lost, and counts `baobabgap_links_recovered_total`.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -123,6 +123,8 @@
         """Process one message of an agent."""
         view = self._term_state.view_by_name.get(connection.peer.name)
         if view is None or view.connection is not connection:
+            if isinstance(message, AuthorityRequest):
+                self._recover_link(view, connection)
             return
         match message:
             case FullReport():
@@ -189,6 +191,26 @@
         if is_confirmed and view.is_enrolled:
             self._grant_authority(view, request)
 
+    def _recover_link(
+        self, view: AgentView | None, connection: Connection
+    ) -> None:
+        """Use a link over which an agent requests authority.
+
+        Otherwise an agent whose link was hidden by a late event of an
+        earlier one would never be used again, as it has no reason to renew
+        its link.
+        """
+        current = view.connection if view is not None else None
+        if connection.is_closed or (
+            current is not None and not current.is_closed
+        ):
+            return
+        self._view_check.note_recovered_link(connection.peer.name, view)
+        self.handle_link(connection)
+        self._want_full_report(
+            self._term_state.view_by_name[connection.peer.name]
+        )
+
     def _want_full_report(self, view: AgentView) -> None:
         if view.connection is not None:
             view.connection.send(FullReportWanted(self._term_state.term))
--- a/baobabgap/dispatch/_view_check.py
+++ b/baobabgap/dispatch/_view_check.py
@@ -92,6 +92,20 @@
         )
         return True
 
+    def note_recovered_link(self, agent: str, view: AgentView | None) -> None:
+        """Log and count a link that was taken for lost, and is in use."""
+        lost_at = view.unlinked_at if view is not None else 0.0
+        self._metrics.count('baobabgap_links_recovered_total')
+        log_event(
+            'link_recovered',
+            agent=agent,
+            known=view is not None,
+            # When it was taken for lost is known with the view only.
+            lost_ms=round(1000 * (time.monotonic() - lost_at))
+            if lost_at
+            else None,
+        )
+
 
 def _has_reported(view: AgentView, request: AuthorityRequest) -> bool:
     """Return whether the sender's incarnation has reported in full."""
--- a/baobabgap/dispatch/tests/test_lost_reports.py
+++ b/baobabgap/dispatch/tests/test_lost_reports.py
@@ -10,6 +10,8 @@
 
 from baobabgap.dispatch import ControlNode
 from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch._events import AgentLinked
+from baobabgap.dispatch._events import AgentUnlinked
 from baobabgap.dispatch.tests.deployment import Deployment
 from baobabgap.dispatch.tests.deployment import step
 from baobabgap.dispatch.tests.deployment import wait_until
@@ -100,3 +102,23 @@
             self.assert_used(f'job-{born_ms}')
             time.sleep(0.3)
         self.assertEqual(0, self.count('full_reports_wanted'))
+
+
+class LinkTest(LostMessageCase):
+    def test_late_event_of_an_ended_link_hides_the_new_one(self) -> None:
+        ended = self.view.connection
+        assert ended is not None
+        self.renew_link()
+        wait_until(lambda: self.view.may_start(1.0), 'an upstream')
+        for event in (AgentLinked(ended), AgentUnlinked(ended)):
+            self.leader._scheduler.post_event(event)
+        wait_until(lambda: self.view.connection is not ended, 'the events')
+        time.sleep(0.1)
+        self.assert_used('a')
+
+    def test_forgotten_agent_with_a_link_is_ignored(self) -> None:
+        view = self.view
+        self.leader._scheduler._term_state.forget_agent(view)
+        self.assert_used('a')
+        self.assertIsNot(view, self.view)
+        self.assertEqual(1, self.count('links_recovered'))
