--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -31,6 +31,7 @@
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import EndsNoted
 from baobabgap.protocol import FullReport
+from baobabgap.protocol import FullReportWanted
 from baobabgap.protocol import LeaseTiming
 from baobabgap.protocol import RunRow
 from baobabgap.protocol import RunsEnded
@@ -92,6 +93,7 @@
         view.connection = connection
         view.linked_incarnation = connection.peer.incarnation
         view.has_reported = False
+        view.unreported_since = None
         self._evacuations.handle_link(view)
         self._enrol(view)
 
@@ -121,6 +123,8 @@
         """Process one message of an agent."""
         view = self._term_state.view_by_name.get(connection.peer.name)
         if view is None or view.connection is not connection:
+            if isinstance(message, AuthorityRequest):
+                self._recover_link(view, connection)
             return
         match message:
             case FullReport():
@@ -181,10 +185,36 @@
         told = self._view_check.differing_state(view, request)
         if told is not None:
             self._change_upstream(view, told)
+        if self._view_check.is_report_missing(view, request):
+            self._want_full_report(view)
         self._enrol(view)
         if is_confirmed and view.is_enrolled:
             self._grant_authority(view, request)
 
+    def _recover_link(
+        self, view: AgentView | None, connection: Connection
+    ) -> None:
+        """Use a link over which an agent requests authority.
+
+        Otherwise an agent whose link was hidden by a late event of an
+        earlier one would never be used again, as it has no reason to renew
+        its link.
+        """
+        current = view.connection if view is not None else None
+        if connection.is_closed or (
+            current is not None and not current.is_closed
+        ):
+            return
+        self._view_check.note_recovered_link(connection.peer.name, view)
+        self.handle_link(connection)
+        self._want_full_report(
+            self._term_state.view_by_name[connection.peer.name]
+        )
+
+    def _want_full_report(self, view: AgentView) -> None:
+        if view.connection is not None:
+            view.connection.send(FullReportWanted(self._term_state.term))
+
     def _grant_authority(
         self, view: AgentView, request: AuthorityRequest
     ) -> None:
@@ -215,6 +245,7 @@
             return
         self._enrol(view)
         view.has_reported = True
+        view.unreported_since = None
         self._term_state.takeover.note_agent_report(view.name)
         self._handle_ends(view, report.ended)
         reported = {row.task for row in report.running}
