Hold stored jobs of a term that begins again after a failure

What callers would see: a task of a stored job that runs twice at the same time, after an unexpected error in the leader's scheduler.

Cause: the scheduler then begins the same term again with what the log holds. Takeover took a stored job that was accepted in this term for one that can't have a run yet, and let it start as soon as any agent had reported, though another agent that hadn't could have its run. With a new leader that conclusion holds, as jobs of its term are accepted by itself later.

Now a stored job that is there when a term begins waits for the takeover, whatever term it was accepted in. Volatile jobs did so before, as their entries report them.

Evidence: the test fails on the code before:

FAIL: test_stored_job_of_a_restarted_term_waits_for_agents AssertionError: True is not false

--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -256,7 +256,13 @@
         term_state = self._term_state
         ends_at = now + self._timing.takeover_s
         term_state.begin_term(
-            event.term, Takeover(event.term, event.members, ends_at)
+            event.term,
+            Takeover(
+                event.term,
+                event.members,
+                ends_at,
+                (unfinished.job.job_id for unfinished in event.unfinished),
+            ),
         )
         self._evacuations.begin_term(event.version_by_evacuated_zone)
         self._closer.reset()
--- a/baobabgap/dispatch/_takeover.py
+++ b/baobabgap/dispatch/_takeover.py
@@ -18,9 +18,16 @@
     """
 
     def __init__(
-        self, term: int, members: Iterable[str], ends_at: float
+        self,
+        term: int,
+        members: Iterable[str],
+        ends_at: float,
+        inherited_ids: Iterable[str] = (),
     ) -> None:
         self._term = term
+        # Stored jobs that were accepted before; also in this term, if it
+        # begins again after a failure.
+        self._inherited_ids = frozenset(inherited_ids)
         self._unreported_agents = _names_with_role(AGENT_ROLE, members)
         self._unreported_entries = _names_with_role(ENTRY_ROLE, members)
         # Volatile jobs that an earlier leader may have begun.
@@ -70,7 +77,7 @@
             return not self._unreported_entries and not self.may_have_begun(
                 job.job_id
             )
-        return job.term == self._term
+        return job.term == self._term and job.job_id not in self._inherited_ids
 
     @property
     def is_over(self) -> bool:
@@ -83,6 +90,7 @@
             return False
         self._is_over = True
         self._begun_before = set()
+        self._inherited_ids = frozenset()
         log_event(
             'takeover_ended',
             term=self._term,
--- a/baobabgap/dispatch/tests/test_takeover.py
+++ b/baobabgap/dispatch/tests/test_takeover.py
@@ -1,5 +1,6 @@
 """Starts of jobs after an election and claims of orphaned runs."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import cast
 import unittest
@@ -7,6 +8,7 @@
 from unittest.mock import patch
 
 from baobabgap.accepted import AcceptedState
+from baobabgap.accepted import UnfinishedJob
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._events import LeadershipGained
 from baobabgap.dispatch._orphans import Orphans
@@ -15,7 +17,9 @@
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.jobmodel import AcceptedJob
+from baobabgap.jobmodel import Demand
 from baobabgap.jobmodel import RunEnd
+from baobabgap.jobmodel import Step
 from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import boottime_clock
 from baobabgap.protocol import EndRow
@@ -127,19 +131,17 @@
         self.assertEqual([('agent', row)], orphans.expire(3.0))
 
 
+def make_scheduler() -> Scheduler:
+    state = Mock(AcceptedState, members={'agent/a'})
+    return Scheduler(
+        state, Mock(), LeaseTiming(), 1.0, lambda: True, Mock(), Metrics()
+    )
+
+
 class UnheardAgentTest(unittest.TestCase):
     def is_over(self, after_s: float) -> bool:
         """Return whether a takeover is over that long after its begin."""
-        state = Mock(AcceptedState, members={'agent/a'})
-        scheduler = Scheduler(
-            state,
-            Mock(),
-            LeaseTiming(),
-            1.0,
-            lambda: True,
-            Mock(),
-            Metrics(),
-        )
+        scheduler = make_scheduler()
         scheduler._begin_term(LeadershipGained(TERM, (), ('agent/a',), {}))
         with patch(
             'baobabgap.dispatch._timeout_monitor.boottime_clock',
@@ -156,5 +158,22 @@
         self.assertTrue(self.is_over(LeaseTiming().takeover_s + 0.1))
 
 
+class RestartedTermTest(unittest.TestCase):
+    def test_stored_job_of_a_restarted_term_waits_for_agents(self) -> None:
+        """Regression: a leader whose scheduler failed started it again."""
+        step = Step(1, Demand(1000, 10, 0), 100)
+        job = replace(make_job('begun', volatile=False), steps=(step,))
+        scheduler = make_scheduler()
+        scheduler._begin_term(
+            LeadershipGained(TERM, (UnfinishedJob(job),), ('agent/a',), {})
+        )
+        takeover = scheduler._term_state.takeover
+        self.assertFalse(takeover.may_start(job))
+        self.assertTrue(takeover.may_start(make_job('new', volatile=False)))
+        takeover.note_agent_report('a')
+        takeover.end_if_due(0.0)
+        self.assertTrue(takeover.may_start(job))
+
+
 if __name__ == '__main__':
     unittest.main()
