Let the leader ask an agent for a full report

Cause of the care taken: a full report drops the runs that it doesn't list. As an agent's first message on a link it can't cross a start order, a requested one can: the order would be given again while the first one is carried out.

Each report tells how many messages StartRuns had arrived on the link when it was computed, under the lock under which orders enter the agent's table. The leader numbers these messages and drops only runs that were ordered by one that had arrived, or on an earlier link. A requested report covers no later change of the upstream, as it waits for an answered poll: changes are sent meanwhile. Only agents that count are asked, as others end the link at an unknown message.

Tests: test_run_ordered_while_a_report_is_on_its_way_is_doubled (without the comparison of numbers: AssertionError: 1 != 2 orders), test_request_hides_that_an_upstream_became_unreachable (with the flag of the due report instead of its own: not within 5.0 s: a closed target), test_run_whose_order_has_arrived_is_kept_for_ever and test_run_of_an_earlier_link_is_kept_for_ever.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -89,9 +89,7 @@
         view = self._term_state.view_by_name.get(name)
         if view is None:
             view = self._term_state.view_by_name[name] = AgentView(name)
-        view.connection = connection
-        view.linked_incarnation = connection.peer.incarnation
-        view.has_reported = False
+        view.begin_link(connection)
         self._evacuations.handle_link(view)
         self._enrol(view)
 
@@ -215,12 +213,11 @@
             return
         self._enrol(view)
         view.has_reported = True
+        view.answers_report_requests = report.starts_received is not None
         self._term_state.takeover.note_agent_report(view.name)
         self._handle_ends(view, report.ended)
-        reported = {row.task for row in report.running}
-        for task_id in list(view.run_by_task):
-            if task_id not in reported:
-                self._runs.drop(view, task_id, 'not reported')
+        for task_id in view.unreported_runs(report):
+            self._runs.drop(view, task_id, 'not reported')
         self._adopt(view, report.running)
         self._runs.repeat_stops(view)
         log_event(
--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -1,11 +1,13 @@
 """The leader's view of an agent and its upstream."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 
 from baobabgap.jobmodel import Demand
 from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import boottime_clock
+from baobabgap.protocol import FullReport
 from baobabgap.protocol import UpstreamState
 from baobabgap.scheduling import ExpectedRun
 from baobabgap.scheduling import PlacementTarget
@@ -32,6 +34,9 @@
     is_stopping: bool = False
     # When the upstream's capacity should be free again, if that is known.
     expected: ExpectedRun | None = None
+    # Number of the message on the current link that ordered it; 0 if it was
+    # found or ordered on an earlier link.
+    start_number: int = 0
 
 
 @dataclass(slots=True)
@@ -51,6 +56,12 @@
     unlinked_at: float = 0.0
     # Whether the full report has arrived on the current link.
     has_reported: bool = False
+    # Number of messages `StartRuns` sent on the current link.
+    starts_sent: int = 0
+    # Whether the agent answers requests for a full report, and when the last
+    # one was sent, monotonic clock.
+    answers_report_requests: bool = False
+    report_requested_at: float = float('-inf')
     # Whether the enrolment is durable, which is required for runs.
     is_enrolled: bool = False
     is_enrolling: bool = False
@@ -78,6 +89,36 @@
             and boottime_clock() - self.authority_granted_at < authority_s
         )
 
+    def begin_link(self, connection: Connection) -> None:
+        """Use a new link; orders of earlier ones arrive no more."""
+        self.connection = connection
+        self.linked_incarnation = connection.peer.incarnation
+        self.has_reported = False
+        self.starts_sent = 0
+        for run in self.run_by_task.values():
+            run.start_number = 0
+
+    def note_starts_sent(self, tasks: Iterable[TaskId]) -> None:
+        """Record that a message orders the starts of runs."""
+        self.starts_sent += 1
+        for task in tasks:
+            self.run_by_task[task].start_number = self.starts_sent
+
+    def unreported_runs(self, report: FullReport) -> list[TaskId]:
+        """Return the runs that a full report shows not to exist.
+
+        The start order of another run that it doesn't list may be on its
+        way.
+        """
+        reported = {row.task for row in report.running}
+        received = report.starts_received
+        return [
+            task
+            for task, run in self.run_by_task.items()
+            if task not in reported
+            and (received is None or run.start_number <= received)
+        ]
+
     def is_current_instance(self, instance: str, born_ms: int) -> bool:
         """Return whether a message concerns the current instance."""
         upstream = self.upstream
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -101,6 +101,7 @@
     def _send(self, view: AgentView, orders: tuple[RunOrder, ...]) -> None:
         assert view.connection is not None and view.upstream is not None
         self._metrics.count('baobabgap_starts_total', len(orders))
+        view.note_starts_sent(order.task for order in orders)
         view.connection.send(
             StartRuns(
                 self._term_state.term,
--- a/baobabgap/protocol/__init__.py
+++ b/baobabgap/protocol/__init__.py
@@ -19,6 +19,7 @@
 from baobabgap.protocol._messages import LeaderReady
 from baobabgap.protocol._messages import QueueObjective
 from baobabgap.protocol._messages import ReadPath
+from baobabgap.protocol._messages import ReportRequest
 from baobabgap.protocol._messages import RunOrder
 from baobabgap.protocol._messages import RunRow
 from baobabgap.protocol._messages import RunsEnded
@@ -68,6 +69,7 @@
     'LeaseTiming',
     'QueueObjective',
     'ReadPath',
+    'ReportRequest',
     'RunOrder',
     'RunRow',
     'RunsEnded',
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -231,7 +231,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FullReport:
-    """Complete state of an agent; its first message to each leader."""
+    """Complete state of an agent.
+
+    Its first message to each leader, and its answer to `ReportRequest`.
+    """
 
     fence: int
     # None if no upstream has registered with the agent.
@@ -240,6 +243,10 @@
     ended: tuple[EndRow, ...]
     # What the latest crashes of the upstream ended, also if reported before.
     crashes: tuple[RunsGone, ...] = ()
+    # How many messages `StartRuns` had arrived on the link when the report
+    # was computed; None from an agent that doesn't count them and doesn't
+    # know `ReportRequest`.
+    starts_received: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -338,6 +345,13 @@
     runs: tuple[RunRow, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ReportRequest:
+    """Requests a full report after the next answered poll."""
+
+    fence: int
+
+
 @dataclass(frozen=True, slots=True)
 class ZoneEvacuated:
     """States whether an availability zone is evacuated.
@@ -383,6 +397,7 @@
     JoinGroup,
     LeaderReady,
     ReadPath,
+    ReportRequest,
     RunsEnded,
     RunsFound,
     RunsGone,
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -20,6 +20,7 @@
 from baobabgap.protocol import FullReport
 from baobabgap.protocol import LeaderReady
 from baobabgap.protocol import LeaseTiming
+from baobabgap.protocol import ReportRequest
 from baobabgap.protocol import RunOrder
 from baobabgap.protocol import RunRow
 from baobabgap.protocol import RunsEnded
@@ -129,6 +130,11 @@
         self._connection: Connection | None = None
         # Number of the current link; orders of earlier links are ignored.
         self._link_number = 0
+        # Number of messages `StartRuns` on the current link.
+        self._starts_received = 0
+        # Unlike a due report, a requested one covers no later change: it may
+        # have to wait until the upstream answers again.
+        self._is_report_requested = False
         self._fence = 0
         self._upstream: UpstreamState | None = None
         self._crash_reports: Final = CrashReports()
@@ -238,6 +244,8 @@
                 )
                 return
             self._link_number += 1
+            self._starts_received = 0
+            self._is_report_requested = False
             self._fence = ready.fence
             self._zone_gate.begin_link()
             self._connection = connection
@@ -292,6 +300,9 @@
                         self._zone_gate.note(message)
             case Authority():
                 self._handle_authority(message)
+            case ReportRequest(fence=fence):
+                with self._lock:
+                    self._is_report_requested = fence == self._fence
 
     def _handle_authority(self, message: Authority) -> None:
         with self._lock:
@@ -317,6 +328,7 @@
 
     def _handle_starts(self, message: StartRuns) -> None:
         with self._lock:
+            self._starts_received += 1
             upstream = self._upstream
             is_current = (
                 upstream is not None
@@ -637,7 +649,7 @@
             self._unacknowledged_ends.update(
                 {row.number: row for row in new_ends}
             )
-            if self._is_full_report_due:
+            if self._is_full_report_due or self._is_report_requested:
                 self._send_full_report(fence)
             else:
                 self._send_run_changes(new_ends, unknown, gone)
@@ -650,6 +662,7 @@
                 self._connection.send(UpstreamQuiet(self._fence))
             return
         self._is_full_report_due = False
+        self._is_report_requested = False
         self._connection.send(
             FullReport(
                 self._fence,
@@ -660,6 +673,7 @@
                     for n in sorted(self._unacknowledged_ends)
                 ),
                 self._crash_reports.latest(boottime_clock()),
+                self._starts_received,
             )
         )
 
