Watch for work that waits while upstreams are free

Callers saw: with a wrong view of the upstreams, calls are refused or given up until the next link of the agents, and nothing says why.

Cause: the leader never compares that work waits with upstreams that could take it.

A monitor, checked with the other timeouts, finds services whose ready work has waited for a second without a start although an upstream is linked, holds authority and has room. It logs the reason for each upstream, as counts and three examples each, counts the stall, and asks the agents whose state doesn't explain it for a full report: at most 200 a look, one look a second. Held jobs, services without an upstream and full ones are no stalls.

Calls that are refused on arrival don't count as waiting work yet.

--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -95,6 +95,7 @@
         self.linked_incarnation = connection.peer.incarnation
         self.has_reported = False
         self.starts_sent = 0
+        self.answers_report_requests = False
         for run in self.run_by_task.values():
             run.start_number = 0
 
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -43,6 +43,7 @@
 from baobabgap.dispatch._replies import answer
 from baobabgap.dispatch._replies import answer_unavailable
 from baobabgap.dispatch._run_tracker import RunTracker
+from baobabgap.dispatch._stall_monitor import StallMonitor
 from baobabgap.dispatch._start_deferral import StartDeferral
 from baobabgap.dispatch._starter import TaskStarter
 from baobabgap.dispatch._takeover import Takeover
@@ -125,6 +126,7 @@
         self._starter = TaskStarter(
             term_state, runs, off_rack_factor, timing, metrics
         )
+        self._stall_monitor = StallMonitor(term_state, timing, metrics)
         self._queue_report = QueueReport(term_state)
         metrics.add_source(self._queue_report.values)
 
@@ -174,6 +176,7 @@
         if is_check_due:
             # Only jobs that found no room, as estimates are rough.
             self._calls.give_up_late_jobs(now)
+            self._stall_monitor.check(now)
             self._queue_report.update(now)
         self._deferral.check(now)
 
@@ -262,6 +265,7 @@
         self._closer.reset()
         self._deferral.reset()
         self._entries.reset()
+        self._stall_monitor.reset()
         prefix = f'{AGENT_ROLE}/'
         for member in event.members:
             if member.startswith(prefix):
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -94,6 +94,9 @@
         view = self._term_state.view_by_name[placement.target.name]
         number = self._next_run(plan.job, task)
         self._runs.add(view, plan, task, number)
+        self._term_state.last_start_at_by_service[plan.job.service] = (
+            time.monotonic()
+        )
         if placement.target.is_cold:
             self._metrics.count('baobabgap_starts_on_cold_upstreams_total')
         return number
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
+import math
 import time
 from typing import Final
 
@@ -82,6 +83,10 @@
         self.crash_history = CrashHistory()
         self.host_losses = HostLosses()
         self.view_by_name: dict[str, AgentView] = {}
+        # Monotonic clock.
+        self.last_start_at_by_service: dict[str, float] = defaultdict(
+            lambda: -math.inf
+        )
         # Evacuated availability zones with the versions of the orders.
         self.version_by_evacuated_zone: dict[str, int] = {}
 
--- a/baobabgap/scheduling/_target_pool.py
+++ b/baobabgap/scheduling/_target_pool.py
@@ -187,6 +187,10 @@
         self._isolation.forget(target.name)
         self._reserved_until_by_name.pop(target.name, None)
 
+    def is_reserved(self, name: str) -> bool:
+        """Return whether a target is to become idle for an isolated task."""
+        return name in self._reserved_until_by_name
+
     def could_fit(self, demand: Demand) -> bool:
         """Return whether an idle target could run a task."""
         return any(
