--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -31,8 +31,8 @@
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import EndsNoted
 from baobabgap.protocol import FullReport
-from baobabgap.protocol import FullReportWanted
 from baobabgap.protocol import LeaseTiming
+from baobabgap.protocol import ReportRequest
 from baobabgap.protocol import RunRow
 from baobabgap.protocol import RunsEnded
 from baobabgap.protocol import RunsFound
@@ -90,10 +90,7 @@
         view = self._term_state.view_by_name.get(name)
         if view is None:
             view = self._term_state.view_by_name[name] = AgentView(name)
-        view.connection = connection
-        view.linked_incarnation = connection.peer.incarnation
-        view.has_reported = False
-        view.unreported_since = None
+        view.begin_link(connection)
         self._evacuations.handle_link(view)
         self._enrol(view)
 
@@ -213,7 +210,7 @@
 
     def _want_full_report(self, view: AgentView) -> None:
         if view.connection is not None:
-            view.connection.send(FullReportWanted(self._term_state.term))
+            view.connection.send(ReportRequest(self._term_state.term))
 
     def _grant_authority(
         self, view: AgentView, request: AuthorityRequest
@@ -246,12 +243,11 @@
         self._enrol(view)
         view.has_reported = True
         view.unreported_since = None
+        view.answers_report_requests = report.starts_received is not None
         self._term_state.takeover.note_agent_report(view.name)
         self._handle_ends(view, report.ended)
-        reported = {row.task for row in report.running}
-        for task_id in list(view.run_by_task):
-            if task_id not in reported:
-                self._runs.drop(view, task_id, 'not reported')
+        for task_id in view.unreported_runs(report):
+            self._runs.drop(view, task_id, 'not reported')
         self._adopt(view, report.running)
         self._runs.repeat_stops(view)
         log_event(
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -94,6 +94,9 @@
         view = self._term_state.view_by_name[placement.target.name]
         number = self._next_run(plan.job, task)
         self._runs.add(view, plan, task, number)
+        self._term_state.last_start_at_by_service[plan.job.service] = (
+            time.monotonic()
+        )
         if placement.target.is_cold:
             self._metrics.count('baobabgap_starts_on_cold_upstreams_total')
         return number
@@ -101,6 +104,7 @@
     def _send(self, view: AgentView, orders: tuple[RunOrder, ...]) -> None:
         assert view.connection is not None and view.upstream is not None
         self._metrics.count('baobabgap_starts_total', len(orders))
+        view.note_starts_sent(order.task for order in orders)
         view.connection.send(
             StartRuns(
                 self._term_state.term,
--- a/baobabgap/dispatch/_view_check.py
+++ b/baobabgap/dispatch/_view_check.py
@@ -74,10 +74,10 @@
         unreported_s = now - view.unreported_since
         if (
             unreported_s < _REPORT_GRACE_S
-            or now - view.report_wanted_at < _REPORT_PAUSE_S
+            or now - view.report_requested_at < _REPORT_PAUSE_S
         ):
             return False
-        view.report_wanted_at = now
+        view.report_requested_at = now
         believed = view.upstream
         self._metrics.count('baobabgap_full_reports_wanted_total')
         log_event(
--- a/baobabgap/protocol/__init__.py
+++ b/baobabgap/protocol/__init__.py
@@ -15,11 +15,11 @@
 from baobabgap.protocol._messages import EntryReport
 from baobabgap.protocol._messages import EVACUATED
 from baobabgap.protocol._messages import FullReport
-from baobabgap.protocol._messages import FullReportWanted
 from baobabgap.protocol._messages import JoinGroup
 from baobabgap.protocol._messages import LeaderReady
 from baobabgap.protocol._messages import QueueObjective
 from baobabgap.protocol._messages import ReadPath
+from baobabgap.protocol._messages import ReportRequest
 from baobabgap.protocol._messages import RunOrder
 from baobabgap.protocol._messages import RunRow
 from baobabgap.protocol._messages import RunsEnded
@@ -63,13 +63,13 @@
     'EntryReport',
     'EVACUATED',
     'FullReport',
-    'FullReportWanted',
     'JOINER_ROLE',
     'JoinGroup',
     'LeaderReady',
     'LeaseTiming',
     'QueueObjective',
     'ReadPath',
+    'ReportRequest',
     'RunOrder',
     'RunRow',
     'RunsEnded',
