Apply and compare an upstream's service, zone and labels

Callers would see: jobs that need a label or a service get no upstream that has come to announce it, and others start on one that no longer does.

Cause: the leader builds the target of an upstream once for each incarnation. An announcement of the same incarnation with another service, zone or other labels changed the view and left the target, which decides on starts. If the report of the change is lost, the view stays as well.

The target is built anew if one of the three differs. `upstream_changed` logs zone and labels.

Tests: baobabgap.dispatch.tests.test_lost_reports test_changed_labels_service_or_zone_leave_the_target_as_it_was and test_lost_change_of_labels_is_believed_for_ever (both failed before: not within 20.0 s: labels; the second one fails without the checksum as well).

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -280,7 +280,7 @@
         if upstream is None:
             self.dismiss(view)
             return
-        if view.target is None:
+        if view.target is None or not _is_described(view.target, upstream):
             self._term_state.set_target(view, _target_of(view, upstream))
         assert view.target is not None
         view.target.set_capacity(upstream.capacity)
@@ -293,6 +293,8 @@
                 instance=upstream.instance,
                 born_ms=upstream.born_ms,
                 service=upstream.service,
+                zone=upstream.availability_zone,
+                labels=upstream.labels,
                 cpu_millicores=upstream.capacity.cpu_millicores,
                 memory_mb=upstream.capacity.memory_mb,
                 draining=upstream.is_draining,
@@ -480,6 +482,15 @@
             )
 
 
+def _is_described(target: PlacementTarget, upstream: UpstreamState) -> bool:
+    """Return whether a target has an upstream's service, zone and labels."""
+    return (target.service, target.availability_zone, target.labels) == (
+        upstream.service,
+        upstream.availability_zone,
+        upstream.labels,
+    )
+
+
 def _target_of(view: AgentView, upstream: UpstreamState) -> PlacementTarget:
     target = PlacementTarget(
         view.name,
--- a/baobabgap/dispatch/_view_check.py
+++ b/baobabgap/dispatch/_view_check.py
@@ -108,9 +108,16 @@
 
 
 def _has_reported(view: AgentView, request: AuthorityRequest) -> bool:
-    """Return whether the sender's incarnation has reported in full."""
-    return view.has_reported and view.is_current_instance(
-        request.instance, request.born_ms
+    """Return whether the sender's incarnation has reported in full.
+
+    A report with another service, zone or labels doesn't count.
+    """
+    upstream = view.upstream
+    return (
+        view.has_reported
+        and upstream is not None
+        and view.is_current_instance(request.instance, request.born_ms)
+        and request.description_crc in (0, upstream.description_crc)
     )
 
 
--- a/baobabgap/dispatch/tests/test_lost_reports.py
+++ b/baobabgap/dispatch/tests/test_lost_reports.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from pathlib import Path
 import tempfile
 import time
+from typing import Any
 import unittest
 from unittest import mock
 
@@ -13,8 +15,10 @@
 from baobabgap.dispatch._events import AgentLinked
 from baobabgap.dispatch._events import AgentUnlinked
 from baobabgap.dispatch.tests.deployment import Deployment
+from baobabgap.dispatch.tests.deployment import SERVICE
 from baobabgap.dispatch.tests.deployment import step
 from baobabgap.dispatch.tests.deployment import wait_until
+from baobabgap.scheduling import PlacementTarget
 from baobabgap.upstreams import RunAgent
 
 # Seconds until a job must be completed after a message was lost.
@@ -122,3 +126,36 @@
         self.assert_used('a')
         self.assertIsNot(view, self.view)
         self.assertEqual(1, self.count('links_recovered'))
+
+
+class ChangedAnnouncementTest(LostMessageCase):
+    """Changes of what an upstream announces, within one incarnation."""
+
+    @property
+    def target(self) -> PlacementTarget:
+        target = self.view.target
+        assert target is not None
+        return target
+
+    def announce(self, **changes: Any) -> None:
+        state = replace(self.deployment.announced_state(0), **changes)
+        self.agent.announce(state)
+
+    def test_changed_labels_service_or_zone_leave_the_target_as_it_was(
+        self,
+    ) -> None:
+        self.announce(labels=('other',), availability_zone='other')
+        wait_until(lambda: self.target.labels == ('other',), 'labels')
+        self.assertEqual('other', self.target.availability_zone)
+        self.announce(service='other')
+        wait_until(lambda: self.target.service == 'other', 'a service')
+        pools = self.leader._scheduler._term_state.pool_by_service
+        self.assertEqual(0, pools[SERVICE].open_count)
+        self.assertEqual(1, pools['other'].open_count)
+        self.assertEqual(0, self.count('full_reports_wanted'))
+
+    def test_lost_change_of_labels_is_believed_for_ever(self) -> None:
+        with mock.patch.object(self.agent, '_report_upstream'):
+            self.announce(labels=('other',))
+            wait_until(lambda: self.target.labels == ('other',), 'labels')
+        self.assertEqual(1, self.count('full_reports_wanted'))
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
+import zlib
 
 from baobabgap.jobmodel import Demand
 from baobabgap.jobmodel import RunEnd
@@ -210,6 +211,12 @@
     # started or returned a short time ago; 0 if it doesn't.
     cold_left_ms: int = 0
 
+    @property
+    def description_crc(self) -> int:
+        """A checksum of what hardly changes: service, zone and labels."""
+        parts = (self.service, self.availability_zone, *self.labels)
+        return zlib.crc32('\0'.join(parts).encode())
+
 
 # The reason of `RunsGone` after a crash of the upstream.
 CRASHED: Final = 'crashed'
@@ -297,6 +304,8 @@
     is_draining: bool | None = None
     is_reachable: bool | None = None
     capacity: Demand | None = None
+    # Of the service, the zone and the labels; 0 if it isn't told.
+    description_crc: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -827,6 +827,7 @@
                 upstream.is_draining,
                 upstream.is_reachable,
                 upstream.capacity,
+                upstream.description_crc,
             )
         )
 
