Repeat the state of an upstream's zone with each grant of authority

Callers would see: jobs that are started and sent back again and again, as the agent refuses all starts in a zone that the leader holds for open, until the agent's next link.

Cause: an agent was told all evacuated zones at its link, but the end of an evacuation only if its upstream was in that zone at the time. An upstream that comes to announce another zone is refused there for ever. The same happens if one message is lost. If the message of an evacuation is lost, the agent makes starts that wait inside it, after the operator's order.

Each change is told to all agents.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -222,12 +222,15 @@
         assert view.connection is not None
         view.authority_granted_at = boottime_clock()
         until_ms = request.clock_ms + int(1000 * self._timing.authority_s)
+        zone, evacuation_version = self._evacuations.version_of(view)
         view.connection.send(
             Authority(
                 self._term_state.term,
                 request.instance,
                 until_ms,
                 request.born_ms,
+                zone,
+                evacuation_version,
             )
         )
 
--- a/baobabgap/dispatch/_evacuations.py
+++ b/baobabgap/dispatch/_evacuations.py
@@ -60,9 +60,8 @@
         targets = 0
         for view in self._term_state.view_by_name.values():
             zone = view.upstream.availability_zone if view.upstream else ''
-            if zone in ('', change.zone):
-                # An upstream that is not known yet may be in the zone.
-                self._tell(view, change)
+            # Also those elsewhere: an upstream may come to announce the zone.
+            self._tell(view, change)
             if zone == change.zone:
                 self.update_target(view)
                 targets += view.target is not None
@@ -83,6 +82,15 @@
         for zone, version in version_by_zone.items():
             self._tell(view, ZoneState(zone, version, is_evacuated=True))
 
+    def version_of(self, view: AgentView) -> tuple[str, int]:
+        """Return the zone of an agent's upstream and its evacuation.
+
+        This is the log index of the order, 0 if the zone isn't evacuated.
+        """
+        zone = view.upstream.availability_zone if view.upstream else ''
+        version_by_zone = self._term_state.version_by_evacuated_zone
+        return zone, version_by_zone.get(zone, 0)
+
     def update_target(self, view: AgentView) -> None:
         """Set whether new runs may start on an agent's upstream."""
         upstream, target = view.upstream, view.target
--- a/baobabgap/dispatch/tests/test_agent_enrolment.py
+++ b/baobabgap/dispatch/tests/test_agent_enrolment.py
@@ -12,8 +12,10 @@
 from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch._term_state import TermState
+from baobabgap.dispatch._view_check import ViewCheck
 from baobabgap.protocol import AuthorityRequest
 from baobabgap.protocol import LeaseTiming
+from baobabgap.telemetry import Metrics
 
 TERM = 2
 REQUEST = AuthorityRequest(1, 'u', 0)
@@ -32,7 +34,7 @@
             Mock(),
             Mock(),
             Evacuations(self.term_state),
-            Mock(differing_state=Mock(return_value=None)),
+            ViewCheck(Metrics()),
             Mock(),
             self.committer,
             LeaseTiming(),
--- a/baobabgap/dispatch/tests/test_lost_reports.py
+++ b/baobabgap/dispatch/tests/test_lost_reports.py
@@ -18,6 +18,7 @@
 from baobabgap.dispatch.tests.deployment import SERVICE
 from baobabgap.dispatch.tests.deployment import step
 from baobabgap.dispatch.tests.deployment import wait_until
+from baobabgap.dispatch.tests.deployment import ZONE
 from baobabgap.scheduling import PlacementTarget
 from baobabgap.upstreams import RunAgent
 
@@ -159,3 +160,53 @@
             self.announce(labels=('other',))
             wait_until(lambda: self.target.labels == ('other',), 'labels')
         self.assertEqual(1, self.count('full_reports_wanted'))
+
+
+class ZoneTest(LostMessageCase):
+    """What an agent holds of its zone against what the leader holds."""
+
+    def losing_zone_messages(self) -> Any:
+        return mock.patch.object(self.agent._zone_gate, 'note')
+
+    def refuses_starts(self) -> bool:
+        return self.agent._zone_gate.refuses(self.view.upstream, 1)
+
+    def test_lost_end_of_an_evacuation_leaves_the_zone_unused(self) -> None:
+        self.leader.begin_evacuation(ZONE).result(HEALED_S)
+        wait_until(self.refuses_starts, 'an evacuated zone')
+        with self.losing_zone_messages():
+            self.leader.end_evacuation(ZONE).result(HEALED_S)
+            self.assert_used('a')
+        self.assertEqual(1, self.corrections())
+
+    def test_lost_evacuation_leaves_the_agent_ready_to_start(self) -> None:
+        with self.losing_zone_messages():
+            self.leader.begin_evacuation(ZONE).result(HEALED_S)
+            wait_until(self.refuses_starts, 'an evacuated zone')
+        self.assertEqual(1, self.corrections())
+
+    def test_end_of_an_evacuation_is_told_in_that_zone_only(self) -> None:
+        """The upstream moves between zones while one is evacuated."""
+        self.leader.begin_evacuation('other').result(HEALED_S)
+        self.renew_link()
+        wait_until(lambda: self.view.may_start(1.0), 'an upstream')
+        self.leader.end_evacuation('other').result(HEALED_S)
+        self.agent.announce(
+            replace(
+                self.deployment.announced_state(0), availability_zone='other'
+            )
+        )
+        self.assert_used('a')
+
+    def test_messages_that_arrive_are_counted_as_corrections(self) -> None:
+        for _ in range(5):
+            self.leader.begin_evacuation(ZONE).result(HEALED_S)
+            time.sleep(0.2)
+            self.leader.end_evacuation(ZONE).result(HEALED_S)
+            time.sleep(0.1)
+        self.assert_used('a')
+        self.assertEqual(0, self.corrections())
+
+    def corrections(self) -> float:
+        metrics = self.agent._metrics
+        return metrics.value('baobabgap_zone_states_corrected_total')
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -324,6 +324,11 @@
     until_clock_ms: int
     # As in the request; 0 from a leader that doesn't state it.
     born_ms: int = 0
+    # The upstream's zone and the log index of the order that evacuated it, 0
+    # if it isn't evacuated, so that the agent can compare; no zone if it
+    # isn't told.
+    zone: str = ''
+    evacuation_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -318,6 +318,7 @@
                     until_clock_ms=message.until_clock_ms,
                 )
                 return
+            self._zone_gate.compare(message)
             self._authority_until_ms = message.until_clock_ms
             self._poll_wakeup.notify_all()
 
