--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -219,12 +219,15 @@
         assert view.connection is not None
         view.authority_granted_at = boottime_clock()
         until_ms = request.clock_ms + int(1000 * self._timing.authority_s)
+        zone, evacuation_version = self._evacuations.version_of(view)
         view.connection.send(
             Authority(
                 self._term_state.term,
                 request.instance,
                 until_ms,
                 request.born_ms,
+                zone,
+                evacuation_version,
             )
         )
 
@@ -276,7 +279,7 @@
         if upstream is None:
             self.dismiss(view)
             return
-        if view.target is None:
+        if view.target is None or not _is_described(view.target, upstream):
             self._term_state.set_target(view, _target_of(view, upstream))
         assert view.target is not None
         view.target.set_capacity(upstream.capacity)
@@ -289,6 +292,8 @@
                 instance=upstream.instance,
                 born_ms=upstream.born_ms,
                 service=upstream.service,
+                zone=upstream.availability_zone,
+                labels=upstream.labels,
                 cpu_millicores=upstream.capacity.cpu_millicores,
                 memory_mb=upstream.capacity.memory_mb,
                 draining=upstream.is_draining,
@@ -476,6 +481,15 @@
             )
 
 
+def _is_described(target: PlacementTarget, upstream: UpstreamState) -> bool:
+    """Return whether a target has an upstream's service, zone and labels."""
+    return (target.service, target.availability_zone, target.labels) == (
+        upstream.service,
+        upstream.availability_zone,
+        upstream.labels,
+    )
+
+
 def _target_of(view: AgentView, upstream: UpstreamState) -> PlacementTarget:
     target = PlacementTarget(
         view.name,
--- a/baobabgap/dispatch/tests/test_lost_reports.py
+++ b/baobabgap/dispatch/tests/test_lost_reports.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from pathlib import Path
 import tempfile
 import time
+from typing import Any
 import unittest
 from unittest import mock
 
@@ -13,8 +15,11 @@
 from baobabgap.dispatch._events import AgentLinked
 from baobabgap.dispatch._events import AgentUnlinked
 from baobabgap.dispatch.tests.deployment import Deployment
+from baobabgap.dispatch.tests.deployment import SERVICE
 from baobabgap.dispatch.tests.deployment import step
 from baobabgap.dispatch.tests.deployment import wait_until
+from baobabgap.dispatch.tests.deployment import ZONE
+from baobabgap.scheduling import PlacementTarget
 from baobabgap.upstreams import RunAgent
 
 # Seconds until a job must be completed after a message was lost.
@@ -122,3 +127,86 @@
         self.assert_used('a')
         self.assertIsNot(view, self.view)
         self.assertEqual(1, self.count('links_recovered'))
+
+
+class ChangedAnnouncementTest(LostMessageCase):
+    """Changes of what an upstream announces, within one incarnation."""
+
+    @property
+    def target(self) -> PlacementTarget:
+        target = self.view.target
+        assert target is not None
+        return target
+
+    def announce(self, **changes: Any) -> None:
+        state = replace(self.deployment.announced_state(0), **changes)
+        self.agent.announce(state)
+
+    def test_changed_labels_service_or_zone_leave_the_target_as_it_was(
+        self,
+    ) -> None:
+        self.announce(labels=('other',), availability_zone='other')
+        wait_until(lambda: self.target.labels == ('other',), 'labels')
+        self.assertEqual('other', self.target.availability_zone)
+        self.announce(service='other')
+        wait_until(lambda: self.target.service == 'other', 'a service')
+        pools = self.leader._scheduler._term_state.pool_by_service
+        self.assertEqual(0, pools[SERVICE].open_count)
+        self.assertEqual(1, pools['other'].open_count)
+        self.assertEqual(0, self.count('full_reports_wanted'))
+
+    def test_lost_change_of_labels_is_believed_for_ever(self) -> None:
+        with mock.patch.object(self.agent, '_report_upstream'):
+            self.announce(labels=('other',))
+            wait_until(lambda: self.target.labels == ('other',), 'labels')
+        self.assertEqual(1, self.count('full_reports_wanted'))
+
+
+class ZoneTest(LostMessageCase):
+    """What an agent holds of its zone against what the leader holds."""
+
+    def losing_zone_messages(self) -> Any:
+        return mock.patch.object(self.agent._zone_gate, 'note')
+
+    def refuses_starts(self) -> bool:
+        return self.agent._zone_gate.refuses(self.view.upstream, 1)
+
+    def test_lost_end_of_an_evacuation_leaves_the_zone_unused(self) -> None:
+        self.leader.begin_evacuation(ZONE).result(HEALED_S)
+        wait_until(self.refuses_starts, 'an evacuated zone')
+        with self.losing_zone_messages():
+            self.leader.end_evacuation(ZONE).result(HEALED_S)
+            self.assert_used('a')
+        self.assertEqual(1, self.corrections())
+
+    def test_lost_evacuation_leaves_the_agent_ready_to_start(self) -> None:
+        with self.losing_zone_messages():
+            self.leader.begin_evacuation(ZONE).result(HEALED_S)
+            wait_until(self.refuses_starts, 'an evacuated zone')
+        self.assertEqual(1, self.corrections())
+
+    def test_end_of_an_evacuation_is_told_in_that_zone_only(self) -> None:
+        """The upstream moves between zones while one is evacuated."""
+        self.leader.begin_evacuation('other').result(HEALED_S)
+        self.renew_link()
+        wait_until(lambda: self.view.may_start(1.0), 'an upstream')
+        self.leader.end_evacuation('other').result(HEALED_S)
+        self.agent.announce(
+            replace(
+                self.deployment.announced_state(0), availability_zone='other'
+            )
+        )
+        self.assert_used('a')
+
+    def test_messages_that_arrive_are_counted_as_corrections(self) -> None:
+        for _ in range(5):
+            self.leader.begin_evacuation(ZONE).result(HEALED_S)
+            time.sleep(0.2)
+            self.leader.end_evacuation(ZONE).result(HEALED_S)
+            time.sleep(0.1)
+        self.assert_used('a')
+        self.assertEqual(0, self.corrections())
+
+    def corrections(self) -> float:
+        metrics = self.agent._metrics
+        return metrics.value('baobabgap_zone_states_corrected_total')
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -323,6 +323,7 @@
                     until_clock_ms=message.until_clock_ms,
                 )
                 return
+            self._zone_gate.compare(message)
             self._authority_until_ms = message.until_clock_ms
             self._poll_wakeup.notify_all()
 
@@ -835,6 +836,7 @@
                 upstream.is_draining,
                 upstream.is_reachable,
                 upstream.capacity,
+                upstream.description_crc,
             )
         )
 
