--- a/baobabgap/dispatch/tests/test_evacuations.py
+++ b/baobabgap/dispatch/tests/test_evacuations.py
@@ -349,7 +349,9 @@
             self.assertEqual(is_open, target.is_open, (zone, is_evacuated))
         self.assertEqual(
             [
+                ZoneEvacuated(4, 'elsewhere', 0, True),
                 ZoneEvacuated(4, ZONE, 1, True),
+                ZoneEvacuated(4, 'elsewhere', 2, False),
                 ZoneEvacuated(4, ZONE, 3, False),
             ],
             self.connection.sent,
