--- a/baobabgap/replication/_writer.py
+++ b/baobabgap/replication/_writer.py
@@ -40,7 +40,7 @@
     # The index before the first entry, if `rewrite`.
     compacted_index: int
     # What to call once the batch is durable, or after a failure.
-    callbacks: tuple['_Callback', ...]
+    callbacks: tuple[_Callback, ...]
 
 
 class LogWriter:
