Stop starts that may reach the next incarnation of an upstream

A start without an answer may be carried out seconds later, also by the next incarnation under the same identity: it knows of no stop or fence, and a lease counted on the earlier clock is far ahead of its own. The agent told all runs of the earlier incarnation as gone when it found the restart (by a poll or an announcement), so that their tasks ran elsewhere when such a start was carried out.

The agent keeps unanswered starts for 10 s and stops them on the next incarnation. Until the stop is answered and a later poll doesn't list the run, the full report lists it. So the leader frees its room and task only in the one event in which it takes them again. Runs whose start was answered are gone as before, unless such a start is open: then the crash is told with the full report, not by itself.

Besides, the answer to a start of an earlier life no longer sets the clock, and a start queued for it isn't sent to the next if the leader orders the same run there.

Not covered: a start that the client repeated and that was answered then (its first call may be late, too); one carried out before the agent sees the restart, if its run was told as gone before, as the lease lapsed.

--- a/baobabgap/dispatch/tests/fake_upstream.py
+++ b/baobabgap/dispatch/tests/fake_upstream.py
@@ -49,6 +49,8 @@
         self.fails = False
         # Whether `hold` requests get no answer.
         self.is_silent = False
+        # Whether stops get no answer and have no effect.
+        self.fails_stops = False
         # Whether no connection can be opened.
         self.is_refusing = False
         # The longest wait of the last `hold` request, milliseconds.
@@ -125,7 +127,7 @@
             return StartOutcome.STARTED
 
     def stop(self, instance: str, task: TaskId, run: int, fence: int) -> bool:
-        if self.is_refusing:
+        if self.is_refusing or self.fails_stops:
             return False
         with self._lock:
             self._advance()
--- a/baobabgap/dispatch/tests/test_runs_at_once.py
+++ b/baobabgap/dispatch/tests/test_runs_at_once.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 import tempfile
 import threading
@@ -21,6 +22,7 @@
 from baobabgap.dispatch.tests.fake_upstream import FakeRun
 from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
 from baobabgap.protocol import CallOutcome
+from baobabgap.protocol import RunOrder
 
 RUN_MS = 1000
 # Each task fills an upstream.
@@ -109,5 +111,43 @@
         return withheld
 
 
+class LateStartTest(unittest.TestCase):
+    """The start of a task gets no answer, and is carried out later."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.upstreams = [FakeUpstream(run_ms=RUN_MS) for _ in range(2)]
+        self.starts: list[tuple[FakeUpstream, RunOrder]] = []
+        self.is_answered = threading.Event()
+        self.addCleanup(self.is_answered.set)
+        for upstream in self.upstreams:
+            upstream.leaves_unanswered = partial(self.delay_first, upstream)
+        self.deployment = Deployment(Path(folder.name), 1, 2, self.upstreams)
+        self.addCleanup(self.deployment.close)
+        self.deployment.start()
+
+    def delay_first(self, upstream: FakeUpstream, order: RunOrder) -> bool:
+        self.starts.append((upstream, order))
+        return len(self.starts) == 1 and self.is_answered.wait(WAIT_S)
+
+    def carry_out(self) -> None:
+        node = self.deployment.leader
+        assert node is not None
+        upstream, order = self.starts[0]
+        term = node._scheduler._term_state.term
+        upstream.carry_out(order, term, 100_000)
+
+    def test_start_that_reaches_the_next_incarnation(self) -> None:
+        """The task was started elsewhere at once."""
+        answer = self.deployment.submit('a', STEP, volatile=True)
+        wait_until(lambda: bool(self.starts), 'a start')
+        self.starts[0][0].restart(2)
+        wait_until(lambda: len(self.starts) > 1, 'another start')
+        self.carry_out()
+        self.assertEqual('completed', answer.result(WAIT_S).state)
+        self.assertEqual([], overlapping(self.upstreams))
+
+
 if __name__ == '__main__':
     unittest.main()
--- /dev/null
+++ b/baobabgap/upstreams/_late_starts.py
@@ -0,0 +1,84 @@
+"""Start calls without an answer, which may be carried out later."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import TaskId
+from baobabgap.upstreams._run_table import TrackedRun
+
+# Seconds after which a start call is no longer carried out.
+_LATE_START_S: Final = 10.0
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class SentStart:
+    """A start call; equal to itself only."""
+
+    # The upstream's identity, which its next incarnation may have, too.
+    instance: str
+    task: TaskId
+    run: int
+    demand: Demand
+    # Seconds of `boottime_clock`.
+    sent_at: float
+
+
+class LateStarts:
+    """The start calls that have not been answered.
+
+    The next incarnation of an upstream accepts the calls to an earlier one
+    if it has the same identity. It knows of no stop, fence or end, and a
+    lease that was counted on the earlier clock ends long after it. Not safe
+    for use by several threads.
+    """
+
+    def __init__(self, longest_lease_s: float) -> None:
+        self._longest_lease_s: Final = longest_lease_s
+        # In the order in which they were sent.
+        self._starts: dict[SentStart, None] = {}
+
+    def begin(self, instance: str, run: TrackedRun, now: float) -> SentStart:
+        """Record a start call that is about to be sent."""
+        self._forget_old(now)
+        start = SentStart(instance, run.task, run.run, run.demand, now)
+        self._starts[start] = None
+        return start
+
+    def settle(self, start: SentStart) -> None:
+        """Record that a call was answered, or not delivered."""
+        self._starts.pop(start, None)
+
+    def runs_to_stop(self, instance: str, now: float) -> Iterator[TrackedRun]:
+        """Return the runs that the next incarnation may still start.
+
+        Of the runs of one task only the highest: its stop makes the upstream
+        reject the others, too.
+        """
+        self._forget_old(now)
+        start_by_task: dict[TaskId, SentStart] = {}
+        for start in self._starts:
+            known = start_by_task.get(start.task)
+            if start.instance == instance and (
+                known is None or known.run <= start.run
+            ):
+                start_by_task[start.task] = start
+        for start in start_by_task.values():
+            yield TrackedRun(
+                start.task,
+                start.run,
+                start.demand,
+                is_in_flight=False,
+                must_stop=True,
+                reason='restarted',
+                may_run_until=start.sent_at
+                + _LATE_START_S
+                + self._longest_lease_s,
+            )
+
+    def _forget_old(self, now: float) -> None:
+        for start in list(self._starts):
+            if now - start.sent_at < _LATE_START_S:
+                return
+            del self._starts[start]
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -1,6 +1,7 @@
 """Carries out the leader's orders on the upstream and reports to it."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from concurrent.futures import Executor
 from dataclasses import dataclass
@@ -47,6 +48,8 @@
 from baobabgap.upstreams._crash_reports import CrashReports
 from baobabgap.upstreams._crash_reports import log_lost_runs
 from baobabgap.upstreams._crash_reports import rows_with_ages
+from baobabgap.upstreams._late_starts import LateStarts
+from baobabgap.upstreams._late_starts import SentStart
 from baobabgap.upstreams._run_table import RunTable
 from baobabgap.upstreams._run_table import TrackedRun
 from baobabgap.upstreams._zone_gate import ZoneGate
@@ -97,6 +100,7 @@
     link_number: int
     fence: int
     instance: str
+    born_ms: int
     order: RunOrder
 
 
@@ -138,6 +142,7 @@
         self._fence = 0
         self._upstream: UpstreamState | None = None
         self._crash_reports: Final = CrashReports()
+        self._late_starts: Final = LateStarts(timing.longest_lease_s)
         self._zone_gate: Final = ZoneGate(metrics)
         self._reset_incarnation()
 
@@ -194,7 +199,7 @@
                     has_crashed=upstream is not None
                     and not (current and current.is_draining),
                 )
-                self._reset_incarnation()
+                self._begin_incarnation(upstream)
             self._upstream = upstream
             if current != upstream and not is_only_less_cold(
                 current, upstream
@@ -262,6 +267,30 @@
                     self._connection = None
                     self._link_number += 1
 
+    def _begin_incarnation(self, upstream: UpstreamState | None) -> None:
+        """Use the next incarnation of the upstream, or none.
+
+        The runs that it may still start are stopped, and are reported as
+        runs until then.
+        """
+        self._reset_incarnation()
+        self._upstream = upstream
+        if upstream is None:
+            return
+        for run in self._late_starts.runs_to_stop(
+            upstream.instance, boottime_clock()
+        ):
+            log_event(
+                'late_start_possible',
+                job=run.task.job_id,
+                task=f'{run.task.step}.{run.task.index}',
+                run=run.run,
+                instance=upstream.instance,
+                born_ms=upstream.born_ms,
+            )
+            self._table.run_by_task[run.task] = run
+        self._queue_due_stops()
+
     def _reset_incarnation(self) -> None:
         """Discard the state of an earlier incarnation of the upstream."""
         self._table = RunTable()
@@ -357,7 +386,11 @@
                 )
                 self._calls.put(
                     _StartCall(
-                        self._link_number, self._fence, message.instance, order
+                        self._link_number,
+                        self._fence,
+                        message.instance,
+                        message.born_ms,
+                        order,
                     )
                 )
 
@@ -416,9 +449,10 @@
 
     def _send_start(self, start: _StartCall) -> None:
         sent_at = boottime_clock()
-        lease = self._lease_for_start(start, sent_at)
-        if lease is None:
+        sent = self._begin_start(start, sent_at)
+        if sent is None:
             return
+        lease, sent_start = sent
         outcome, clock_ms = self._client.start(
             start.instance, start.order, start.fence, lease.until_ms
         )
@@ -427,16 +461,18 @@
                 lease,
                 was_delivered=outcome is not StartOutcome.NOT_DELIVERED,
             )
+            if outcome is not StartOutcome.UNANSWERED:
+                self._late_starts.settle(sent_start)
         self._handle_start_outcome(start, outcome, clock_ms)
 
-    def _lease_for_start(
+    def _begin_start(
         self, call: _StartCall, sent_at: float
-    ) -> SentLease | None:
-        """Return the lease for a start, or None to not send it."""
+    ) -> tuple[SentLease, SentStart] | None:
+        """Record a start that is about to be sent, or return None."""
         order = call.order
         with self._lock:
             run = self._table.get(order.task, order.run)
-            if run is None:
+            if run is None or not self._is_current(call):
                 return None
             if call.link_number != self._link_number or run.must_stop:
                 self._table.remove(order.task, order.run)
@@ -453,7 +489,19 @@
                 self._send_runs_gone((run.row,), 'no authority')
                 return None
             run.began_at = sent_at
-            return self._clock.begin_lease(until_ms)
+            return (
+                self._clock.begin_lease(until_ms),
+                self._late_starts.begin(call.instance, run, sent_at),
+            )
+
+    def _is_current(self, call: _StartCall) -> bool:
+        """Return whether a start was ordered for the current incarnation."""
+        upstream = self._upstream
+        return (
+            upstream is not None
+            and upstream.instance == call.instance
+            and upstream.born_ms == call.born_ms
+        )
 
     def _handle_start_outcome(
         self,
@@ -465,6 +513,9 @@
         answered_at = boottime_clock()
         self._metrics.count(f'baobabgap_starts_total{{end="{outcome}"}}')
         with self._lock:
+            if not self._is_current(call):
+                # Neither the clock nor the run is that of the current one.
+                return
             if clock_ms:
                 self._clock.record_reading(clock_ms, answered_at)
             run = self._table.get(order.task, order.run)
@@ -630,9 +681,8 @@
                 self._report_lost_runs(
                     'restarted', has_crashed=not self._upstream.is_draining
                 )
-                self._reset_incarnation()
-                self._upstream = replace(
-                    self._upstream, born_ms=report.born_ms
+                self._begin_incarnation(
+                    replace(self._upstream, born_ms=report.born_ms)
                 )
                 self._report_upstream()
                 return
@@ -720,26 +770,31 @@
                 return
             if self._table.run_by_task:
                 self._handle_lapsed_lease()
-            if self._is_full_report_due and self._connection is not None:
+            if (
+                self._is_full_report_due
+                and self._connection is not None
+                and not self._table.run_by_task
+            ):
                 # The upstream can't be polled, but with its lease expired it
                 # runs nothing.
                 self._connection.send(UpstreamQuiet(self._fence))
 
     def _handle_lapsed_lease(self) -> None:
-        """Give up all runs; the caller holds the lock."""
-        rows = self._table.rows()
+        """Give up the runs that end with it; the caller holds the lock."""
+        lapsed = self._table.pop_lapsed(boottime_clock())
+        if not lapsed:
+            return
+        rows = tuple(run.row for run in lapsed)
         has_crashed = self._is_refused and not (
             self._upstream and self._upstream.is_draining
         )
         log_event('lease_lapsed', runs=len(rows), crashed=has_crashed)
-        self._report_lost_runs('lease lapsed', has_crashed=has_crashed)
-        if not has_crashed:
+        lost = self._log_lost_runs(lapsed, 'lease lapsed')
+        if has_crashed:
+            self._send_runs_gone(self._note_crash(lost), CRASHED)
+        else:
             # Whether the upstream has crashed shows when it is back.
-            self._lapsed_rows += rows_with_ages(
-                self._table.run_by_task.values(),
-                self._unanswered_since or boottime_clock(),
-            )
-        self._table = RunTable()
+            self._lapsed_rows = lost
         self._send_runs_gone(rows, 'lapsed')
 
     def _report_lost_runs(self, reason: str, *, has_crashed: bool) -> None:
@@ -748,23 +803,39 @@
         The caller holds the lock, and discards the runs afterwards.
         """
         upstream = self._upstream
-        now = boottime_clock()
-        ended_at = self._unanswered_since or now
-        rows = self._lapsed_rows + rows_with_ages(
-            self._table.run_by_task.values(), ended_at
-        )
-        if upstream is None or not rows:
+        lost = self._log_lost_runs(self._table.run_by_task.values(), reason)
+        if upstream is None or not has_crashed:
             return
-        log_lost_runs(
-            upstream,
-            rows,
-            reason,
-            round(1000 * (now - ended_at)),
-            self._clock.remaining_ms(now),
-        )
-        if has_crashed:
-            self._crash_reports.add(upstream, rows, now)
+        rows = self._note_crash(lost)
+        now = boottime_clock()
+        if not any(self._late_starts.runs_to_stop(upstream.instance, now)):
             self._send_runs_gone(rows, CRASHED)
+        # Else the next full report tells of the crash, and which runs the
+        # next incarnation may still start.
+
+    def _log_lost_runs(
+        self, runs: Iterable[TrackedRun], reason: str
+    ) -> tuple[RunRow, ...]:
+        """Log and return the runs that ended with the upstream."""
+        upstream = self._upstream
+        now = boottime_clock()
+        ended_at = self._unanswered_since or now
+        rows = self._lapsed_rows + rows_with_ages(runs, ended_at)
+        if upstream is not None and rows:
+            log_lost_runs(
+                upstream,
+                rows,
+                reason,
+                round(1000 * (now - ended_at)),
+                self._clock.remaining_ms(now),
+            )
+        return rows
+
+    def _note_crash(self, rows: tuple[RunRow, ...]) -> tuple[RunRow, ...]:
+        """Keep a crash for the next leaders; return the runs."""
+        if self._upstream is not None and rows:
+            self._crash_reports.add(self._upstream, rows, boottime_clock())
+        return rows
 
     def _handle_answered_poll(self) -> None:
         was_unreachable = self._unanswered_polls >= _UNREACHABLE_AFTER_POLLS
@@ -803,7 +874,7 @@
 
     def _send_runs_gone(self, rows: tuple[RunRow, ...], reason: str) -> None:
         upstream = self._upstream
-        if self._connection is not None and upstream is not None:
+        if rows and self._connection is not None and upstream is not None:
             self._connection.send(
                 RunsGone(upstream.instance, upstream.born_ms, rows, reason)
             )
--- a/baobabgap/upstreams/_run_table.py
+++ b/baobabgap/upstreams/_run_table.py
@@ -31,6 +31,9 @@
     # When its start was sent, seconds of `boottime_clock`; None before that
     # and for a run of an earlier process of the agent.
     began_at: float | None = None
+    # Until when it may run although the lease has expired, as an earlier
+    # incarnation was to start it.
+    may_run_until: float = float('-inf')
 
     def age_ms(self, now: float) -> int | None:
         """Return the milliseconds since its start; None if unknown."""
@@ -95,6 +98,15 @@
             del self.run_by_task[run.task]
         return unknown, [run.row for run in gone]
 
+    def pop_lapsed(self, now: float) -> list[TrackedRun]:
+        """Remove and return the runs that end with the upstream's lease."""
+        runs = [
+            run for run in self.run_by_task.values() if run.may_run_until < now
+        ]
+        for run in runs:
+            del self.run_by_task[run.task]
+        return runs
+
     def stops_due(self, sent_before: float) -> list[TrackedRun]:
         """Return the runs to stop whose stop call is due.
 
--- /dev/null
+++ b/baobabgap/upstreams/tests/test_late_starts.py
@@ -0,0 +1,220 @@
+"""Tests of starts that reach the next incarnation of their upstream."""
+
+from dataclasses import replace
+import threading
+import time
+import unittest
+
+from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import TaskId
+from baobabgap.protocol import FullReport
+from baobabgap.protocol import RunOrder
+from baobabgap.protocol import StartRuns
+from baobabgap.upstreams import StartOutcome
+from baobabgap.upstreams._late_starts import LateStarts
+from baobabgap.upstreams._run_table import TrackedRun
+from baobabgap.upstreams.tests.test_restarted_upstream import AgentTest
+from baobabgap.upstreams.tests.test_restarted_upstream import FENCE
+from baobabgap.upstreams.tests.test_restarted_upstream import STATE
+from baobabgap.upstreams.tests.test_restarted_upstream import TASK
+from baobabgap.upstreams.tests.test_restarted_upstream import WAIT_S
+from baobabgap.upstreams.tests.test_restarted_upstream import wait_until
+
+# Far ahead of the next incarnation's clock, as the earlier one counted it.
+LEASE_END_MS = 100_000
+
+
+class StartInFlightTest(AgentTest):
+    """The upstream restarts while a start call gets no answer."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.orders: list[RunOrder] = []
+        self.is_answered = threading.Event()
+        self.addCleanup(self.is_answered.set)
+        self.upstream.leaves_unanswered = self.leave_unanswered
+        self.order(1)
+        wait_until(lambda: self.orders, 'a start call')
+
+    def leave_unanswered(self, order: RunOrder) -> bool:
+        self.orders.append(order)
+        self.is_answered.wait(WAIT_S)
+        return True
+
+    def carry_out(self) -> StartOutcome:
+        return self.upstream.carry_out(self.orders[0], FENCE, LEASE_END_MS)
+
+    def is_told_as_gone(self) -> bool:
+        """Return whether the leader must take the run for gone or ended."""
+        if self.leader.gone or self.leader.ended_numbers:
+            return True
+        return any(
+            isinstance(report, FullReport)
+            and report.upstream is not None
+            and report.upstream.born_ms == 2
+            and not report.running
+            for report in self.leader.reports
+        )
+
+    def assert_rejected_once_told(self) -> None:
+        wait_until(self.is_told_as_gone, 'the loss of the run')
+        self.assertIs(StartOutcome.OLD, self.carry_out())
+
+    def test_start_in_flight_starts_after_it_was_told_as_gone(self) -> None:
+        self.upstream.restart(2)
+        self.assert_rejected_once_told()
+
+    def test_start_in_flight_at_an_announced_restart_starts_later(
+        self,
+    ) -> None:
+        self.upstream.restart(2)
+        self.agent.announce(replace(STATE, born_ms=2))
+        self.assert_rejected_once_told()
+
+    def test_unanswered_start_starts_after_a_restart(self) -> None:
+        self.upstream.is_silent = True
+        self.is_answered.set()
+        # Its stop is due with the next answered poll.
+        time.sleep(0.1)
+        self.upstream.restart(2)
+        self.upstream.is_silent = False
+        self.assert_rejected_once_told()
+
+    def test_run_of_a_late_start_is_told_as_gone_while_it_runs(self) -> None:
+        self.upstream.is_silent = True
+        self.upstream.restart(2)
+        self.upstream.stop_ms = 300
+        self.assertIs(StartOutcome.STARTED, self.carry_out())
+        self.upstream.is_silent = False
+        wait_until(self.is_told_as_gone, 'the end of the run')
+        self.assertEqual(set(), self.upstream.running)
+
+    def test_silent_next_incarnation_loses_a_start_in_flight(self) -> None:
+        self.upstream.is_silent = True
+        self.upstream.restart(2)
+        self.upstream.fails_stops = True
+        self.agent.announce(replace(STATE, born_ms=2))
+        # Its lease, if it has one, lapses meanwhile.
+        time.sleep(2.0)
+        self.assertFalse(self.is_told_as_gone())
+        self.assertIs(StartOutcome.STARTED, self.carry_out())
+        self.upstream.fails_stops = False
+        self.upstream.is_silent = False
+        wait_until(self.is_told_as_gone, 'the end of the run')
+        self.assertEqual(set(), self.upstream.running)
+
+    def test_start_that_was_answered_is_gone_with_its_incarnation(
+        self,
+    ) -> None:
+        self.upstream.leaves_unanswered = lambda _: False
+        other = TaskId('b', 0, 0)
+        order = RunOrder(other, 1, 'x', Demand(1000, 10, 0))
+        self.leader.order(StartRuns(FENCE, STATE.instance, 1, (order,)))
+        wait_until(lambda: other in self.upstream.running, 'a run')
+        time.sleep(0.1)
+        self.upstream.restart(2)
+        wait_until(lambda: self.reported_start() == 2, 'a report')
+        report = self.leader.reports[-1]
+        assert isinstance(report, FullReport)
+        self.assertEqual([TASK], [row.task for row in report.running])
+        self.assertEqual(
+            [{TASK, other}],
+            [{row.task for row in c.runs} for c in report.crashes],
+        )
+
+
+class QueuedStartTest(AgentTest):
+    def test_start_queued_for_an_earlier_life_is_sent_to_the_next(
+        self,
+    ) -> None:
+        """Its task was ordered again, with the same number of the run."""
+        may_answer = threading.Event()
+        self.addCleanup(may_answer.set)
+        sent: list[TaskId] = []
+
+        def leave_unanswered(order: RunOrder) -> bool:
+            sent.append(order.task)
+            return order.task != TASK and may_answer.wait(WAIT_S)
+
+        self.upstream.leaves_unanswered = leave_unanswered
+        others = tuple(
+            RunOrder(TaskId(f'other-{n}', 0, 0), 1, 'x', Demand())
+            for n in range(8)
+        )
+        self.leader.order(StartRuns(FENCE, STATE.instance, 1, others))
+        wait_until(lambda: len(sent) == len(others), 'busy threads')
+        self.order(1)
+        self.upstream.restart(2)
+        wait_until(lambda: self.reported_start() == 2, 'a report')
+        self.order(2)
+        may_answer.set()
+        wait_until(lambda: TASK in sent, 'a start')
+        time.sleep(0.2)
+        self.assertEqual(1, sent.count(TASK))
+
+
+class AnswerOfAnEarlierLifeTest(AgentTest):
+    def make_upstream(self) -> FakeUpstream:
+        return LateAnswer()
+
+    def test_clock_of_an_earlier_life_is_taken_for_that_of_the_next(
+        self,
+    ) -> None:
+        """Authority was granted far beyond the next one's clock."""
+        upstream = self.upstream
+        assert isinstance(upstream, LateAnswer)
+        self.order(1)
+        wait_until(upstream.is_called.is_set, 'a start call')
+        upstream.restart(2)
+        wait_until(lambda: self.reported_start() == 2, 'a report')
+        upstream.may_answer.set()
+        time.sleep(0.5)
+        request = self.leader.requests[-1]
+        self.assertEqual(2, request.born_ms)
+        self.assertLess(request.clock_ms, upstream.clock_ms)
+
+
+class LateAnswer(FakeUpstream):
+    """Answers a start with the clock of a life that began long before."""
+
+    def __init__(self) -> None:
+        super().__init__(run_ms=60_000)
+        self.is_called = threading.Event()
+        self.may_answer = threading.Event()
+
+    def start(
+        self, instance: str, order: RunOrder, fence: int, lease_until_ms: int
+    ) -> tuple[StartOutcome, int]:
+        self.is_called.set()
+        self.may_answer.wait(WAIT_S)
+        return StartOutcome.STARTED, self.clock_ms + 60_000
+
+
+class LateStartsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.starts = LateStarts(1.0)
+
+    def runs_to_stop(self, now: float) -> list[tuple[TaskId, int]]:
+        return [
+            (run.task, run.run)
+            for run in self.starts.runs_to_stop('upstream', now)
+        ]
+
+    def test_only_starts_without_an_answer_are_stopped(self) -> None:
+        other = TaskId('b', 0, 0)
+        for run in (TrackedRun(TASK, 1), TrackedRun(TASK, 2)):
+            self.starts.begin('upstream', run, 5.0)
+        answered = self.starts.begin('upstream', TrackedRun(other, 1), 5.0)
+        self.starts.begin('another', TrackedRun(other, 1), 5.0)
+        self.starts.settle(answered)
+        self.assertEqual([(TASK, 2)], self.runs_to_stop(6.0))
+
+    def test_old_starts_are_forgotten(self) -> None:
+        self.starts.begin('upstream', TrackedRun(TASK, 1), 5.0)
+        self.assertEqual([(TASK, 1)], self.runs_to_stop(14.9))
+        self.assertEqual([], self.runs_to_stop(15.1))
+
+
+if __name__ == '__main__':
+    unittest.main()
