Say in the log who sent a job, and after which run a task starts again

Who read the logs of a task with two runs saw `job_accepted` twice and couldn't tell an entry that sent the job again from a caller that did (runs-at-the-same-time: read from the intervals only). A start that follows the end of an earlier submission's run looked like any other.

`job_accepted`, and `job_ended` of a drop, have `entry` (name and incarnation), `call` and `is_repeat`; `run_gone` has `earlier_submission`, and `job_placed` of a task that waited for a run of an earlier submission has `after_earlier_runs`.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -370,7 +370,7 @@
         if found is not None:
             # A job that was submitted again may run elsewhere by now.
             is_current = run is not None and found[1].upstream == view.name
-            self._apply_end(view, row, *found, is_current=is_current)
+            self._apply_end(view, row, *found, run if is_current else None)
         elif self._may_be_submitted(row.task.job_id):
             self._term_state.orphans.add_end(row, time.monotonic())
 
@@ -386,21 +386,23 @@
         row: EndRow,
         plan: JobPlan,
         task: PlannedTask,
-        *,
-        is_current: bool,
+        current: Run | None,
     ) -> None:
-        """Update a task with the end of one of its runs."""
+        """Update a task with the end of one of its runs.
+
+        `current` is that run if the task doesn't run elsewhere by now.
+        """
         task.last_run = max(task.last_run, row.run)
         match row.end:
             case RunEnd.DONE:
-                self._apply_done(plan, task, is_current)
+                self._apply_done(plan, task, current is not None)
             case RunEnd.FAILED:
                 task.failed_runs.add(row.run)
                 task.avoided.add(view.name)
-                self._apply_failed(plan, task, is_current)
+                self._apply_failed(view, plan, task, current)
             case RunEnd.INTERRUPTED:
-                if is_current:
-                    plan.requeue(task)
+                if current is not None:
+                    self._runs.let_wait(view, current, plan, task)
 
     def _apply_done(
         self, plan: JobPlan, task: PlannedTask, is_current: bool
@@ -414,14 +416,18 @@
             self._closer.close(JobEnd(plan.job.job_id, JobState.COMPLETED))
 
     def _apply_failed(
-        self, plan: JobPlan, task: PlannedTask, is_current: bool
+        self,
+        view: AgentView,
+        plan: JobPlan,
+        task: PlannedTask,
+        current: Run | None,
     ) -> None:
         """Queue a failed task again unless its job fails."""
         if len(task.failed_runs) < plan.job.attempts:
-            if is_current:
-                plan.requeue(task)
+            if current is not None:
+                self._runs.let_wait(view, current, plan, task)
         elif plan.job.is_volatile:
-            if is_current:
+            if current is not None:
                 task.upstream = ''
             self._closer.close(JobEnd(plan.job.job_id, JobState.FAILED))
 
--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -10,6 +10,7 @@
 from baobabgap.protocol import FullReport
 from baobabgap.protocol import UpstreamState
 from baobabgap.scheduling import ExpectedRun
+from baobabgap.scheduling import JobPlan
 from baobabgap.scheduling import PlacementTarget
 from baobabgap.transport import Connection
 
@@ -24,6 +25,8 @@
     # When it was ordered or found, and its expected duration, seconds.
     started_at: float
     expected_s: float
+    # The submission that it was ordered or adopted for, if there is one.
+    plan: JobPlan | None = None
     # Whether it was found rather than ordered. Its start time is unknown
     # then, so that its duration is not recorded.
     was_found: bool = False
--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -20,6 +20,7 @@
 from baobabgap.dispatch._replies import answer
 from baobabgap.dispatch._replies import answer_not_served
 from baobabgap.dispatch._replies import answer_unavailable
+from baobabgap.dispatch._replies import call_fields
 from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._start_deferral import StartDeferral
 from baobabgap.dispatch._term_state import TermState
@@ -105,7 +106,9 @@
                 continue
             self._term_state.callers_by_id[job_id] = remaining
             if not remaining:
-                self._closer.close(JobEnd(job_id, JobState.CANCELLED))
+                self._closer.close(
+                    JobEnd(job_id, JobState.CANCELLED), dropped=calls[-1]
+                )
             return
 
     def handle_stored_jobs(self, event: JobsStored) -> None:
@@ -115,7 +118,7 @@
         for job_id in event.job_ids:
             plan, calls = self._term_state.pop_storing(job_id)
             if event.succeeded:
-                self._activate(plan)
+                self._activate(plan, calls[0])
             for call in calls:
                 if event.succeeded:
                     answer(call, CallOutcome.ACCEPTED)
@@ -461,7 +464,7 @@
         orphans = self._term_state.orphans.pop(job_id)
         for task_id in orphans.done:
             plan.note_done(task_id)
-        self._activate(plan)
+        self._activate(plan, arrived)
         for agent, row in orphans.runs:
             view = self._term_state.view_by_name.get(agent)
             run = view.run_by_task.get(row.task) if view else None
@@ -490,7 +493,7 @@
                 if run is not None and not task.upstream:
                     plan.note_started(task, view.name, run.number)
 
-    def _activate(self, plan: JobPlan) -> None:
+    def _activate(self, plan: JobPlan, arrived: CallArrived) -> None:
         """Make a job's tasks available for starts."""
         job = plan.job
         is_open = job.is_volatile or (
@@ -509,6 +512,7 @@
             tasks=len(plan.task_by_id),
             objective_ms=round(1000 * plan.objective_s),
             term=self._term_state.term,
+            **call_fields(arrived),
         )
 
     def _read(self, arrived: CallArrived, match: QueueMatch) -> None:
--- a/baobabgap/dispatch/_job_closer.py
+++ b/baobabgap/dispatch/_job_closer.py
@@ -8,9 +8,11 @@
 from baobabgap.accepted import JobEnd
 from baobabgap.accepted import NoteEnds
 from baobabgap.dispatch._committer import Committer
+from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._events import EndsStored
 from baobabgap.dispatch._events import PostEvent
 from baobabgap.dispatch._replies import answer
+from baobabgap.dispatch._replies import call_fields
 from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._term_state import EndedJob
 from baobabgap.dispatch._term_state import TermState
@@ -160,8 +162,14 @@
             NoteEnds(batch.ends, int(time.time() * 1000)), stored
         )
 
-    def close(self, job_end: JobEnd) -> None:
-        """Answer calls that wait for a job's end; stop its remaining runs."""
+    def close(
+        self, job_end: JobEnd, *, dropped: CallArrived | None = None
+    ) -> None:
+        """Answer calls that wait for a job's end; stop its remaining runs.
+
+        `dropped` is the call that nobody waits for any longer, if that ends
+        the job.
+        """
         term_state = self._term_state
         job_id, state = job_end.job_id, job_end.state
         now = time.monotonic()
@@ -192,6 +200,7 @@
             reason=job_end.reason,
             taken_ms=round(1000 * taken_s),
             objective_ms=round(1000 * plan.objective_s),
+            **({} if dropped is None else call_fields(dropped)),
         )
 
     def _send(self, noted_by_agent: dict[str, EndsNoted]) -> None:
--- a/baobabgap/dispatch/_replies.py
+++ b/baobabgap/dispatch/_replies.py
@@ -5,12 +5,27 @@
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.protocol import CallAnswer
 from baobabgap.protocol import CallOutcome
+from baobabgap.protocol import SubmitJob
 
 # Retry-After of a call that found no working leader, milliseconds; about the
 # duration of an election.
 _NO_LEADER_RETRY_MS: Final = 1000
 
 
+def call_fields(arrived: CallArrived) -> dict[str, object]:
+    """Return the log fields that tell who sent a call.
+
+    A caller that sends its job again has a call of its own, which its entry
+    doesn't mark as a repetition.
+    """
+    call, peer = arrived.call, arrived.connection.peer
+    return {
+        'entry': f'{peer.name}/{peer.incarnation}',
+        'call': call.call,
+        'is_repeat': isinstance(call, SubmitJob) and call.is_repeat,
+    }
+
+
 def answer(
     arrived: CallArrived,
     outcome: CallOutcome,
--- a/baobabgap/dispatch/_run_tracker.py
+++ b/baobabgap/dispatch/_run_tracker.py
@@ -49,7 +49,8 @@
                 plan.job.steps[step].demand,
                 time.monotonic(),
                 plan.expected_s[step],
-                was_found,
+                plan,
+                was_found=was_found,
                 was_cold=view.target is not None and view.target.is_cold,
             ),
             is_exclusive=task.must_run_alone,
@@ -81,6 +82,7 @@
     def drop(self, view: AgentView, task_id: TaskId, reason: str) -> None:
         """Remove a run that ended without a reported end or never existed."""
         run = self.remove(view, task_id)
+        found = self._term_state.find(task_id)
         log_event(
             'run_gone',
             job=task_id.job_id,
@@ -88,15 +90,26 @@
             run=run.number,
             agent=view.name,
             reason=reason,
+            earlier_submission=found is None or run.plan is not found[0],
         )
-        found = self._term_state.find(task_id)
         if found is not None:
             plan, task = found
             if reason in _SUSPICIOUS_REASONS:
                 task.avoided.add(view.name)
             if task.upstream == view.name:
                 # Else the job was submitted again and runs elsewhere.
-                plan.requeue(task)
+                self.let_wait(view, run, plan, task)
+
+    def let_wait(
+        self, view: AgentView, run: Run, plan: JobPlan, task: PlannedTask
+    ) -> None:
+        """Let a task wait again after a run that ended without success."""
+        if run.plan is not plan:
+            task.earlier_run = (
+                f'{task_text(task.task)}#{run.number}@{view.name}'
+            )
+            task.earlier_run_ended_at = time.monotonic()
+        plan.requeue(task)
 
     def drop_all(self, view: AgentView, reason: str) -> None:
         """Drop all runs of an upstream."""
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -51,6 +51,7 @@
         orders_by_agent: dict[str, list[RunOrder]] = defaultdict(list)
         runs_by_job: dict[str, list[str]] = defaultdict(list)
         claim_by_job: dict[str, Claim] = {}
+        earlier_by_job: dict[str, list[str]] = defaultdict(list)
         for service, queue in term_state.queue_by_service.items():
             if not queue:
                 continue
@@ -71,6 +72,10 @@
                         placement.demand,
                     )
                 )
+                if placement.task.earlier_run:
+                    earlier_by_job[task.job_id].append(
+                        _earlier_run_text(placement.task, time.monotonic())
+                    )
                 runs_by_job[task.job_id].append(
                     f'{task_text(task)}#{number}@{name}'
                 )
@@ -81,7 +86,10 @@
             self._send(term_state.view_by_name[name], tuple(orders))
         for job_id, runs in runs_by_job.items():
             self._log(
-                term_state.plan_by_id[job_id], runs, claim_by_job.get(job_id)
+                term_state.plan_by_id[job_id],
+                runs,
+                earlier_by_job[job_id],
+                claim_by_job.get(job_id),
             )
 
     def _may_start_on(self, target: PlacementTarget) -> bool:
@@ -115,7 +123,11 @@
         )
 
     def _log(
-        self, plan: JobPlan, runs: list[str], claim: Claim | None
+        self,
+        plan: JobPlan,
+        runs: list[str],
+        earlier_runs: list[str],
+        claim: Claim | None,
     ) -> None:
         self._metrics.count(
             f'baobabgap_queue_starts_total{{queue="{plan.job.queue}"}}',
@@ -129,6 +141,7 @@
             runs=runs,
             waited_ms=round(1000 * waited_s),
             term=self._term_state.term,
+            **({'after_earlier_runs': earlier_runs} if earlier_runs else {}),
             **_claim_fields(claim, time.monotonic()),
         )
 
@@ -137,6 +150,17 @@
         return max(1 + _RUNS_PER_TERM * terms, task.last_run + 1)
 
 
+def _earlier_run_text(task: PlannedTask, now: float) -> str:
+    """Return the run that a task waited for and how long ago it ended.
+
+    A task is started after such a run once only.
+    """
+    ended_ms = round(1000 * (now - task.earlier_run_ended_at))
+    text = f'{task.earlier_run}, ended {ended_ms} ms before'
+    task.earlier_run = ''
+    return text
+
+
 def _claim_fields(claim: Claim | None, now: float) -> dict[str, object]:
     """Return what a start beside a more urgent waiting step is logged with."""
     if claim is None:
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -35,6 +35,10 @@
     overdue_runs: int = 0
     # The upstream where the task runs or may run; empty while it waits.
     upstream: str = ''
+    # The last run of an earlier submission that it waited for, as in logs,
+    # and when it ended on the monotonic clock.
+    earlier_run: str = ''
+    earlier_run_ended_at: float = 0.0
 
     @property
     def is_given_up(self) -> bool:
