Stop runs that a killed agent may have sent, instead of giving them up

An agent that is killed right after it sent a start, and is back within a second, reports in full that the run isn't there; the leader dropped it and started its task elsewhere, while the start could still be carried out with a valid lease (or by the next incarnation, where its lease is long).

The leader keeps for each run which process of the agent has it. Runs that a full report doesn't list, and that the linked process neither was ordered to start nor ever listed, are stopped, also if the upstream is a later incarnation of the same identity. The agent forwards a stop of a run that it doesn't know; it is gone when the stop is answered and a later poll doesn't list it. Such a run is also stopped on the next incarnation.

Evidence: without the change two tests in test_runs_at_once show run 2 of the task beside run 1 on the other upstream; the two tests of the stop fail, one with STARTED for OLD after "not here", the other as nothing is stopped on the next incarnation. All pass with it.

Cost: nothing for the upstream as a whole: it is used at once, as before.

A leader that is elected meanwhile doesn't know of the run, but its agents report after a poll with its fence, which rejects such a start.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -234,6 +234,7 @@
     def _handle_full_report(self, view: AgentView, report: FullReport) -> None:
         if report.fence != self._term_state.term:
             return
+        unknown = view.unknown_to_process(report)
         for crash in report.crashes:
             self._handle_crash(view, crash)
         host_crash = self._term_state.host_losses.find_crash(view, report)
@@ -249,9 +250,12 @@
         view.answers_report_requests = report.starts_received is not None
         self._term_state.takeover.note_agent_report(view.name)
         self._handle_ends(view, report.ended)
+        unknown_tasks = {row.task for row in unknown}
         for task_id in view.unreported_runs(report):
-            self._runs.drop(view, task_id, 'not reported')
+            if task_id not in unknown_tasks:
+                self._runs.drop(view, task_id, 'not reported')
         self._adopt(view, report.running)
+        self._stop_unknown(view, unknown)
         self._runs.repeat_stops(view)
         log_event(
             'agent_reported',
@@ -317,6 +321,25 @@
                 self._term_state.orphans.add_run(view.name, row, now)
             else:
                 self._runs.stop(view, row.task)
+        view.note_listed(rows)
+
+    def _stop_unknown(self, view: AgentView, rows: list[RunRow]) -> None:
+        """Stop runs that an earlier process of the agent may have sent.
+
+        They are tracked until the upstream rejects or has ended them. The
+        caller repeats the orders of stops.
+        """
+        for row in rows:
+            if row.task not in view.run_by_task:
+                # It was dropped with the upstream's earlier incarnation.
+                found = self._term_state.find(row.task)
+                if found is not None and not found[1].upstream:
+                    self._runs.add(view, *found, row.run, was_found=True)
+                else:
+                    self._runs.add_unwanted(view, row)
+            run = view.run_by_task[row.task]
+            if run.number == row.run:
+                run.is_stopping = True
 
     def _may_be_submitted(self, job_id: str) -> bool:
         """Return whether a job may still be submitted to this leader."""
--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -8,6 +8,7 @@
 from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import boottime_clock
 from baobabgap.protocol import FullReport
+from baobabgap.protocol import RunRow
 from baobabgap.protocol import UpstreamState
 from baobabgap.scheduling import ExpectedRun
 from baobabgap.scheduling import PlacementTarget
@@ -37,6 +38,8 @@
     # Number of the message on the current link that ordered it; 0 if it was
     # found or ordered on an earlier link.
     start_number: int = 0
+    # The agent's process that it was ordered from, or that listed it last.
+    agent_incarnation: str = ''
 
 
 @dataclass(slots=True)
@@ -107,7 +110,16 @@
         """Record that a message orders the starts of runs."""
         self.starts_sent += 1
         for task in tasks:
-            self.run_by_task[task].start_number = self.starts_sent
+            run = self.run_by_task[task]
+            run.start_number = self.starts_sent
+            run.agent_incarnation = self.linked_incarnation
+
+    def note_listed(self, rows: Iterable[RunRow]) -> None:
+        """Record that the agent's process on this link knows of runs."""
+        for row in rows:
+            run = self.run_by_task.get(row.task)
+            if run is not None and run.number == row.run:
+                run.agent_incarnation = self.linked_incarnation
 
     def unreported_runs(self, report: FullReport) -> list[TaskId]:
         """Return the runs that a full report shows not to exist.
@@ -124,6 +136,26 @@
             and (received is None or run.start_number <= received)
         ]
 
+    def unknown_to_process(self, report: FullReport) -> list[RunRow]:
+        """Return the runs of which the agent's process can't know.
+
+        They were ordered from an earlier process, whose calls may still be
+        carried out, also by the next incarnation of the upstream.
+        """
+        upstream, reported = self.upstream, report.upstream
+        if upstream is None or reported is None:
+            return []
+        if upstream.instance != reported.instance:
+            return []
+        known = {(row.task, row.run) for row in report.running}
+        known.update((row.task, row.run) for row in report.ended)
+        return [
+            RunRow(run.task, run.number, False, run.demand)
+            for run in self.run_by_task.values()
+            if run.agent_incarnation != self.linked_incarnation
+            and (run.task, run.number) not in known
+        ]
+
     def is_current_instance(self, instance: str, born_ms: int) -> bool:
         """Return whether a message concerns the current instance."""
         upstream = self.upstream
--- a/baobabgap/dispatch/tests/test_full_reports.py
+++ b/baobabgap/dispatch/tests/test_full_reports.py
@@ -9,12 +9,14 @@
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._agent_view import Run
 from baobabgap.dispatch.tests.deployment import Deployment
+from baobabgap.dispatch.tests.deployment import describe_upstream
 from baobabgap.dispatch.tests.deployment import step
 from baobabgap.dispatch.tests.deployment import wait_until
 from baobabgap.jobmodel import Demand
 from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import FullReport
 from baobabgap.protocol import ReportRequest
+from baobabgap.protocol import RunRow
 
 RUN_MS = 300
 AUTHORITY_S = 3.0
@@ -125,6 +127,27 @@
         self.view.note_starts_sent([task_id(3)])
         self.assertEqual([task_id(1), task_id(2)], self.unreported(0))
 
+    def test_run_of_an_earlier_process_is_taken_for_gone(self) -> None:
+        """Its start may be carried out later, unless it is stopped."""
+        self.view.upstream = describe_upstream(0, 1, 4)
+        link = mock.Mock()
+        self.view.begin_link(link)
+        self.add(3)
+        self.view.note_starts_sent([task_id(3)])
+        # Of the same process.
+        self.view.begin_link(link)
+        self.assertEqual([1, 2], self.unknown(born_ms=1))
+        self.assertEqual([1, 2], self.unknown(born_ms=2))
+        self.assertEqual([], self.unknown(born_ms=2, number=1))
+        self.view.note_listed([RunRow(task_id(1), 1, True)])
+        self.assertEqual([2], self.unknown(born_ms=1))
+
+    def unknown(self, born_ms: int, number: int = 0) -> list[int]:
+        upstream = describe_upstream(number, born_ms, 4)
+        report = FullReport(1, upstream, (), (), (), 0)
+        rows = self.view.unknown_to_process(report)
+        return [n for n in (1, 2, 3) if task_id(n) in {r.task for r in rows}]
+
 
 def task_id(number: int) -> TaskId:
     return TaskId('job', 0, number)
--- a/baobabgap/dispatch/tests/test_runs_at_once.py
+++ b/baobabgap/dispatch/tests/test_runs_at_once.py
@@ -131,12 +131,12 @@
         self.starts.append((upstream, order))
         return len(self.starts) == 1 and self.is_answered.wait(WAIT_S)
 
-    def carry_out(self) -> None:
+    def carry_out(self, until_ms: int = 100_000) -> None:
         node = self.deployment.leader
         assert node is not None
         upstream, order = self.starts[0]
         term = node._scheduler._term_state.term
-        upstream.carry_out(order, term, 100_000)
+        upstream.carry_out(order, term, until_ms)
 
     def test_start_that_reaches_the_next_incarnation(self) -> None:
         """The task was started elsewhere at once."""
@@ -148,6 +148,37 @@
         self.assertEqual('completed', answer.result(WAIT_S).state)
         self.assertEqual([], overlapping(self.upstreams))
 
+    def replace_agent(self) -> None:
+        number = self.upstreams.index(self.starts[0][0])
+        self.deployment.replace_agent(number, silent_s=0.1)
+        # The task can start again on the other upstream only.
+        self.deployment.agents[number].announce(
+            self.deployment.announced_state(number, is_draining=True)
+        )
+
+    def test_start_of_an_agent_that_was_killed(self) -> None:
+        """The next process reported that the run wasn't there."""
+        answer = self.deployment.submit('a', STEP, volatile=True)
+        wait_until(lambda: bool(self.starts), 'a start')
+        until_ms = self.starts[0][0].clock_ms + 1000
+        self.replace_agent()
+        wait_until(lambda: len(self.starts) > 1, 'another start')
+        self.carry_out(until_ms)
+        self.assertEqual('completed', answer.result(WAIT_S).state)
+        self.assertEqual([], overlapping(self.upstreams))
+
+    def test_start_of_a_killed_agent_that_reaches_the_next_incarnation(
+        self,
+    ) -> None:
+        answer = self.deployment.submit('a', STEP, volatile=True)
+        wait_until(lambda: bool(self.starts), 'a start')
+        self.starts[0][0].restart(2)
+        self.replace_agent()
+        wait_until(lambda: len(self.starts) > 1, 'another start')
+        self.carry_out()
+        self.assertEqual('completed', answer.result(WAIT_S).state)
+        self.assertEqual([], overlapping(self.upstreams))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -401,19 +401,36 @@
             for row in rows:
                 run = self._table.get(row.task, row.run)
                 if run is None:
-                    self._report_unknown_run(row)
+                    self._handle_unknown_stop(row)
                     continue
                 run.must_stop = True
             self._queue_due_stops()
 
-    def _report_unknown_run(self, row: RunRow) -> None:
-        """Report a run that is not here as gone, unless it has ended."""
+    def _handle_unknown_stop(self, row: RunRow) -> None:
+        """Stop a run that is not known here, unless it has ended.
+
+        An earlier process may have sent its start, which the upstream may
+        still carry out unless a stop arrives first.
+        """
+        upstream = self._upstream
         is_ended = any(
             end.task == row.task and end.run == row.run
             for end in self._unacknowledged_ends.values()
         )
-        if not is_ended:
+        if is_ended or upstream is None:
+            return
+        if row.task in self._table.run_by_task:
             self._send_runs_gone((row,), 'not here')
+            return
+        run = self._table.run_by_task[row.task] = TrackedRun(
+            row.task,
+            row.run,
+            row.demand,
+            is_in_flight=False,
+            must_stop=True,
+            reason='not here',
+        )
+        self._late_starts.begin(upstream.instance, run, boottime_clock())
 
     def _handle_ends_noted(self, message: EndsNoted) -> None:
         with self._lock:
@@ -579,13 +596,14 @@
                     self._next_lease_end_ms() if self._clock.is_known else 0
                 )
                 is_full_report_due = self._is_full_report_due
+                is_answer_due = self._table.has_rejected_run
             if not fence:
                 self._pause(_POLL_RETRY_PAUSE_S)
                 continue
             sent_at = boottime_clock()
             wait_ms = (
                 0
-                if is_full_report_due or not lease_end_ms
+                if is_full_report_due or not lease_end_ms or is_answer_due
                 else self._poll_wait_ms()
             )
             try:
--- a/baobabgap/upstreams/_run_table.py
+++ b/baobabgap/upstreams/_run_table.py
@@ -98,6 +98,17 @@
             del self.run_by_task[run.task]
         return unknown, [run.row for run in gone]
 
+    @property
+    def has_rejected_run(self) -> bool:
+        """Whether the next report tells of a run that it is gone.
+
+        Unless the report lists the run, which is then stopping.
+        """
+        return any(
+            run.stopped_at is not None and not run.is_confirmed
+            for run in self.run_by_task.values()
+        )
+
     def pop_lapsed(self, now: float) -> list[TrackedRun]:
         """Remove and return the runs that end with the upstream's lease."""
         runs = [
--- a/baobabgap/upstreams/tests/test_late_starts.py
+++ b/baobabgap/upstreams/tests/test_late_starts.py
@@ -10,7 +10,9 @@
 from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import FullReport
 from baobabgap.protocol import RunOrder
+from baobabgap.protocol import RunRow
 from baobabgap.protocol import StartRuns
+from baobabgap.protocol import StopRuns
 from baobabgap.upstreams import StartOutcome
 from baobabgap.upstreams._late_starts import LateStarts
 from baobabgap.upstreams._run_table import TrackedRun
@@ -191,6 +193,32 @@
         return StartOutcome.STARTED, self.clock_ms + 60_000
 
 
+class UnknownStopTest(AgentTest):
+    """The agent's earlier process may have sent the start of a run."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.leader.order(StopRuns(FENCE, (RunRow(TASK, 1, True),)))
+
+    def carry_out(self) -> StartOutcome:
+        order = RunOrder(TASK, 1, 'x', Demand(1000, 10, 0))
+        return self.upstream.carry_out(order, FENCE, LEASE_END_MS)
+
+    def test_start_of_an_earlier_process_follows_its_stop(self) -> None:
+        wait_until(lambda: self.leader.gone, 'the loss of the run')
+        self.assertEqual(
+            [TASK], [run.task for run in self.leader.gone[0].runs]
+        )
+        self.assertIs(StartOutcome.OLD, self.carry_out())
+
+    def test_start_of_an_earlier_process_reaches_the_next_life(self) -> None:
+        wait_until(lambda: self.leader.gone, 'the loss of the run')
+        self.upstream.restart(2)
+        wait_until(lambda: self.reported_start() == 2, 'a report')
+        wait_until(lambda: len(self.leader.gone) == 2, 'the loss of the run')
+        self.assertIs(StartOutcome.OLD, self.carry_out())
+
+
 class LateStartsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.starts = LateStarts(1.0)
--- a/baobabgap/upstreams/tests/test_run_table.py
+++ b/baobabgap/upstreams/tests/test_run_table.py
@@ -55,6 +55,15 @@
         self.assertEqual([RunRow(TASK, 2, True)], gone)
         self.assertEqual((), self.table.rows())
 
+    def test_report_on_a_rejected_run_waits_for_the_end_of_another(
+        self,
+    ) -> None:
+        self.assertFalse(self.table.has_rejected_run)
+        self.tracked.stopped_at = 5.0
+        self.assertTrue(self.table.has_rejected_run)
+        self.table.apply_report(report(ActiveRun(TASK, 2)), 5.1)
+        self.assertFalse(self.table.has_rejected_run)
+
     def test_stopped_run_that_had_ended_is_not_gone(self) -> None:
         """Reported as gone, its task would run again though it is done."""
         self.tracked.must_stop = True
