Refuse readings of an upstream's clock that can't be true

A reading that is too high also makes leases seem lapsed that still hold, and moves the end of the authority.

Cause: LeaseClock took each reading that was higher than the last one.

Two readings have to agree before a lease is sent or authority is requested, so that a first reading that is odd is replaced by the next one.

The authority is given up at a replacement, and one that was counted from a refuted reading is refused.

--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -323,6 +323,17 @@
                     until_clock_ms=message.until_clock_ms,
                 )
                 return
+            most_ms = self._clock.most_ms(boottime_clock())
+            if message.until_clock_ms > most_ms + self._authority_ms:
+                # It was counted from a reading that was refused since.
+                log_event(
+                    'authority_refused',
+                    instance=message.instance,
+                    born_ms=message.born_ms,
+                    until_clock_ms=message.until_clock_ms,
+                    most_clock_ms=int(most_ms),
+                )
+                return
             self._zone_gate.compare(message)
             self._authority_until_ms = message.until_clock_ms
             self._poll_wakeup.notify_all()
@@ -427,7 +438,7 @@
                 lease,
                 was_delivered=outcome is not StartOutcome.NOT_DELIVERED,
             )
-        self._handle_start_outcome(start, outcome, clock_ms)
+        self._handle_start_outcome(start, outcome, clock_ms, sent_at)
 
     def _lease_for_start(
         self, call: _StartCall, sent_at: float
@@ -460,13 +471,13 @@
         call: _StartCall,
         outcome: StartOutcome,
         clock_ms: int,
+        sent_at: float,
     ) -> None:
         order = call.order
         answered_at = boottime_clock()
         self._metrics.count(f'baobabgap_starts_total{{end="{outcome}"}}')
         with self._lock:
-            if clock_ms:
-                self._clock.record_reading(clock_ms, answered_at)
+            self._record_reading(clock_ms, sent_at, answered_at)
             run = self._table.get(order.task, order.run)
             if run is None:
                 return
@@ -572,17 +583,23 @@
         with self._lock:
             lease = self._clock.begin_lease(lease_end_ms)
         was_delivered, is_refused = True, False
+        report = None
         try:
-            return self._client.poll(
+            report = self._client.poll(
                 instance, fence, acknowledged_number, lease_end_ms, wait_ms
             )
+            return report
         except CallNotDelivered as error:
             was_delivered = False
             is_refused = isinstance(error, UpstreamNotListening)
             return None
         finally:
             with self._lock:
-                self._clock.settle_lease(lease, was_delivered=was_delivered)
+                self._clock.settle_lease(
+                    lease,
+                    was_delivered=was_delivered,
+                    answered_at=boottime_clock() if report else None,
+                )
                 self._is_refused = is_refused
 
     def _wait_for_acknowledgement(self) -> None:
@@ -636,7 +653,7 @@
                 )
                 self._report_upstream()
                 return
-            self._clock.record_reading(report.clock_ms, answered_at)
+            self._record_reading(report.clock_ms, sent_at, answered_at)
             self._handle_answered_poll()
             self._queue_due_stops()
             self._request_authority()
@@ -810,6 +827,31 @@
 
     # Leases.
 
+    @property
+    def _authority_ms(self) -> int:
+        return int(1000 * self._timing.authority_s)
+
+    def _record_reading(
+        self, clock_ms: int, sent_at: float, answered_at: float
+    ) -> None:
+        """Record a reading of the upstream's clock, if an answer has one."""
+        if not clock_ms:
+            return
+        replacements = self._clock.replacements
+        refusal = self._clock.record_reading(clock_ms, answered_at, sent_at)
+        is_replaced = self._clock.replacements != replacements
+        if is_replaced:
+            # It was counted from the readings before.
+            self._authority_until_ms = 0
+            self._authority_requested_at = float('-inf')
+        if refusal:
+            log_event(
+                'clock_refused',
+                clock_ms=clock_ms,
+                reason=refusal,
+                readings_replaced=is_replaced,
+            )
+
     def _next_lease_end_ms(self) -> int:
         """Return the latest permitted end of a lease sent now.
 
@@ -826,6 +868,8 @@
         upstream = self._reported_upstream()
         if self._connection is None or upstream is None:
             return
+        if not self._clock.is_known:
+            return
         self._authority_requested_at = now
         self._connection.send(
             AuthorityRequest(
--- /dev/null
+++ b/baobabgap/upstreams/tests/test_odd_answers.py
@@ -0,0 +1,141 @@
+"""Tests of the agent with answers that no true upstream gives.
+
+After an odd answer and a true one, the state is as if only the true one had
+come: otherwise the upstream is out of use for good.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+from dataclasses import replace
+import time
+from typing import Any
+from typing import Final
+import unittest
+
+from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import TaskId
+from baobabgap.protocol import RunOrder
+from baobabgap.protocol import StartRuns
+from baobabgap.upstreams import StartOutcome
+from baobabgap.upstreams import UpstreamReport
+from baobabgap.upstreams.tests.test_restarted_upstream import AgentTest
+from baobabgap.upstreams.tests.test_restarted_upstream import FENCE
+from baobabgap.upstreams.tests.test_restarted_upstream import STATE
+from baobabgap.upstreams.tests.test_restarted_upstream import wait_until
+
+# Seconds of odd answers.
+_ODD_S: Final = 1.0
+# Seconds after the odd answers within which a run starts and ends.
+_RECOVERY_S: Final = 2.0
+_ODD_CLOCKS_MS: Final = (2**53, 10**400, 1, 3_600_000)
+
+
+class OddUpstream(FakeUpstream):
+    """Changes its answers to polls and starts, if it is told to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.spoil_report: Callable[[UpstreamReport], UpstreamReport] = (
+            lambda report: report
+        )
+        self.odd_start_clock_ms = 0
+
+    def poll(self, *arguments: Any) -> UpstreamReport | None:
+        report = super().poll(*arguments)
+        return self.spoil_report(report) if report is not None else None
+
+    def start(self, *arguments: Any) -> tuple[StartOutcome, int]:
+        outcome, clock_ms = super().start(*arguments)
+        return outcome, self.odd_start_clock_ms or clock_ms
+
+    @contextlib.contextmanager
+    def odd_reports(self, **fields: Any) -> Iterator[None]:
+        """Replace fields of all reports."""
+        self.spoil_report = lambda report: replace(report, **fields)
+        try:
+            yield
+        finally:
+            self.spoil_report = lambda report: report
+
+
+class OddAnswersTest(AgentTest):
+    upstream: OddUpstream
+
+    def make_upstream(self) -> FakeUpstream:
+        return OddUpstream()
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.tasks = 0
+        self.assertTrue(self.leader.has_granted.wait(5))
+        self.run_task()
+
+    def run_task(self) -> None:
+        """Order a task, as often as it takes, until its end is reported."""
+        give_up_at = time.monotonic() + _RECOVERY_S
+        ended = len(self.leader.ended_numbers)
+        while len(self.leader.ended_numbers) <= ended:
+            self.assertLess(time.monotonic(), give_up_at, 'no run has ended')
+            self.tasks += 1
+            self.start_task(TaskId(f'{self.tasks:x}', 0, 0))
+            time.sleep(0.2)
+
+    def start_task(self, task: TaskId) -> None:
+        order = RunOrder(task, 1, 'x', Demand(1000, 10, 0))
+        self.leader.order(
+            StartRuns(FENCE, STATE.instance, STATE.born_ms, (order,))
+        )
+
+    def assert_lapses(self) -> None:
+        """A lease lapses in time once the upstream is silent."""
+        self.upstream.run_ms = 60_000
+        self.order(STATE.born_ms)
+        wait_until(lambda: self.upstream.running, 'a run')
+        self.leader.gone.clear()
+        self.upstream.is_silent = True
+        wait_until(lambda: self.leader.gone, 'the lapse')
+        self.assertEqual(set(), self.upstream.running)
+
+
+class OddClockTest(OddAnswersTest):
+    def test_odd_clock_in_answers_to_polls(self) -> None:
+        for clock_ms in _ODD_CLOCKS_MS:
+            with self.subTest(clock_ms=str(clock_ms)[:20]):
+                with self.upstream.odd_reports(clock_ms=clock_ms):
+                    time.sleep(_ODD_S)
+                self.run_task()
+        self.assert_lapses()
+
+    def test_odd_clock_in_answers_to_starts(self) -> None:
+        for clock_ms in _ODD_CLOCKS_MS:
+            with self.subTest(clock_ms=str(clock_ms)[:20]):
+                self.upstream.odd_start_clock_ms = clock_ms
+                self.run_task()
+                self.upstream.odd_start_clock_ms = 0
+                self.run_task()
+        self.assert_lapses()
+
+
+class OddFirstClockTest(OddAnswersTest):
+    def make_upstream(self) -> FakeUpstream:
+        self.upstream = OddUpstream()
+        self.odd_polls = 1
+
+        def spoil(report: UpstreamReport) -> UpstreamReport:
+            self.odd_polls -= 1
+            if self.odd_polls >= 0:
+                return replace(report, clock_ms=2**53)
+            return report
+
+        self.upstream.spoil_report = spoil
+        return self.upstream
+
+    def test_first_answer_with_an_odd_clock(self) -> None:
+        """Without a task that ends, `setUp` fails."""
+        self.assert_lapses()
+
+
+if __name__ == '__main__':
+    unittest.main()
