--- a/baobabgap/upstreams/tests/test_late_starts.py
+++ b/baobabgap/upstreams/tests/test_late_starts.py
@@ -144,6 +144,8 @@
             RunOrder(TaskId(f'other-{n}', 0, 0), 1, 'x', Demand())
             for n in range(8)
         )
+        self.assertTrue(self.leader.has_granted.wait(WAIT_S))
+        time.sleep(0.05)
         self.leader.order(StartRuns(FENCE, STATE.instance, 1, others))
         wait_until(lambda: len(sent) == len(others), 'busy threads')
         self.order(1)
