Believe an end whose number leaves out others only when it is listed again

Now the agent reports, and so acknowledges, an end only if its number follows the highest one, or else once it is listed again: by the next answer if it is the first one that the agent sees or leaves out at most 1,000 numbers; by all answers for 2 s if it leaves out more; never above 2^53. So the leader, which takes its `last_end_number` from what agents report, and the acknowledgement only see believed numbers; the leader is unchanged.

Until an end is believed, its run stays in the table and isn't reported gone; a full report waits if the run isn't in the table (at a start of the agent), as the leader would take it for lost and start the task again.

What isn't held: a false number that all answers list for 2 s, one that leaves out at most 1,000 and is in two answers in a row, and the first end that an agent sees of an incarnation if it is false in two answers in a row.

--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -47,6 +47,7 @@
 from baobabgap.upstreams._crash_reports import CrashReports
 from baobabgap.upstreams._crash_reports import log_lost_runs
 from baobabgap.upstreams._crash_reports import rows_with_ages
+from baobabgap.upstreams._end_numbers import EndNumbers
 from baobabgap.upstreams._run_table import RunTable
 from baobabgap.upstreams._run_table import TrackedRun
 from baobabgap.upstreams._zone_gate import ZoneGate
@@ -269,6 +270,7 @@
             boottime_clock(), self._timing.longest_lease_s
         )
         self._authority_until_ms = 0
+        self._end_numbers = EndNumbers()
         # The highest number of an end that the leader has made durable.
         self._acknowledged_number = 0
         # Ends that the leader has not made durable yet, by number.
@@ -612,7 +614,10 @@
                 lambda: (
                     self._stopping
                     or self._is_full_report_due
-                    or not self._unacknowledged_ends
+                    or not (
+                        self._unacknowledged_ends
+                        or self._end_numbers.open_rows
+                    )
                 ),
                 _POLL_PAUSE_S,
             )
@@ -657,7 +662,18 @@
             self._handle_answered_poll()
             self._queue_due_stops()
             self._request_authority()
-            unknown, gone = self._table.apply_report(report, sent_at)
+            report = replace(
+                report,
+                ended=self._end_numbers.believed_rows(
+                    report.ended, answered_at
+                ),
+            )
+            open_runs = frozenset(
+                (row.task, row.run) for row in self._end_numbers.open_rows
+            )
+            unknown, gone = self._table.apply_report(
+                report, sent_at, open_runs
+            )
             new_ends = tuple(
                 row
                 for row in report.ended
@@ -667,8 +683,13 @@
             self._unacknowledged_ends.update(
                 {row.number: row for row in new_ends}
             )
-            if self._is_full_report_due or self._is_report_requested:
-                self._send_full_report(fence)
+            # The leader would take a run that isn't reported for lost.
+            is_complete = all(self._table.get(*run) for run in open_runs)
+            if self._is_full_report_due or (
+                self._is_report_requested and is_complete
+            ):
+                if is_complete:
+                    self._send_full_report(fence)
             else:
                 self._send_run_changes(new_ends, unknown, gone)
 
--- a/baobabgap/upstreams/_run_table.py
+++ b/baobabgap/upstreams/_run_table.py
@@ -1,5 +1,6 @@
 """The runs that an agent started or discovered on its upstream."""
 
+from collections.abc import Set
 from dataclasses import dataclass
 
 from baobabgap.jobmodel import Demand
@@ -68,13 +69,17 @@
             del self.run_by_task[task]
 
     def apply_report(
-        self, report: UpstreamReport, sent_at: float
+        self,
+        report: UpstreamReport,
+        sent_at: float,
+        open_runs: Set[tuple[TaskId, int]] = frozenset(),
     ) -> tuple[list[RunRow], list[RunRow]]:
         """Reconcile with the report to a poll sent at `sent_at`.
 
         Returns the runs that the table didn't have, and the removed runs:
         those whose stop was answered before `sent_at` and that the report
-        doesn't list, so that they don't run and never will.
+        doesn't list, so that they don't run and never will. Keeps
+        `open_runs`, whose ends aren't believed yet.
         """
         unknown = [
             self._add_unknown(listed)
@@ -84,6 +89,7 @@
         for end in report.ended:
             self.remove(end.task, end.run)
         listed_runs = {(listed.task, listed.run) for listed in report.running}
+        listed_runs |= open_runs
         gone = [
             run
             for run in self.run_by_task.values()
--- a/baobabgap/upstreams/tests/test_odd_answers.py
+++ b/baobabgap/upstreams/tests/test_odd_answers.py
@@ -15,7 +15,10 @@
 
 from baobabgap.dispatch.tests.fake_upstream import FakeUpstream
 from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import RunEnd
 from baobabgap.jobmodel import TaskId
+from baobabgap.protocol import EndRow
+from baobabgap.protocol import FullReport
 from baobabgap.protocol import RunOrder
 from baobabgap.protocol import StartRuns
 from baobabgap.upstreams import StartOutcome
@@ -118,6 +121,41 @@
         self.assert_lapses()
 
 
+class OddEndTest(OddAnswersTest):
+    def list_end(self, number: int) -> None:
+        """Let the upstream list an end besides the true ones."""
+        odd = EndRow(number, TaskId('odd', 0, 0), 1, RunEnd.DONE)
+        self.upstream.spoil_report = lambda report: replace(
+            report, ended=(*report.ended, odd)
+        )
+
+    def test_end_with_a_number_that_jumps(self) -> None:
+        for number in (10**30, 2**53, 10**6):
+            with self.subTest(number=number):
+                self.list_end(number)
+                # True ends arrive beside it.
+                self.run_task()
+                time.sleep(_ODD_S)
+                self.upstream.spoil_report = lambda report: report
+                for _ in range(3):
+                    self.run_task()
+                self.assertNotIn(number, self.leader.ended_numbers)
+
+    def test_full_report_waits_for_an_end_that_is_not_believed(self) -> None:
+        """A run that has ended must not seem lost to the leader."""
+        agent = self.start_agent()
+        self.agent.stop()
+        leader = self.link_leader(agent)
+        self.list_end(700)
+        agent.announce(STATE)
+        wait_until(
+            lambda: [r for r in leader.reports if isinstance(r, FullReport)],
+            'a full report',
+        )
+        (report,) = (r for r in leader.reports if isinstance(r, FullReport))
+        self.assertEqual([700], [end.number for end in report.ended])
+
+
 class OddFirstClockTest(OddAnswersTest):
     def make_upstream(self) -> FakeUpstream:
         self.upstream = OddUpstream()
