Grant no authority to an agent whose report a takeover awaits

An agent requested authority before it had sent its full report: a poll with the fence of the earlier leader that is answered after the next leader has linked sends a request, and no report. The leader granted it. If the upstream then fell silent, runs of the earlier term kept their lease beyond a takeover that ends by time, while their tasks ran elsewhere.

The agent requests authority after its report. A leader grants none to an agent whose report its takeover awaits; after the takeover it does.

Evidence: without the change the next leader gets a request without a report (test_authority_is_requested_before_the_report), and a leader in a takeover grants it (0 != 1, both tests). All pass with it. Order within a poll: the report goes first now, so a request that follows it is granted at once.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -185,7 +185,9 @@
         if self._view_check.is_report_missing(view, request):
             self._want_full_report(view)
         self._enrol(view)
-        if is_confirmed and view.is_enrolled:
+        # Else the runs of an earlier term could outlive the takeover.
+        is_heard = not self._term_state.takeover.awaits_agent(view.name)
+        if is_confirmed and view.is_enrolled and is_heard:
             self._grant_authority(view, request)
 
     def _recover_link(
--- a/baobabgap/dispatch/_takeover.py
+++ b/baobabgap/dispatch/_takeover.py
@@ -55,6 +55,10 @@
         if not self._is_over:
             self._begun_before.update(begun_job_ids)
 
+    def awaits_agent(self, name: str) -> bool:
+        """Return whether the takeover waits for an agent's report."""
+        return not self._is_over and name in self._unreported_agents
+
     @property
     def unreported_agents(self) -> frozenset[str]:
         """The agents that the takeover waits for."""
--- a/baobabgap/dispatch/tests/test_agent_enrolment.py
+++ b/baobabgap/dispatch/tests/test_agent_enrolment.py
@@ -13,7 +13,10 @@
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.dispatch._view_check import ViewCheck
+from baobabgap.dispatch.tests.deployment import describe_upstream
+from baobabgap.protocol import Authority
 from baobabgap.protocol import AuthorityRequest
+from baobabgap.protocol import FullReport
 from baobabgap.protocol import LeaseTiming
 from baobabgap.telemetry import Metrics
 
@@ -21,10 +24,14 @@
 REQUEST = AuthorityRequest(1, 'u', 0)
 
 
-class AgentEnrolmentTest(unittest.TestCase):
+class HandlerTest(unittest.TestCase):
+    # The members at the election.
+    members: tuple[str, ...] = ()
+
     def setUp(self) -> None:
         self.term_state = TermState()
-        self.term_state.begin_term(TERM, Takeover(TERM, (), 0.0))
+        self.takeover = Takeover(TERM, self.members, 10.0)
+        self.term_state.begin_term(TERM, self.takeover)
         self.committer = Mock()
         self.connection = Mock()
         self.connection.peer.name = 'agent'
@@ -58,6 +65,8 @@
     def is_enrolled(self) -> bool:
         return self.term_state.view_by_name['agent'].is_enrolled
 
+
+class AgentEnrolmentTest(HandlerTest):
     def test_unknown_outcome_counts_as_durable(self) -> None:
         self.end_proposal(0, None)
         self.assertFalse(self.is_enrolled)
@@ -75,3 +84,32 @@
         self.request_authority()
         self.assertEqual(2, self.committer.propose.call_count)
         self.connection.send.assert_called_once()
+
+
+class AuthorityDuringTakeoverTest(HandlerTest):
+    members = ('agent/agent', 'agent/other')
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.end_proposal(0, 'stored')
+
+    def grants(self) -> int:
+        """Return how often authority is granted on a request."""
+        self.connection.reset_mock()
+        self.request_authority()
+        messages = [call.args[0] for call in self.connection.send.mock_calls]
+        return sum(isinstance(message, Authority) for message in messages)
+
+    def test_authority_before_the_report_outlives_the_takeover(self) -> None:
+        """The runs of an earlier term went on while their tasks ran."""
+        self.assertEqual(0, self.grants())
+        report = FullReport(TERM, describe_upstream(0, 1, 4), (), ())
+        self.handler.handle(self.connection, report, True)
+        self.assertEqual(1, self.grants())
+
+    def test_authority_is_granted_after_a_takeover_without_a_report(
+        self,
+    ) -> None:
+        self.assertEqual(0, self.grants())
+        self.takeover.end_if_due(10.0)
+        self.assertEqual(1, self.grants())
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -707,7 +707,6 @@
             self._clock.record_reading(report.clock_ms, answered_at)
             self._handle_answered_poll()
             self._queue_due_stops()
-            self._request_authority()
             unknown, gone = self._table.apply_report(report, sent_at)
             new_ends = tuple(
                 row
@@ -722,6 +721,9 @@
                 self._send_full_report(fence)
             else:
                 self._send_run_changes(new_ends, unknown, gone)
+            if not self._is_full_report_due:
+                # Else a takeover could end while the authority is valid.
+                self._request_authority()
 
     def _send_full_report(self, fence: int) -> None:
         if self._connection is None or fence != self._fence:
--- a/baobabgap/upstreams/tests/test_restarted_upstream.py
+++ b/baobabgap/upstreams/tests/test_restarted_upstream.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 import threading
 import time
+from typing import Any
 from typing import cast
 from typing import Final
 import unittest
@@ -31,6 +32,7 @@
 from baobabgap.telemetry import Metrics
 from baobabgap.transport import Connection
 from baobabgap.upstreams import RunAgent
+from baobabgap.upstreams import UpstreamReport
 from baobabgap.upstreams.tests.test_run_agent import LeaderInMemory
 
 FENCE: Final = 3
@@ -180,6 +182,57 @@
         self.assertEqual(set(), self.upstream.running)
 
 
+class FallingSilent(FakeUpstream):
+    """Answers one poll after something else has happened, and no more."""
+
+    def __init__(self) -> None:
+        super().__init__(run_ms=60_000)
+        self.before_last_answer: Callable[[], None] | None = None
+
+    def poll(self, *arguments: Any) -> UpstreamReport | None:
+        report = super().poll(*arguments)
+        if self.before_last_answer is not None:
+            self.is_silent = True
+            self.before_last_answer()
+            self.before_last_answer = None
+        return report
+
+
+class NextLeaderTest(AgentTest):
+    def make_upstream(self) -> FakeUpstream:
+        return FallingSilent()
+
+    def test_authority_is_requested_before_the_report(self) -> None:
+        """It was granted, and outlived the takeover of the next leader."""
+        assert isinstance(self.upstream, FallingSilent)
+        leader = GrantingLeader()
+        leader.fence = FENCE + 1
+        is_linked = threading.Event()
+
+        def link() -> None:
+            ready = Mock(LeaderReady, fence=leader.fence)
+            self.pool.submit(
+                self.agent.session,
+                cast(Connection, leader),
+                ready,
+                leader.messages(),
+            )
+            self.addCleanup(leader.order, None)
+            wait_until(lambda: self.agent._fence == leader.fence, 'a link')
+            # Later than the last request to the earlier leader.
+            time.sleep(0.3)
+            is_linked.set()
+
+        self.upstream.before_last_answer = link
+        self.assertTrue(is_linked.wait(WAIT_S))
+        time.sleep(0.5)
+        self.assertEqual([], leader.reports)
+        self.assertEqual([], leader.requests)
+        self.upstream.is_silent = False
+        wait_until(lambda: leader.requests, 'a request')
+        self.assertIsInstance(leader.reports[0], FullReport)
+
+
 class UnansweredStartTest(AgentTest):
     def test_stop_of_a_run_whose_start_gets_no_answer(self) -> None:
         """The stop was forgotten, and the run went on."""
