--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -729,7 +729,6 @@
             self._record_reading(report.clock_ms, sent_at, answered_at)
             self._handle_answered_poll()
             self._queue_due_stops()
-            self._request_authority()
             report = replace(
                 report,
                 ended=self._end_numbers.believed_rows(
@@ -760,6 +759,9 @@
                     self._send_full_report(fence)
             else:
                 self._send_run_changes(new_ends, unknown, gone)
+            if not self._is_full_report_due:
+                # Else a takeover could end while the authority is valid.
+                self._request_authority()
 
     def _send_full_report(self, fence: int) -> None:
         if self._connection is None or fence != self._fence:
