Queue a job again whose refused submission is still in the queue

Callers would see a job that was refused with `ran: no` while it waited (by its deadline or a cancel) and submitted again never being placed: it ended by its deadline. Cause: the waiting queue removes ended jobs only at its head, and knew its jobs by identifier, so that the ended job kept the new one out.

Found by reading. The queue knows jobs by the token of their submission now. Before (with the change taken back): the new submission's answer times out (TimeoutError). After: it has all values.

--- a/baobabgap/entry/_waiting_queue.py
+++ b/baobabgap/entry/_waiting_queue.py
@@ -21,14 +21,15 @@
     def __init__(self) -> None:
         self._heap: list[tuple[float, int, ActiveJob]] = []
         self._sequence = count()
-        # Identifiers of the jobs in the heap: each is there once.
-        self._queued: set[str] = set()
+        # Fencing tokens of the jobs in the heap: each is there once. An
+        # ended job may still be there when its identifier is used again.
+        self._queued: set[int] = set()
 
     def add(self, job: ActiveJob, policy: Policy) -> None:
         """Queue a job that has waiting tasks, unless it is queued already."""
-        if job.identifier in self._queued:
+        if job.token in self._queued:
             return
-        self._queued.add(job.identifier)
+        self._queued.add(job.token)
         virtual_deadline = _virtual_deadline(job, policy)
         heapq.heappush(
             self._heap, (virtual_deadline, next(self._sequence), job)
@@ -59,7 +60,7 @@
 
     def _pop_head(self) -> ActiveJob:
         job = heapq.heappop(self._heap)[2]
-        self._queued.discard(job.identifier)
+        self._queued.discard(job.token)
         return job
 
 
--- a/baobabgap/entry/tests/test_submissions.py
+++ b/baobabgap/entry/tests/test_submissions.py
@@ -18,6 +18,7 @@
 from baobabgap.messages import JoinedAnswer
 from baobabgap.messages import JoinJob
 from baobabgap.messages import PlaceTasks
+from baobabgap.messages import SlotGrant
 
 
 class TestResubmission(unittest.TestCase):
@@ -38,6 +39,23 @@
         self.assertEqual(first.result(1), third.result(1))
         self.assertEqual([], agent.pop_sent(PlaceTasks))
 
+    def test_job_refused_while_it_waited_runs_when_submitted_again(
+        self,
+    ) -> None:
+        """The ended job is still in the queue, behind an urgent one."""
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1, tokens=0)
+        entry.submit(job(2))
+        entry.submit(job(1, run_time_ms=500))
+        refused = entry.submissions.cancel('kurek.1.a').result(1).failure
+        assert refused is not None
+        self.assertEqual(Ran.NO, refused.ran)
+        again = entry.submit(job(1, run_time_ms=500))
+        entry.dispatcher.handle_grant(agent.connection, SlotGrant(2, 2))
+        for placed in agent.pop_sent(PlaceTasks):
+            entry.finish(agent, placed)
+        self.assertTrue(again.result(1).has_all_values)
+
     def test_claim_is_waited_for(self) -> None:
         entry = FakeEntry()
         entry.add_agent('a', 4)
