Take an unstarted result only for the placement that it is about

Callers would have a task run twice at the same time: an agent tells a task that didn't start on a new link unasked, and again as its answer to `ResumeTasks`. After the first one the entry acknowledges it and may place the task there again, where it starts; the second one was taken for the end of this placement, and the task was placed on another upstream, too. The same followed from a result that a replaced link delivers late, and across a job that was refused with `ran: no` and submitted again. Cause: results were matched by agent, job and task alone.

Placements are numbered now (new fields with defaults; 0 is unknown, and is taken as before). A result of another placement changes nothing and is not acknowledged; an unstarted result of a task that isn't there is acknowledged at once, so that the acknowledgement can't reach a later placement's value; an agent starts a task anew that did not start if the placement is newer.

--- a/baobabgap/agent/_admission.py
+++ b/baobabgap/agent/_admission.py
@@ -30,16 +30,22 @@
     ) -> None:
         """Queue a new task, or answer for one that is already known."""
         known = self._tracker.registry.find(message.job, placement.task)
+        if known is not None and _is_superseded(known, link, message):
+            self._tracker.registry.drop(known)
+            known = None
         if known is not None:
             self._tracker.count_wasted('duplicate_placement')
             self._tracker.note_end(batch, 'duplicate')
-            self._tracker.answer_known_task(link, known)
+            self._tracker.answer_known_task(link, known, message.placement)
             return
         if self._tracker.registry.has_started(message.job, placement.task):
             self._tracker.count_wasted('duplicate_placement')
             self._tracker.note_end(batch, 'duplicate')
             lost = lost_result(
-                message.job, placement.task, ALREADY_ACKNOWLEDGED
+                message.job,
+                placement.task,
+                ALREADY_ACKNOWLEDGED,
+                message.placement,
             )
             self._tracker.outbox.add(link, lost)
             return
@@ -51,6 +57,7 @@
             link.peer.incarnation,
             time.monotonic() + message.deadline_ms / 1000,
             batch=batch,
+            number=message.placement,
         )
         refusal_reason = self._find_refusal(link, message, placement)
         self._tracker.receive(record, message.epoch)
@@ -80,3 +87,18 @@
         if self._tracker.registry.is_full:
             return 'too many results wait to be acknowledged'
         return ''
+
+
+def _is_superseded(
+    record: TaskRecord, link: EntryLink, message: PlaceTasks
+) -> bool:
+    """Return whether a task that didn't start is placed anew.
+
+    Its entry places it again only after it has heard that.
+    """
+    return (
+        record.result is not None
+        and not record.has_started
+        and record.owner_incarnation == link.peer.incarnation
+        and record.number < message.placement
+    )
--- a/baobabgap/agent/_resume_resolver.py
+++ b/baobabgap/agent/_resume_resolver.py
@@ -65,7 +65,7 @@
         return self.pop_deferred()
 
     def resolve(
-        self, agent_incarnation: str, job: str, task: str
+        self, agent_incarnation: str, job: str, task: str, placement: int
     ) -> TaskResult:
         """Return the result of a task without a record."""
         if agent_incarnation == self._incarnation:
@@ -77,4 +77,4 @@
         else:
             outcome = TaskOutcome.LOST
             reason = 'the agent and its upstream have restarted'
-        return TaskResult(job, task, outcome, reason, 0.0, False, 0)
+        return TaskResult(job, task, outcome, reason, 0.0, False, 0, placement)
--- a/baobabgap/agent/_scheduler.py
+++ b/baobabgap/agent/_scheduler.py
@@ -1,6 +1,8 @@
 """Scheduling of task starts on one upstream."""
 
 from collections.abc import Callable
+from itertools import chain
+from itertools import repeat
 import time
 from typing import Any
 from typing import Final
@@ -129,8 +131,10 @@
                 return
             if message.agent_incarnation != self._incarnation:
                 pairs = tuple((message.job, t.task) for t in message.tasks)
+                numbers = (message.placement,) * len(pairs)
                 self._resume(
-                    link, ResumeTasks(message.agent_incarnation, pairs)
+                    link,
+                    ResumeTasks(message.agent_incarnation, pairs, numbers),
                 )
                 return
             for placement in message.tasks:
@@ -270,16 +274,19 @@
     def _resume(self, link: EntryLink, message: ResumeTasks) -> None:
         if self._resume_resolver.defer(link, message):
             return
-        for job, task in message.tasks:
+        placements = chain(message.placements, repeat(0))
+        for (job, task), number in zip(
+            message.tasks, placements, strict=False
+        ):
             known = self._tracker.registry.find(job, task)
             if known is not None:
-                self._tracker.answer_known_task(link, known)
+                self._tracker.answer_known_task(link, known, number)
                 continue
             if self._tracker.registry.has_started(job, task):
-                result = lost_result(job, task, ALREADY_ACKNOWLEDGED)
+                result = lost_result(job, task, ALREADY_ACKNOWLEDGED, number)
             else:
                 result = self._resume_resolver.resolve(
-                    message.agent_incarnation, job, task
+                    message.agent_incarnation, job, task, number
                 )
             self._tracker.outbox.add(link, result)
 
--- a/baobabgap/agent/_task_registry.py
+++ b/baobabgap/agent/_task_registry.py
@@ -56,6 +56,8 @@
     reported_ended: bool = False
     # Its result, once it has ended.
     result: TaskResult | None = None
+    # The entry's number of the placement, or 0 if it isn't known.
+    number: int = 0
 
     @property
     def lease(self) -> str:
--- a/baobabgap/agent/_task_tracker.py
+++ b/baobabgap/agent/_task_tracker.py
@@ -1,6 +1,7 @@
 """State of the agent's tasks, from placement to result."""
 
 from collections.abc import Callable
+from dataclasses import replace
 import threading
 import time
 from typing import Any
@@ -123,6 +124,7 @@
             run_time_ms,
             token_returns,
             self.ledger.epoch,
+            record.number,
         )
         # A resent result does not return a second token.
         record.result = _without_token(result) if token_returns else result
@@ -147,12 +149,22 @@
             if record.state is TaskState.ENDED and expired_at < now:
                 self.registry.drop(record)
 
-    def answer_known_task(self, link: EntryLink, record: TaskRecord) -> None:
-        """Send the result of a task that has a record, if it has ended."""
+    def answer_known_task(
+        self, link: EntryLink, record: TaskRecord, placement: int
+    ) -> None:
+        """Send the result of a task that has a record, if it has ended.
+
+        It is the result of the placement that was asked about, too.
+        """
         if record.owner_incarnation != link.peer.incarnation:
-            lost = lost_result(record.job, record.task, _OTHER_OWNER)
+            lost = lost_result(
+                record.job, record.task, _OTHER_OWNER, placement
+            )
             self.outbox.add(link, lost)
-        elif record.result is not None:
+            return
+        record.number = max(record.number, placement)
+        if record.result is not None:
+            record.result = replace(record.result, placement=record.number)
             self.outbox.add(link, record.result)
 
     def redistribute(self) -> None:
@@ -174,18 +186,14 @@
             )
 
 
-def lost_result(job: str, task: str, reason: str) -> TaskResult:
+def lost_result(
+    job: str, task: str, reason: str, placement: int
+) -> TaskResult:
     """Return the result of a task whose outcome can't be known."""
-    return TaskResult(job, task, TaskOutcome.LOST, reason, 0.0, False, 0)
+    return TaskResult(
+        job, task, TaskOutcome.LOST, reason, 0.0, False, 0, placement
+    )
 
 
 def _without_token(result: TaskResult) -> TaskResult:
-    return TaskResult(
-        result.job,
-        result.task,
-        result.outcome,
-        result.value,
-        result.run_time_ms,
-        False,
-        result.epoch,
-    )
+    return replace(result, token_returns=False)
--- a/baobabgap/agent/tests/test_scheduler.py
+++ b/baobabgap/agent/tests/test_scheduler.py
@@ -101,6 +101,7 @@
         deadline_ms: int = 5000,
         epoch: int = 0,
         size: TaskSize = _SMALL,
+        number: int = 0,
     ) -> None:
         message = PlaceTasks(
             _JOB,
@@ -109,6 +110,7 @@
             epoch or link.epoch,
             deadline_ms,
             tuple(TaskPlacement(task, 'k', None, size) for task in tasks),
+            placement=number,
         )
         self.scheduler.place(link, message)
 
@@ -243,6 +245,32 @@
             outcomes,
         )
 
+    def test_task_that_did_not_start_starts_for_a_newer_placement(
+        self,
+    ) -> None:
+        """Its result is not acknowledged yet."""
+        self.set_accepting(False)
+        self.place(self.link, 't1', number=1)
+        self.set_accepting()
+        self.place(self.link, 't1', number=1)
+        self.assertEqual([], self.started_tasks())
+        self.place(self.link, 't1', number=2)
+        self.assertEqual(['t1'], self.started_tasks())
+        self.end(0)
+        self.place(self.link, 't1', number=3)
+        self.assertEqual(['t1'], self.started_tasks())
+        self.assertEqual([1, 1, 2, 3], self.numbers(self.link))
+
+    def test_resume_is_answered_for_the_placements_asked_about(
+        self,
+    ) -> None:
+        self.place(self.link, 'ended', number=1)
+        self.end(0)
+        link = self.open_link()
+        pairs = ((_JOB, 'ended'), (_JOB, 'never'), (_JOB, 'unnumbered'))
+        self.scheduler.resume(link, ResumeTasks(_AGENT, pairs, (1, 2)))
+        self.assertEqual([1, 1, 2, 0], self.numbers(link))
+
     def test_placement_on_a_replaced_link_is_ignored(self) -> None:
         self.open_link()
         self.place(self.link, 't1')
@@ -322,6 +350,9 @@
         self.assertEqual([TaskOutcome.LOST], self.link.outcomes)
         self.assertEqual(1, self.wasted('late_result'))
 
+    def numbers(self, link: FakeLink) -> list[int]:
+        return [result.placement for result in link.results]
+
     def started_tasks(self) -> list[str]:
         return [record.task for record in self.started]
 
--- a/baobabgap/entry/_active_job.py
+++ b/baobabgap/entry/_active_job.py
@@ -28,6 +28,12 @@
     agent_incarnation: str = ''
     # Monotonic seconds of its placement.
     placed_at: float = 0.0
+    # The number of its placement; 0 before the first.
+    placement: int = 0
+
+    def is_about_another_placement(self, placement: int) -> bool:
+        """Return whether a numbered result isn't about this placement."""
+        return placement not in (0, self.placement)
 
 
 @dataclass(slots=True)
--- a/baobabgap/entry/_dispatcher.py
+++ b/baobabgap/entry/_dispatcher.py
@@ -29,7 +29,6 @@
 from baobabgap.jobs import JobFailure
 from baobabgap.messages import CancelJobs
 from baobabgap.messages import EntryState
-from baobabgap.messages import ResumeTasks
 from baobabgap.messages import SlotGrant
 from baobabgap.messages import TaskOutcome
 from baobabgap.messages import TaskResult
@@ -203,9 +202,8 @@
                 is_same_zone,
                 link.peer.availability_zone,
             )
-            outstanding = self._outstanding.link_returned(agent)
-            for incarnation, tasks in outstanding.items():
-                link.send(ResumeTasks(incarnation, tuple(tasks)))
+            for request in self._outstanding.link_returned(agent):
+                link.send(request)
 
     def agent_down(self, link: Connection) -> None:
         """Remove a lost link; its tasks wait for the agent to reconnect."""
@@ -245,7 +243,6 @@
         agent = link.peer.name
         with self.lock:
             for result in message.results:
-                self._links.record_result(agent, result.job, result.task)
                 self._handle_result(agent, result)
             self._dispatch()
 
@@ -253,6 +250,15 @@
         is_token_accepted = result.token_returns and self.pool.return_token(
             agent, result.epoch
         )
+        placed = self._outstanding.find(agent, result.job, result.task)
+        if placed is not None and placed.is_about_another_placement(
+            result.placement
+        ):
+            # The agent's present result of the task, if any, must stay
+            # there until it has arrived, so nothing is acknowledged.
+            self._count_wasted('earlier_placement')
+            return
+        self._links.record_result(agent, result.job, result.task)
         if result.outcome is not TaskOutcome.DONE:
             self._slow_upstreams.abandon_probe(agent, time.monotonic())
         task = self._outstanding.remove(agent, result.job, result.task)
@@ -260,6 +266,9 @@
         if task is None or job is None:
             if not is_token_accepted:
                 self._count_wasted('late_result')
+            if result.outcome is TaskOutcome.NOT_STARTED:
+                # The task may be placed on the same agent again.
+                self._links.acknowledge(agent)
             return
         match result.outcome:
             case TaskOutcome.DONE:
--- a/baobabgap/entry/_outstanding.py
+++ b/baobabgap/entry/_outstanding.py
@@ -5,6 +5,7 @@
 from baobabgap.entry._active_job import ActiveJob
 from baobabgap.entry._active_job import PendingTask
 from baobabgap.entry._run_times import RunTimes
+from baobabgap.messages import ResumeTasks
 
 _TaskKey = tuple[str, str]
 
@@ -40,17 +41,30 @@
         if self._tasks_by_agent.get(agent):
             self._lost_at_by_agent[agent] = now
 
-    def link_returned(self, agent: str) -> dict[str, list[_TaskKey]]:
-        """Return the outstanding tasks of a reconnected agent.
+    def find(self, agent: str, job: str, task: str) -> PendingTask | None:
+        """Return a task that is placed on an agent, or None."""
+        found = self._tasks_by_agent.get(agent, {}).get((job, task))
+        return None if found is None else found[1]
 
-        They are grouped by the agent incarnation that they were placed on.
+    def link_returned(self, agent: str) -> list[ResumeTasks]:
+        """Return the requests for the tasks of a reconnected agent.
+
+        There is one for each agent incarnation that they were placed on.
         """
         self._lost_at_by_agent.pop(agent, None)
-        keys_by_incarnation: dict[str, list[_TaskKey]] = {}
+        placed_by_incarnation: dict[str, list[tuple[_TaskKey, int]]] = {}
         for key, (_, task) in self._tasks_by_agent.get(agent, {}).items():
-            keys = keys_by_incarnation.setdefault(task.agent_incarnation, [])
-            keys.append(key)
-        return keys_by_incarnation
+            placed_by_incarnation.setdefault(
+                task.agent_incarnation, []
+            ).append((key, task.placement))
+        return [
+            ResumeTasks(
+                incarnation,
+                tuple(key for key, _ in placed),
+                tuple(placement for _, placement in placed),
+            )
+            for incarnation, placed in placed_by_incarnation.items()
+        ]
 
     def pop_lost(
         self, lost_before: float
--- a/baobabgap/entry/_placer.py
+++ b/baobabgap/entry/_placer.py
@@ -1,5 +1,6 @@
 """Places waiting tasks on agents, with one message per job and agent."""
 
+from itertools import count
 from typing import Final
 
 from baobabgap.configuration import PlacementPolicy
@@ -41,6 +42,7 @@
         self._incarnation = incarnation
         self._metrics = metrics
         self._queueing = QueueingPlacement()
+        self._placement_numbers = count(1)
         self._assigned_by_job: dict[
             str, tuple[ActiveJob, dict[str, list[PendingTask]]]
         ] = {}
@@ -130,6 +132,9 @@
         epoch: int,
         now: float,
     ) -> PlaceTasks:
+        number = next(self._placement_numbers)
+        for task in tasks:
+            task.placement = number
         return PlaceTasks(
             job=job.identifier,
             owner_incarnation=self._incarnation,
@@ -138,6 +143,7 @@
             deadline_ms=max(int((job.deadline_at - now) * 1000), 0),
             tasks=tuple(_placement(task) for task in tasks),
             log_action=job.log.new_branch(),
+            placement=number,
         )
 
 
--- a/baobabgap/entry/tests/test_dispatcher.py
+++ b/baobabgap/entry/tests/test_dispatcher.py
@@ -5,6 +5,7 @@
 
 from baobabgap.configuration import Configuration
 from baobabgap.entry._failures import deadline_exceeded
+from baobabgap.entry.tests.fakes import CAPACITY
 from baobabgap.entry.tests.fakes import FakeEntry
 from baobabgap.entry.tests.fakes import FakeLink
 from baobabgap.entry.tests.fakes import job
@@ -19,6 +20,7 @@
 from baobabgap.messages import TaskResult
 from baobabgap.messages import TaskResults
 from baobabgap.messages import TokenTransfer
+from baobabgap.messages import UpstreamOffer
 
 
 class TestPlacement(unittest.TestCase):
@@ -199,6 +201,18 @@
         entry.submit(job(2))
         self.assertEqual(1, len(agent.pop_sent(PlaceTasks)))
 
+    def test_repeated_unstarted_result_is_acknowledged_at_once(self) -> None:
+        entry = FakeEntry()
+        agent = entry.add_agent('a', 1)
+        entry.submit(job())
+        placed = agent.pop_sent(PlaceTasks)[0]
+        closed = UpstreamOffer('a', 1, CAPACITY, False, 'closed')
+        entry.dispatcher.handle_offer(agent.connection, closed)
+        entry.finish(agent, placed, TaskOutcome.NOT_STARTED)
+        agent.sent.clear()
+        entry.finish(agent, placed, TaskOutcome.NOT_STARTED)
+        self.assertEqual(1, len(agent.pop_sent(AcknowledgeResults)))
+
     def test_reconnected_agent_is_asked_for_its_tasks(self) -> None:
         entry = FakeEntry()
         agent = entry.add_agent('a', 1)
--- a/baobabgap/messages/_agent.py
+++ b/baobabgap/messages/_agent.py
@@ -105,6 +105,9 @@
     tasks: tuple[TaskPlacement, ...]
     # The serialised eliot action under which the agent logs.
     log_action: str = ''
+    # The number of this placement, which no other placement of this
+    # entry's incarnation has; 0 from entries that don't number them.
+    placement: int = 0
 
 
 class TaskOutcome(StrEnum):
@@ -138,6 +141,8 @@
     token_returns: bool
     # The grant epoch of that token.
     epoch: int
+    # The number of the placement that has ended, or 0 if it isn't known.
+    placement: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,8 +158,8 @@
     """The entry has these results; the agent need not resend them.
 
     Until the acknowledgement the agent repeats its answer for a task, also
-    if the task is placed there again; so acknowledge `NOT_STARTED` before
-    placing the task again with the same agent.
+    if the task is placed there again without a newer number; so acknowledge
+    `NOT_STARTED` before placing the task again with the same agent.
     """
 
     # Pairs of job and task identifiers.
@@ -187,3 +192,6 @@
     agent_incarnation: str
     # Pairs of job and task identifiers.
     tasks: tuple[tuple[str, str], ...]
+    # The number of each task's placement, in the order of `tasks`; empty
+    # from entries that don't number them.
+    placements: tuple[int, ...] = ()
