Answer a join only with the answer of the content that it asks for

A caller would get the answer of another job: it submits a job that another entry owns, and that entry refuses the job (`ran: no`) before the request for its answer arrives, or while the link is lost. If the identifier has been used for other content since, the request was answered with the values of that. Cause: `JoinJob` named the identifier alone.

Found by reading. `JoinJob` carries the digest of the content (a new field; empty is any content, as for a fetch), and the owner doesn't know a job with other content: `owner_lost`, `ran: unknown`. An entry looks for its own jobs with the digest, too.

Before (and with the comparison taken out): the join of one task gets the whole answer of the job with two, no failure. After: `owner_lost`.

--- a/baobabgap/entry/_joins.py
+++ b/baobabgap/entry/_joins.py
@@ -23,6 +23,8 @@
     future: Future[JobAnswer]
     # The outcome of the claim, which names the owner.
     outcome: ClaimOutcome
+    # Digest of the job's content; empty for any content.
+    digest: bytes
     # Monotonic seconds at which the join fails if there is no link.
     reconnect_deadline_at: float
     # The link on which the request was sent, or None.
@@ -45,11 +47,15 @@
         self._join_by_request: dict[int, _Join] = {}
 
     def join(
-        self, outcome: ClaimOutcome, link: Connection | None, now: float
+        self,
+        outcome: ClaimOutcome,
+        digest: bytes,
+        link: Connection | None,
+        now: float,
     ) -> Future[JobAnswer]:
         """Request the job's answer from its owner."""
         future: Future[JobAnswer] = Future()
-        join = _Join(future, outcome, now + self._owner_return_s)
+        join = _Join(future, outcome, digest, now + self._owner_return_s)
         with self._lock:
             request = next(self._request_numbers)
             self._join_by_request[request] = join
@@ -107,7 +113,7 @@
             join.reconnect_deadline_at = 0.0
             return
         join.link = link
-        link.send(JoinJob(request, join.outcome.job))
+        link.send(JoinJob(request, join.outcome.job, join.digest))
 
 
 def _owner_lost(outcome: ClaimOutcome, message: str) -> JobAnswer:
--- a/baobabgap/entry/_sessions.py
+++ b/baobabgap/entry/_sessions.py
@@ -108,7 +108,7 @@
                 raise _unexpected(link, message)
 
     def _answer_join(self, link: Connection, message: JoinJob) -> None:
-        future = self._submissions.find_owned(message.job)
+        future = self._submissions.find_owned(message.job, message.digest)
         if future is None:
             link.send(JoinedAnswer(message.request, None))
             return
--- a/baobabgap/entry/_submissions.py
+++ b/baobabgap/entry/_submissions.py
@@ -159,13 +159,22 @@
         job.claim_settled.add_done_callback(settle)
         return future
 
-    def find_owned(self, identifier: str) -> Future[JobAnswer] | None:
-        """Return the answer of a job that runs here or has ended here."""
+    def find_owned(
+        self, identifier: str, digest: bytes = b''
+    ) -> Future[JobAnswer] | None:
+        """Return the answer of a job that runs here or has ended here.
+
+        With a digest, a job with other content under this identifier is
+        not that job: it was submitted after that one was refused.
+        """
         with self._dispatcher.lock:
             kept = self._kept.get(identifier)
+            job = self._dispatcher.find(identifier)
+            known = kept or job
+            if known is None or digest not in (b'', known.digest):
+                return None
             if kept is not None:
                 return _completed(kept.answer)
-            job = self._dispatcher.find(identifier)
             return None if job is None else job.future
 
     def end(self, job: ActiveJob, answer: JobAnswer) -> None:
@@ -247,7 +256,10 @@
             elif done.result().status is ClaimStatus.GRANTED:
                 self._begin(job)
             elif self._dispatcher.withdraw(job):
-                _forward(self._answer_unowned(done.result()), job.future)
+                _forward(
+                    self._answer_unowned(done.result(), job.digest),
+                    job.future,
+                )
             job.claim_settled.set_result(None)
 
         claimed.add_done_callback(settle)
@@ -293,12 +305,16 @@
             else:
                 if cancel:
                     self._cancel_at_owner(done.result())
-                _forward(self._answer_unowned(done.result()), future)
+                _forward(
+                    self._answer_unowned(done.result(), claim.digest), future
+                )
 
         self._control.look_up(claim).add_done_callback(settle)
         return future
 
-    def _answer_unowned(self, outcome: ClaimOutcome) -> Future[JobAnswer]:
+    def _answer_unowned(
+        self, outcome: ClaimOutcome, digest: bytes
+    ) -> Future[JobAnswer]:
         """Answer a submission whose job it does not own."""
         match outcome.status:
             case ClaimStatus.CONFLICT:
@@ -307,19 +323,19 @@
                 return _failed(outcome.job, window_passed())
             case _:
                 self._metrics.count('baobabgap_jobs_joined_total')
-                return self._join(outcome)
+                return self._join(outcome, digest)
 
     def _cancel_at_owner(self, outcome: ClaimOutcome) -> None:
         link = self._dispatcher.balancer.link_to(outcome.owner)
         if link is not None:
             link.send(CancelOwnedJob(outcome.job))
 
-    def _join(self, outcome: ClaimOutcome) -> Future[JobAnswer]:
-        owned = self.find_owned(outcome.job)
+    def _join(self, outcome: ClaimOutcome, digest: bytes) -> Future[JobAnswer]:
+        owned = self.find_owned(outcome.job, digest)
         if owned is not None:
             return owned
         link = self._dispatcher.balancer.link_to(outcome.owner)
-        return self._joins.join(outcome, link, time.monotonic())
+        return self._joins.join(outcome, digest, link, time.monotonic())
 
     def _count_end(self, answer: JobAnswer) -> None:
         failure = answer.failure
--- a/baobabgap/messages/_entry.py
+++ b/baobabgap/messages/_entry.py
@@ -64,6 +64,8 @@
     request: int
     # The job's identifier.
     job: str
+    # Digest of the job's content; empty for any content.
+    digest: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +82,6 @@
 
     # The number of the request that is answered.
     request: int
-    # The job's answer, or None if the receiver does not know the job and
-    # can't determine its outcome.
+    # The job's answer, or None if the receiver does not know the job with
+    # this content and can't determine its outcome.
     answer: JobAnswer | None
