Start no task while any upstream may still run it

Callers would see a task run twice at a time: each place that lets a task wait again looked at one upstream only. After a takeover one run was adopted and another one stopped; when the adopted one was lost, the task started on a third upstream beside the one that still stopped. A job sent again waited for the first of its earlier runs, not for the last.

The term's state has an index of the tracked runs by task, which the `RunTracker` keeps. A task that would wait waits for a run tracked elsewhere instead, and so do the tasks of a new submission; the starter looks there once more before each start. A submission no longer looks at the runs of all agents. A run that takes the place of another one in a view releases the room of that one. The end of a job, and of a task by one of its runs, stops all of its runs.

A run that never ends doesn't hold its task for ever: runs of a linked agent that hasn't reported are dropped once the authority it was granted has lapsed, like those of an agent without a link. Before, a task of an upstream that was gone behind a linked agent never started again.

Two tests changed: the one in test_late_jobs put its run into the view past the tracker, and now reports and loses it through it. `test_end_of_the_second_run_lets_the_task_start_again` demanded that the task waits for a start while the run of the first submission still stopped, which is the fault; in its place one test demands that the end of both does and of one doesn't, another that the second's end does once the first has ended.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -395,7 +395,7 @@
         task.last_run = max(task.last_run, row.run)
         match row.end:
             case RunEnd.DONE:
-                self._apply_done(plan, task, current is not None)
+                self._apply_done(plan, task)
             case RunEnd.FAILED:
                 task.failed_runs.add(row.run)
                 task.avoided.add(view.name)
@@ -404,13 +404,9 @@
                 if current is not None:
                     self._runs.let_wait(view, current, plan, task)
 
-    def _apply_done(
-        self, plan: JobPlan, task: PlannedTask, is_current: bool
-    ) -> None:
-        if task.upstream and not is_current:
-            # A later run of the same task is in progress elsewhere.
-            other = self._term_state.view_by_name[task.upstream]
-            self._runs.stop(other, task.task)
+    def _apply_done(self, plan: JobPlan, task: PlannedTask) -> None:
+        # Other runs of the same task may be in progress elsewhere.
+        self._runs.stop_all(task.task)
         plan.note_done(task.task)
         if plan.is_done and plan.job.is_volatile:
             self._closer.close(JobEnd(plan.job.job_id, JobState.COMPLETED))
--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -119,6 +119,7 @@
             plan, calls = self._term_state.pop_storing(job_id)
             if event.succeeded:
                 self._activate(plan, calls[0])
+                self._await_earlier_runs(plan)
             for call in calls:
                 if event.succeeded:
                     answer(call, CallOutcome.ACCEPTED)
@@ -483,15 +484,11 @@
     def _await_earlier_runs(self, plan: JobPlan) -> None:
         """Start no task whose run of an earlier submission still stops.
 
-        Its end lets the task start.
+        The end of the last one lets the task start.
         """
-        for view in self._term_state.view_by_name.values():
-            if not view.run_by_task:
-                continue
-            for task_id, task in plan.task_by_id.items():
-                run = view.run_by_task.get(task_id)
-                if run is not None and not task.upstream:
-                    plan.note_started(task, view.name, run.number)
+        for task in plan.task_by_id.values():
+            if not task.upstream:
+                self._runs.await_tracked_run(plan, task)
 
     def _activate(self, plan: JobPlan, arrived: CallArrived) -> None:
         """Make a job's tasks available for starts."""
--- a/baobabgap/dispatch/_job_closer.py
+++ b/baobabgap/dispatch/_job_closer.py
@@ -183,11 +183,8 @@
         plan = term_state.pop_plan(job_id)
         if plan is None:
             return
-        for task in plan.task_by_id.values():
-            if task.upstream:
-                self._runs.stop(
-                    term_state.view_by_name[task.upstream], task.task
-                )
+        for task_id in plan.task_by_id:
+            self._runs.stop_all(task_id)
         taken_s = now - plan.arrived_at
         self._metrics.count(f'baobabgap_jobs_total{{end="{state}"}}')
         if job_end.reason == UPSTREAM_CRASHES:
--- a/baobabgap/dispatch/_run_tracker.py
+++ b/baobabgap/dispatch/_run_tracker.py
@@ -58,8 +58,6 @@
 
     def add_unwanted(self, view: AgentView, row: RunRow) -> None:
         """Record a run that belongs to no known job."""
-        if row.task in view.run_by_task:
-            self.remove(view, row.task)
         self._occupy(
             view,
             Run(
@@ -71,10 +69,14 @@
                 was_found=True,
             ),
         )
+        found = self._term_state.find(row.task)
+        if found is not None and not found[1].upstream:
+            self.await_tracked_run(*found)
 
     def remove(self, view: AgentView, task_id: TaskId) -> Run:
         """Remove an ended run and release its resources."""
         run = view.run_by_task.pop(task_id)
+        self._term_state.run_index.discard(task_id, view.name)
         if view.target is not None:
             view.target.release(run.demand, run.expected)
         return run
@@ -103,13 +105,44 @@
     def let_wait(
         self, view: AgentView, run: Run, plan: JobPlan, task: PlannedTask
     ) -> None:
-        """Let a task wait again after a run that ended without success."""
+        """Let a task wait again after a run that ended without success.
+
+        It waits for the last of its runs that are tracked elsewhere.
+        """
         if run.plan is not plan:
             task.earlier_run = (
                 f'{task_text(task.task)}#{run.number}@{view.name}'
             )
             task.earlier_run_ended_at = time.monotonic()
-        plan.requeue(task)
+        if not self.await_tracked_run(plan, task):
+            plan.requeue(task)
+
+    def await_tracked_run(self, plan: JobPlan, task: PlannedTask) -> bool:
+        """Let a task wait for the end of a run of it, if one is tracked.
+
+        While any view tracks one, the task must not start: that run, of an
+        earlier submission or term perhaps, may still go on although its
+        stop is ordered. Returns whether there is one.
+        """
+        for name in self._term_state.run_index.agents_of(task.task):
+            run = self._term_state.view_by_name[name].run_by_task[task.task]
+            plan.note_started(task, name, run.number)
+            log_event(
+                'task_awaits_run',
+                job=task.task.job_id,
+                task=task_text(task.task),
+                run=run.number,
+                agent=name,
+                stopping=run.is_stopping,
+                earlier_submission=run.plan is not plan,
+            )
+            return True
+        return False
+
+    def stop_all(self, task_id: TaskId) -> None:
+        """Order the stops of all tracked runs of a task."""
+        for name in self._term_state.run_index.agents_of(task_id):
+            self.stop(self._term_state.view_by_name[name], task_id)
 
     def drop_all(self, view: AgentView, reason: str) -> None:
         """Drop all runs of an upstream."""
@@ -138,7 +171,20 @@
     def _occupy(
         self, view: AgentView, run: Run, *, is_exclusive: bool = False
     ) -> None:
+        replaced = view.run_by_task.get(run.task)
+        if replaced is not None:
+            # An upstream lists one run of a task at a time.
+            self.remove(view, run.task)
+            log_event(
+                'run_replaced',
+                job=run.task.job_id,
+                task=task_text(run.task),
+                run=replaced.number,
+                by_run=run.number,
+                agent=view.name,
+            )
         view.run_by_task[run.task] = run
+        self._term_state.run_index.add(run.task, view.name)
         if view.target is None:
             return
         if run.expected_s < math.inf:
--- a/baobabgap/dispatch/_starter.py
+++ b/baobabgap/dispatch/_starter.py
@@ -62,6 +62,10 @@
                 time.monotonic(),
                 self._may_start_on,
             ):
+                if self._runs.await_tracked_run(
+                    placement.plan, placement.task
+                ):
+                    continue
                 number = self._record_start(placement)
                 name, task = placement.target.name, placement.task.task
                 orders_by_agent[name].append(
--- a/baobabgap/dispatch/_term_state.py
+++ b/baobabgap/dispatch/_term_state.py
@@ -12,6 +12,7 @@
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._host_losses import HostLosses
 from baobabgap.dispatch._orphans import Orphans
+from baobabgap.dispatch._run_index import RunIndex
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.jobmodel import JobState
 from baobabgap.jobmodel import TaskId
@@ -83,6 +84,8 @@
         self.crash_history = CrashHistory()
         self.host_losses = HostLosses()
         self.view_by_name: dict[str, AgentView] = {}
+        # Where the views track runs, kept by the `RunTracker`.
+        self.run_index = RunIndex()
         # Monotonic clock.
         self.last_start_at_by_service: dict[str, float] = defaultdict(
             lambda: -math.inf
--- a/baobabgap/dispatch/_timeout_monitor.py
+++ b/baobabgap/dispatch/_timeout_monitor.py
@@ -73,6 +73,8 @@
                 self._term_state.run_times.slowness(view.target.kind)
             )
             view.target.note_time(now)
+        if not view.has_reported:
+            self._check_unreported(view, now)
         for run in list(view.run_by_task.values()):
             plan = self._term_state.plan_by_id.get(run.task.job_id)
             if plan is None or run.is_stopping:
@@ -87,6 +89,19 @@
             ):
                 self._stop_overdue(view, run, task, run_s)
 
+    def _check_unreported(self, view: AgentView, now: float) -> None:
+        """Drop the runs of a linked agent whose lease has lapsed.
+
+        An agent that can't reach its upstream may be linked for long and
+        report nothing.
+        """
+        lapse_s = self._timing.lapse_s
+        since_grant_s = boottime_clock() - view.authority_granted_at
+        if since_grant_s > lapse_s and all(
+            now - run.started_at > lapse_s for run in view.run_by_task.values()
+        ):
+            self._runs.drop_all(view, 'lease lapsed')
+
     def _stop_overdue(
         self, view: AgentView, run: Run, task: PlannedTask, run_s: float
     ) -> None:
--- a/baobabgap/dispatch/tests/test_late_jobs.py
+++ b/baobabgap/dispatch/tests/test_late_jobs.py
@@ -9,9 +9,9 @@
 from baobabgap.accepted import Demand
 from baobabgap.accepted import TaskId
 from baobabgap.dispatch._agent_view import AgentView
-from baobabgap.dispatch._agent_view import Run
 from baobabgap.dispatch._call_handler import CallHandler
 from baobabgap.dispatch._events import CallArrived
+from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._start_deferral import StartDeferral
 from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch._term_state import TermState
@@ -22,6 +22,7 @@
 from baobabgap.dispatch.tests.deployment import step
 from baobabgap.protocol import CallAnswer
 from baobabgap.protocol import CallOutcome
+from baobabgap.protocol import RunRow
 from baobabgap.protocol import SubmitJob
 from baobabgap.queues import QueueTable
 from baobabgap.scheduling import PlacementTarget
@@ -46,9 +47,10 @@
         self.term_state.begin_term(TERM, self.takeover)
         state = Mock(AcceptedState)
         state.state_of.return_value = None
+        self.runs = RunTracker(self.term_state)
         self.handler = CallHandler(
             self.term_state,
-            Mock(),
+            self.runs,
             Mock(),
             StartDeferral(self.term_state, Metrics()),
             state,
@@ -200,11 +202,11 @@
         self.end_takeover()
         view = self.term_state.view_by_name['a'] = AgentView('a')
         task_id = TaskId('a', 0, 0)
-        view.run_by_task[task_id] = Run(task_id, 7, Demand(), 0.0, 0.1)
+        self.runs.add_unwanted(view, RunRow(task_id, 7, True))
         self.submit()
         plan = self.term_state.plan_by_id['a']
         self.assertFalse(plan.has_waiting)
-        plan.requeue(plan.task_by_id[task_id])
+        self.runs.drop(view, task_id, 'stopped')
         self.assertTrue(plan.has_waiting)
         self.assertEqual(7, plan.task_by_id[task_id].last_run)
 
--- a/baobabgap/dispatch/tests/test_resubmission.py
+++ b/baobabgap/dispatch/tests/test_resubmission.py
@@ -92,7 +92,17 @@
         self.runs.drop(self.old, TASK, 'lease lapsed')
         self.assertFalse(self.plan.has_waiting)
 
-    def test_end_of_the_second_run_lets_the_task_start_again(self) -> None:
+    def test_end_of_both_runs_lets_the_task_start_again(self) -> None:
+        self.end(self.new, RunEnd.INTERRUPTED)
+        self.assertFalse(self.plan.has_waiting)
+        self.assertEqual('old', self.plan.task_by_id[TASK].upstream)
+        self.end(self.old, RunEnd.INTERRUPTED)
+        self.assertTrue(self.plan.has_waiting)
+
+    def test_end_of_the_second_run_alone_lets_the_task_start_again(
+        self,
+    ) -> None:
+        self.end(self.old, RunEnd.INTERRUPTED)
         self.end(self.new, RunEnd.INTERRUPTED)
         self.assertTrue(self.plan.has_waiting)
 
