--- a/baobabgap/upstreams/_client.py
+++ b/baobabgap/upstreams/_client.py
@@ -53,6 +53,8 @@
     running: tuple[ActiveRun, ...]
     # Ended runs that have not been acknowledged, oldest first.
     ended: tuple[EndRow, ...]
+    # Rows of either list that couldn't be read: each may stand for any run.
+    unreadable_rows: int = 0
 
 
 class UpstreamSuperseded(Exception):
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -568,7 +568,7 @@
                     self._pause(_POLL_RETRY_PAUSE_S)
                 continue
             self._handle_report(upstream, fence, report, sent_at)
-            if not lease_end_ms:
+            if not lease_end_ms or self._is_full_report_due:
                 self._pause(_POLL_PAUSE_S)
             else:
                 self._wait_for_acknowledgement()
@@ -661,7 +661,6 @@
             self._record_reading(report.clock_ms, sent_at, answered_at)
             self._handle_answered_poll()
             self._queue_due_stops()
-            self._request_authority()
             report = replace(
                 report,
                 ended=self._end_numbers.believed_rows(
@@ -684,7 +683,12 @@
                 {row.number: row for row in new_ends}
             )
             # The leader would take a run that isn't reported for lost.
-            is_complete = all(self._table.get(*run) for run in open_runs)
+            is_complete = not report.unreadable_rows and all(
+                self._table.get(*run) for run in open_runs
+            )
+            if is_complete or not self._is_full_report_due:
+                # A leader without a report may take the runs for lapsed.
+                self._request_authority()
             if self._is_full_report_due or (
                 self._is_report_requested and is_complete
             ):
--- a/baobabgap/upstreams/_run_table.py
+++ b/baobabgap/upstreams/_run_table.py
@@ -79,7 +79,8 @@
         Returns the runs that the table didn't have, and the removed runs:
         those whose stop was answered before `sent_at` and that the report
         doesn't list, so that they don't run and never will. Keeps
-        `open_runs`, whose ends aren't believed yet.
+        `open_runs`, whose ends aren't believed yet, and removes none if there
+        are rows that couldn't be read, as each may stand for any run.
         """
         unknown = [
             self._add_unknown(listed)
@@ -93,7 +94,8 @@
         gone = [
             run
             for run in self.run_by_task.values()
-            if (run.task, run.run) not in listed_runs
+            if not report.unreadable_rows
+            and (run.task, run.run) not in listed_runs
             and run.stopped_at is not None
             and run.stopped_at <= sent_at
         ]
--- a/baobabgap/upstreams/tests/test_odd_answers.py
+++ b/baobabgap/upstreams/tests/test_odd_answers.py
@@ -20,12 +20,15 @@
 from baobabgap.protocol import EndRow
 from baobabgap.protocol import FullReport
 from baobabgap.protocol import RunOrder
+from baobabgap.protocol import RunRow
 from baobabgap.protocol import StartRuns
+from baobabgap.protocol import StopRuns
 from baobabgap.upstreams import StartOutcome
 from baobabgap.upstreams import UpstreamReport
 from baobabgap.upstreams.tests.test_restarted_upstream import AgentTest
 from baobabgap.upstreams.tests.test_restarted_upstream import FENCE
 from baobabgap.upstreams.tests.test_restarted_upstream import STATE
+from baobabgap.upstreams.tests.test_restarted_upstream import TASK
 from baobabgap.upstreams.tests.test_restarted_upstream import wait_until
 
 # Seconds of odd answers.
@@ -156,6 +159,41 @@
         self.assertEqual([700], [end.number for end in report.ended])
 
 
+class UnreadableRowTest(OddAnswersTest):
+    def test_run_that_a_row_may_stand_for_is_not_gone(self) -> None:
+        """The leader would start its task elsewhere while it runs."""
+        self.upstream.run_ms = 60_000
+        self.order(STATE.born_ms)
+        wait_until(lambda: self.upstream.running, 'a run')
+        time.sleep(0.5)
+        self.upstream.spoil_report = lambda report: replace(
+            report, running=(), unreadable_rows=1
+        )
+        self.upstream.stop_ms = 3000
+        self.leader.order(StopRuns(FENCE, (RunRow(TASK, 1, True),)))
+        time.sleep(1.0)
+        self.assertEqual({TASK}, self.upstream.running)
+        self.assertEqual([], self.leader.gone)
+        self.upstream.spoil_report = lambda report: report
+        ended = len(self.leader.ended_numbers)
+        wait_until(lambda: len(self.leader.ended_numbers) > ended, 'its end')
+
+    def test_next_leader_gets_no_report_and_no_request_while_a_row_stays(
+        self,
+    ) -> None:
+        """It would take the run for lost, or for lapsed."""
+        self.upstream.spoil_report = lambda report: replace(
+            report, unreadable_rows=1
+        )
+        time.sleep(0.5)
+        leader = self.link_leader(self.agent)
+        time.sleep(0.5)
+        self.assertEqual([], leader.reports)
+        self.assertEqual([], leader.requests)
+        self.upstream.spoil_report = lambda report: report
+        wait_until(lambda: leader.reports and leader.requests, 'a report')
+
+
 class OddFirstClockTest(OddAnswersTest):
     def make_upstream(self) -> FakeUpstream:
         self.upstream = OddUpstream()
