--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -637,7 +637,7 @@
                     self._pause(_POLL_RETRY_PAUSE_S)
                 continue
             self._handle_report(upstream, fence, report, sent_at)
-            if not lease_end_ms:
+            if not lease_end_ms or self._is_full_report_due:
                 self._pause(_POLL_PAUSE_S)
             else:
                 self._wait_for_acknowledgement()
@@ -751,7 +751,12 @@
                 {row.number: row for row in new_ends}
             )
             # The leader would take a run that isn't reported for lost.
-            is_complete = all(self._table.get(*run) for run in open_runs)
+            is_complete = not report.unreadable_rows and all(
+                self._table.get(*run) for run in open_runs
+            )
+            if is_complete or not self._is_full_report_due:
+                # A leader without a report may take the runs for lapsed.
+                self._request_authority()
             if self._is_full_report_due or (
                 self._is_report_requested and is_complete
             ):
