Stop a run that the agent took for a later one of its task

A run that the upstream lists with a lower number than the tracked run of its task was taken for that one: a late call had started it, it ran on, and neither the leader nor the agent knew, while the later run could start beside it. The agent now stops such runs until the upstream lists them no more; the later run stays as it was.

With it the run ends before its lease does (within 1 s). Its room isn't counted until then.

--- a/baobabgap/upstreams/_run_table.py
+++ b/baobabgap/upstreams/_run_table.py
@@ -1,5 +1,6 @@
 """The runs that an agent started or discovered on its upstream."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from baobabgap.jobmodel import Demand
@@ -55,6 +56,8 @@
 
     def __init__(self) -> None:
         self.run_by_task: dict[TaskId, TrackedRun] = {}
+        # Listed runs with a lower number than the tracked one of the task.
+        self._lower_runs: dict[tuple[TaskId, int], TrackedRun] = {}
 
     def rows(self) -> tuple[RunRow, ...]:
         """Return all runs that are running or may still start."""
@@ -79,6 +82,7 @@
         those whose stop was answered before `sent_at` and that the report
         doesn't list, so that they don't run and never will.
         """
+        self._note_lower(report.running)
         unknown = [
             self._add_unknown(listed)
             for listed in report.running
@@ -126,13 +130,34 @@
         """
         return [
             run
-            for run in self.run_by_task.values()
+            for run in (*self.run_by_task.values(), *self._lower_runs.values())
             if run.must_stop
             and not run.is_in_flight
             and run.stopped_at is None
             and run.stop_sent_at <= sent_before
         ]
 
+    def _note_lower(self, running: Iterable[ActiveRun]) -> None:
+        """Stop listed runs that a later run of the task has replaced.
+
+        Such a run was started by a late call. The leader doesn't know it,
+        and another run of its task may be running.
+        """
+        known = self._lower_runs
+        self._lower_runs = {}
+        for listed in running:
+            tracked = self.run_by_task.get(listed.task)
+            if tracked is None or tracked.run <= listed.run:
+                continue
+            key = (listed.task, listed.run)
+            self._lower_runs[key] = known.get(key) or TrackedRun(
+                listed.task,
+                listed.run,
+                is_confirmed=True,
+                is_in_flight=False,
+                must_stop=True,
+            )
+
     def _confirm(self, listed: ActiveRun) -> bool:
         """Mark a known run as confirmed; return False for an unknown one."""
         tracked = self.run_by_task.get(listed.task)
--- a/baobabgap/upstreams/tests/test_late_starts.py
+++ b/baobabgap/upstreams/tests/test_late_starts.py
@@ -219,6 +219,28 @@
         self.assertIs(StartOutcome.OLD, self.carry_out())
 
 
+class LowerRunTest(AgentTest):
+    def test_late_start_of_an_earlier_run_goes_on(self) -> None:
+        """Its task had been ordered again, and both could run."""
+        is_answered = threading.Event()
+        self.addCleanup(is_answered.set)
+        orders: list[RunOrder] = []
+
+        def leave_unanswered(order: RunOrder) -> bool:
+            orders.append(order)
+            return is_answered.wait(WAIT_S)
+
+        self.upstream.leaves_unanswered = leave_unanswered
+        self.order(1, run=2)
+        wait_until(lambda: orders, 'a start call')
+        earlier = replace(orders[0], run=1)
+        until_ms = self.upstream.clock_ms + 1000
+        self.upstream.carry_out(earlier, FENCE, until_ms)
+        wait_until(lambda: not self.upstream.running, 'the end of the run')
+        self.assertLess(self.upstream.clock_ms, until_ms)
+        self.assertEqual([], self.leader.gone)
+
+
 class LateStartsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.starts = LateStarts(1.0)
--- a/baobabgap/upstreams/tests/test_run_table.py
+++ b/baobabgap/upstreams/tests/test_run_table.py
@@ -73,6 +73,23 @@
         self.assertEqual([], gone)
         self.assertEqual((), self.table.rows())
 
+    def test_lower_run_is_taken_for_the_tracked_one(self) -> None:
+        """It went on, and nothing told the leader of it."""
+        unknown, gone = self.table.apply_report(
+            report(ActiveRun(TASK, 1)), 1.0
+        )
+        self.assertEqual(([], []), (unknown, gone))
+        self.assertFalse(self.tracked.is_confirmed)
+        (lower,) = self.table.stops_due(1.0)
+        self.assertEqual((TASK, 1), (lower.task, lower.run))
+        lower.stop_sent_at = 1.5
+        self.table.apply_report(report(ActiveRun(TASK, 1)), 1.6)
+        self.assertEqual([], self.table.stops_due(1.4))
+        self.assertEqual([lower], self.table.stops_due(1.6))
+        self.table.apply_report(report(), 1.7)
+        self.assertEqual([], self.table.stops_due(1.8))
+        self.assertEqual([RunRow(TASK, 2, False)], list(self.table.rows()))
+
     def test_run_without_an_order_is_reported(self) -> None:
         unknown, _ = self.table.apply_report(report(ActiveRun(OTHER, 1)), 1.0)
         self.assertEqual([RunRow(OTHER, 1, True)], unknown)
