Drop the runs of an upstream that stays silent behind a linked agent

An agent that restarts beside an upstream that never answers again states that it is quiet, once no lease of it can hold. The leader noted that for its takeover only: it kept the runs for as long as the agent was linked, and their tasks never ran again. An agent whose runs lapsed while it had no link has the same effect.

On that message the leader drops the runs that the linked process knew. Runs of an earlier process are dropped 11 s after they were ordered: until then the next incarnation of the upstream may carry out a call without an answer. The limit is a field of LeaseTiming now, used by leader and agent.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -130,12 +130,26 @@
                 self._handle_request(view, message, is_confirmed)
             case UpstreamQuiet(fence=fence):
                 if fence == self._term_state.term:
-                    self._term_state.takeover.note_agent_report(view.name)
+                    self._handle_quiet(view)
             case UpstreamChanged(upstream=upstream):
                 self._change_upstream(view, upstream)
             case RunsEnded() | RunsGone() | RunsFound():
                 self._handle_run_message(view, message)
 
+    def _handle_quiet(self, view: AgentView) -> None:
+        """Drop the runs of an upstream that runs nothing.
+
+        Calls of an earlier process of the agent may still be carried out.
+        """
+        self._term_state.takeover.note_agent_report(view.name)
+        now = time.monotonic()
+        for run in list(view.run_by_task.values()):
+            if (
+                run.agent_incarnation == view.linked_incarnation
+                or now - run.started_at > self._timing.late_run_s
+            ):
+                self._runs.drop(view, run.task, 'upstream is quiet')
+
     def _handle_run_message(
         self, view: AgentView, message: RunsEnded | RunsGone | RunsFound
     ) -> None:
--- a/baobabgap/dispatch/tests/test_agent_enrolment.py
+++ b/baobabgap/dispatch/tests/test_agent_enrolment.py
@@ -1,11 +1,13 @@
 """Tests that an agent's enrolment is durable before it gets runs."""
 
+import time
 from typing import Any
 import unittest
 from unittest.mock import Mock
 
 from baobabgap.accepted import EnrolMembers
 from baobabgap.dispatch._agent_handler import AgentHandler
+from baobabgap.dispatch._agent_view import Run
 from baobabgap.dispatch._evacuations import Evacuations
 from baobabgap.dispatch._events import Event
 from baobabgap.dispatch._events import MembersEnrolled
@@ -14,10 +16,13 @@
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.dispatch._view_check import ViewCheck
 from baobabgap.dispatch.tests.deployment import describe_upstream
+from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import Authority
 from baobabgap.protocol import AuthorityRequest
 from baobabgap.protocol import FullReport
 from baobabgap.protocol import LeaseTiming
+from baobabgap.protocol import UpstreamQuiet
 from baobabgap.telemetry import Metrics
 
 TERM = 2
@@ -113,3 +118,34 @@
         self.assertEqual(0, self.grants())
         self.takeover.end_if_due(10.0)
         self.assertEqual(1, self.grants())
+
+
+class QuietUpstreamTest(HandlerTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.view = self.term_state.view_by_name['agent']
+        process = self.view.linked_incarnation
+        timing = LeaseTiming()
+        for name, incarnation, age_s in (
+            ('of this process', process, 0.0),
+            ('of an earlier one', 'earlier', timing.late_run_s - 1),
+            ('older', 'earlier', timing.late_run_s + 1),
+        ):
+            task = TaskId(name, 0, 0)
+            self.view.run_by_task[task] = Run(
+                task,
+                1,
+                Demand(),
+                time.monotonic() - age_s,
+                1.0,
+                agent_incarnation=incarnation,
+            )
+
+    def kept(self, message: UpstreamQuiet) -> list[str]:
+        self.handler.handle(self.connection, message, True)
+        return [task.job_id for task in self.view.run_by_task]
+
+    def test_runs_of_a_quiet_upstream_are_kept_for_ever(self) -> None:
+        """Calls of an earlier process may be carried out for a while."""
+        self.assertEqual(3, len(self.kept(UpstreamQuiet(TERM - 1))))
+        self.assertEqual(['of an earlier one'], self.kept(UpstreamQuiet(TERM)))
--- a/baobabgap/dispatch/tests/test_dispatch.py
+++ b/baobabgap/dispatch/tests/test_dispatch.py
@@ -164,6 +164,22 @@
         self.assertEqual('completed', answer.result(WAIT_S).state)
         self.assertEqual(2, len(self.starts()))
 
+    def test_silent_upstream_of_a_restarted_agent_keeps_its_run(self) -> None:
+        """The task waited for it for as long as the agent was linked."""
+        for upstream in self.deployment.upstreams:
+            upstream.run_ms = 60_000
+        self.deployment.submit('a', step(1), volatile=False).result(WAIT_S)
+        wait_until(lambda: len(self.starts()) == 1, 'a start')
+        (number,) = (
+            number
+            for number, upstream in enumerate(self.deployment.upstreams)
+            if upstream.running
+        )
+        self.deployment.upstreams[number].is_silent = True
+        self.deployment.replace_agent(number, silent_s=0.1)
+        wait_until(lambda: len(self.starts()) == 2, 'another start')
+        self.assertEqual(set(), self.deployment.upstreams[number].running)
+
     def test_draining_upstream_gets_no_new_runs(self) -> None:
         deployment = self.deployment
         deployment.agents[0].drain()
--- a/baobabgap/protocol/_timing.py
+++ b/baobabgap/protocol/_timing.py
@@ -28,12 +28,23 @@
     confirmation_s: float = 0.4
     # The time that an upstream needs to stop runs whose lease has lapsed.
     stop_s: float = 0.05
+    # How long a call without an answer may still be carried out.
+    late_call_s: float = 10.0
 
     @property
     def lapse_s(self) -> float:
         """Seconds after which authority granted now has certainly lapsed."""
         return self.authority_s * (1 + CLOCK_DRIFT) + 2 * self.stop_s
 
+    @property
+    def late_run_s(self) -> float:
+        """Seconds after which a start without an answer runs nothing.
+
+        The next incarnation of an upstream may carry it out, whose clock
+        doesn't limit its lease.
+        """
+        return self.late_call_s + self.longest_lease_s
+
     @property
     def takeover_s(self) -> float:
         """Seconds after which all grants of earlier leaders have lapsed.
--- a/baobabgap/upstreams/_late_starts.py
+++ b/baobabgap/upstreams/_late_starts.py
@@ -6,11 +6,9 @@
 
 from baobabgap.jobmodel import Demand
 from baobabgap.jobmodel import TaskId
+from baobabgap.protocol import LeaseTiming
 from baobabgap.upstreams._run_table import TrackedRun
 
-# Seconds after which a start call is no longer carried out.
-_LATE_START_S: Final = 10.0
-
 
 @dataclass(frozen=True, slots=True, eq=False)
 class SentStart:
@@ -34,8 +32,8 @@
     for use by several threads.
     """
 
-    def __init__(self, longest_lease_s: float) -> None:
-        self._longest_lease_s: Final = longest_lease_s
+    def __init__(self, timing: LeaseTiming) -> None:
+        self._timing: Final = timing
         # In the order in which they were sent.
         self._starts: dict[SentStart, None] = {}
 
@@ -72,13 +70,11 @@
                 is_in_flight=False,
                 must_stop=True,
                 reason='restarted',
-                may_run_until=start.sent_at
-                + _LATE_START_S
-                + self._longest_lease_s,
+                may_run_until=start.sent_at + self._timing.late_run_s,
             )
 
     def _forget_old(self, now: float) -> None:
         for start in list(self._starts):
-            if now - start.sent_at < _LATE_START_S:
+            if now - start.sent_at < self._timing.late_call_s:
                 return
             del self._starts[start]
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -142,7 +142,7 @@
         self._fence = 0
         self._upstream: UpstreamState | None = None
         self._crash_reports: Final = CrashReports()
-        self._late_starts: Final = LateStarts(timing.longest_lease_s)
+        self._late_starts: Final = LateStarts(timing)
         self._zone_gate: Final = ZoneGate(metrics)
         self._reset_incarnation()
 
--- a/baobabgap/upstreams/tests/test_late_starts.py
+++ b/baobabgap/upstreams/tests/test_late_starts.py
@@ -9,6 +9,7 @@
 from baobabgap.jobmodel import Demand
 from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import FullReport
+from baobabgap.protocol import LeaseTiming
 from baobabgap.protocol import RunOrder
 from baobabgap.protocol import RunRow
 from baobabgap.protocol import StartRuns
@@ -243,7 +244,7 @@
 
 class LateStartsTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.starts = LateStarts(1.0)
+        self.starts = LateStarts(LeaseTiming())
 
     def runs_to_stop(self, now: float) -> list[tuple[TaskId, int]]:
         return [
