--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -170,12 +170,25 @@
         for _ in range(_CALLER_THREADS):
             self._calls.put(None)
 
-    def announce(self, upstream: UpstreamState | None) -> None:
-        """Set what the upstream announces of itself; None if it has left."""
+    @property
+    def fence(self) -> int:
+        """The fence of the latest leader; 0 before the first one."""
+        return self._fence
+
+    def announce(
+        self, upstream: UpstreamState | None, *, is_confirmed: bool = False
+    ) -> None:
+        """Set what the upstream announces of itself; None if it has left.
+
+        `is_confirmed` states that the upstream has just confirmed which
+        incarnation it is.
+        """
         with self._lock:
             current = self._upstream
-            if upstream is not None and self._is_earlier_life(
-                upstream.instance, upstream.born_ms
+            if (
+                upstream is not None
+                and not (is_confirmed and not self._is_answering)
+                and self._is_earlier_life(upstream.instance, upstream.born_ms)
             ):
                 log_event(
                     'announcement_too_late',
@@ -279,6 +292,8 @@
         # When the first of the latest unanswered polls failed.
         self._unanswered_since: float | None = None
         self._last_unanswered_at = float('-inf')
+        # Whether this incarnation has answered a poll.
+        self._is_answering = False
         # Whether the last poll was refused for want of a listening process.
         self._is_refused = False
         # Runs whose lease has lapsed since the upstream's last answer.
@@ -656,8 +671,10 @@
                 self._upstream = replace(
                     self._upstream, born_ms=report.born_ms
                 )
+                self._is_answering = True
                 self._report_upstream()
                 return
+            self._is_answering = True
             self._record_reading(report.clock_ms, sent_at, answered_at)
             self._handle_answered_poll()
             self._queue_due_stops()
