Believe another start time in an upstream's answer only at a second answer

Callers would see: one answer with an odd `born` (2^53, or an earlier one) ends the incarnation: its runs are reported as lost while they run, and start again elsewhere.

Until then nothing of the answer is used, no lease is renewed and no start is sent, as the clock may be another one.

Not held: the same odd `born` in two answers in a row.

--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -292,6 +292,8 @@
         # When the first of the latest unanswered polls failed.
         self._unanswered_since: float | None = None
         self._last_unanswered_at = float('-inf')
+        # Another start time that the last answer stated; 0 if it didn't.
+        self._other_born_ms = 0
         # Whether this incarnation has answered a poll.
         self._is_answering = False
         # Whether the last poll was refused for want of a listening process.
@@ -476,7 +478,7 @@
                 return None
             until_ms = self._next_lease_end_ms()
             now_ms = self._clock.estimate_ms(sent_at)
-            if until_ms - now_ms < _SHORTEST_LEASE_MS:
+            if until_ms - now_ms < _SHORTEST_LEASE_MS or self._other_born_ms:
                 self._table.remove(order.task, order.run)
                 self._send_runs_gone((run.row,), 'no authority')
                 return None
@@ -553,7 +555,9 @@
                 fence = self._fence
                 acknowledged_number = self._acknowledged_number
                 lease_end_ms = (
-                    self._next_lease_end_ms() if self._clock.is_known else 0
+                    self._next_lease_end_ms()
+                    if self._clock.is_known and not self._other_born_ms
+                    else 0
                 )
                 is_full_report_due = self._is_full_report_due
             if not fence:
@@ -663,6 +667,15 @@
                 and self._upstream.born_ms
                 and report.born_ms != self._upstream.born_ms
             ):
+                if report.born_ms != self._other_born_ms:
+                    log_event(
+                        'start_time_not_believed',
+                        born_ms=report.born_ms,
+                        current_born_ms=self._upstream.born_ms,
+                        reason='a second answer has to state it',
+                    )
+                    self._other_born_ms = report.born_ms
+                    return
                 # The upstream restarted under the same identity.
                 self._report_lost_runs(
                     'restarted', has_crashed=not self._upstream.is_draining
@@ -675,6 +688,7 @@
                 self._report_upstream()
                 return
             self._is_answering = True
+            self._other_born_ms = 0
             self._record_reading(report.clock_ms, sent_at, answered_at)
             self._handle_answered_poll()
             self._queue_due_stops()
--- a/baobabgap/upstreams/tests/test_odd_answers.py
+++ b/baobabgap/upstreams/tests/test_odd_answers.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 import contextlib
 from dataclasses import replace
+import threading
 import time
 from typing import Any
 from typing import Final
@@ -194,6 +195,34 @@
         wait_until(lambda: leader.reports and leader.requests, 'a report')
 
 
+class OddStartTimeTest(OddAnswersTest):
+    def test_run_goes_on_after_an_answer_with_another_start_time(self) -> None:
+        """It was reported as lost, and its task started elsewhere."""
+        self.upstream.run_ms = 60_000
+        self.order(STATE.born_ms)
+        wait_until(lambda: self.upstream.running, 'a run')
+        time.sleep(0.5)
+        for born_ms in (2**53, 5):
+            is_spoilt = threading.Event()
+
+            def spoil(
+                report: UpstreamReport,
+                born_ms: int = born_ms,
+                is_spoilt: threading.Event = is_spoilt,
+            ) -> UpstreamReport:
+                if is_spoilt.is_set():
+                    return report
+                is_spoilt.set()
+                return replace(report, born_ms=born_ms, running=())
+
+            self.upstream.spoil_report = spoil
+            self.assertTrue(is_spoilt.wait(5))
+            time.sleep(0.5)
+            self.assertEqual([], self.leader.gone)
+            self.assertEqual(STATE.born_ms, self.reported_start())
+            self.assertEqual({TASK}, self.upstream.running)
+
+
 class OddFirstClockTest(OddAnswersTest):
     def make_upstream(self) -> FakeUpstream:
         self.upstream = OddUpstream()
