--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -175,12 +175,25 @@
         for _ in range(_CALLER_THREADS):
             self._calls.put(None)
 
-    def announce(self, upstream: UpstreamState | None) -> None:
-        """Set what the upstream announces of itself; None if it has left."""
+    @property
+    def fence(self) -> int:
+        """The fence of the latest leader; 0 before the first one."""
+        return self._fence
+
+    def announce(
+        self, upstream: UpstreamState | None, *, is_confirmed: bool = False
+    ) -> None:
+        """Set what the upstream announces of itself; None if it has left.
+
+        `is_confirmed` states that the upstream has just confirmed which
+        incarnation it is.
+        """
         with self._lock:
             current = self._upstream
-            if upstream is not None and self._is_earlier_life(
-                upstream.instance, upstream.born_ms
+            if (
+                upstream is not None
+                and not (is_confirmed and not self._is_answering)
+                and self._is_earlier_life(upstream.instance, upstream.born_ms)
             ):
                 log_event(
                     'announcement_too_late',
@@ -308,6 +321,10 @@
         # When the first of the latest unanswered polls failed.
         self._unanswered_since: float | None = None
         self._last_unanswered_at = float('-inf')
+        # Another start time that the last answer stated; 0 if it didn't.
+        self._other_born_ms = 0
+        # Whether this incarnation has answered a poll.
+        self._is_answering = False
         # Whether the last poll was refused for want of a listening process.
         self._is_refused = False
         # Runs whose lease has lapsed since the upstream's last answer.
@@ -514,7 +531,7 @@
                 return None
             until_ms = self._next_lease_end_ms()
             now_ms = self._clock.estimate_ms(sent_at)
-            if until_ms - now_ms < _SHORTEST_LEASE_MS:
+            if until_ms - now_ms < _SHORTEST_LEASE_MS or self._other_born_ms:
                 self._table.remove(order.task, order.run)
                 self._send_runs_gone((run.row,), 'no authority')
                 return None
@@ -606,7 +623,9 @@
                 fence = self._fence
                 acknowledged_number = self._acknowledged_number
                 lease_end_ms = (
-                    self._next_lease_end_ms() if self._clock.is_known else 0
+                    self._next_lease_end_ms()
+                    if self._clock.is_known and not self._other_born_ms
+                    else 0
                 )
                 is_full_report_due = self._is_full_report_due
                 is_answer_due = self._table.has_rejected_run
@@ -717,6 +736,15 @@
                 and self._upstream.born_ms
                 and report.born_ms != self._upstream.born_ms
             ):
+                if report.born_ms != self._other_born_ms:
+                    log_event(
+                        'start_time_not_believed',
+                        born_ms=report.born_ms,
+                        current_born_ms=self._upstream.born_ms,
+                        reason='a second answer has to state it',
+                    )
+                    self._other_born_ms = report.born_ms
+                    return
                 # The upstream restarted under the same identity.
                 self._report_lost_runs(
                     'restarted', has_crashed=not self._upstream.is_draining
@@ -724,8 +752,11 @@
                 self._begin_incarnation(
                     replace(self._upstream, born_ms=report.born_ms)
                 )
+                self._is_answering = True
                 self._report_upstream()
                 return
+            self._is_answering = True
+            self._other_born_ms = 0
             self._record_reading(report.clock_ms, sent_at, answered_at)
             self._handle_answered_poll()
             self._queue_due_stops()
