Refuse a start beside another run of its task that is still there

A start order replaced a tracked run of the same task, such as one that a late call had started and that the leader took for a lower run of its order. The order was sent to the upstream beside it, the agent reported the first no more, and the leader counted its room no more.

The agent refuses the order and names the run that is there, in a new field of RunsGone with a default. In the same event in which the leader drops the refused run it takes the other one, so that the task isn't queued in between. A second order of the same run has no effect.

--- a/baobabgap/dispatch/_agent_handler.py
+++ b/baobabgap/dispatch/_agent_handler.py
@@ -381,6 +381,7 @@
             run = view.run_by_task.get(row.task)
             if run is not None and run.number == row.run:
                 self._runs.drop(view, row.task, message.reason)
+        self._adopt(view, message.found)
 
     def _handle_ends(self, view: AgentView, rows: tuple[EndRow, ...]) -> None:
         upstream = view.upstream
--- a/baobabgap/dispatch/tests/test_agent_enrolment.py
+++ b/baobabgap/dispatch/tests/test_agent_enrolment.py
@@ -16,13 +16,19 @@
 from baobabgap.dispatch._term_state import TermState
 from baobabgap.dispatch._view_check import ViewCheck
 from baobabgap.dispatch.tests.deployment import describe_upstream
+from baobabgap.jobmodel import AcceptedJob
 from baobabgap.jobmodel import Demand
+from baobabgap.jobmodel import Step
 from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import Authority
 from baobabgap.protocol import AuthorityRequest
 from baobabgap.protocol import FullReport
 from baobabgap.protocol import LeaseTiming
+from baobabgap.protocol import RunRow
+from baobabgap.protocol import RunsGone
 from baobabgap.protocol import UpstreamQuiet
+from baobabgap.scheduling import JobPlan
+from baobabgap.scheduling import RunTimes
 from baobabgap.telemetry import Metrics
 
 TERM = 2
@@ -149,3 +155,30 @@
         """Calls of an earlier process may be carried out for a while."""
         self.assertEqual(3, len(self.kept(UpstreamQuiet(TERM - 1))))
         self.assertEqual(['of an earlier one'], self.kept(UpstreamQuiet(TERM)))
+
+
+class RefusedBesideRunTest(HandlerTest):
+    def test_task_of_a_refused_start_is_started_beside_the_other_run(
+        self,
+    ) -> None:
+        step = Step(1, Demand(1000, 10, 0), 100)
+        job = AcceptedJob(
+            'j', 'q', 's', 0, 1, 1.6, 60, '', (step,), 0, 1, True
+        )
+        plan = JobPlan(job, 0.0, RunTimes())
+        self.term_state.plan_by_id['j'] = plan
+        task = plan.task_by_id[TaskId('j', 0, 0)]
+        view = self.term_state.view_by_name['agent']
+        view.upstream = describe_upstream(0, 1, 4)
+        RunTracker(self.term_state).add(view, plan, task, 2)
+        message = RunsGone(
+            view.upstream.instance,
+            1,
+            (RunRow(task.task, 2, False),),
+            'other run',
+            (RunRow(task.task, 1, True),),
+        )
+        self.handler.handle(self.connection, message, True)
+        self.assertEqual(1, view.run_by_task[task.task].number)
+        self.assertEqual('agent', task.upstream)
+        self.assertEqual([], list(plan.waiting_by_step[0]))
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -234,6 +234,8 @@
     # room, late, unhealthy, unanswered, lapsed or `EVACUATED`; used in logs.
     # `CRASHED` if the upstream has crashed under all these runs.
     reason: str
+    # Other runs of their tasks, because of which they were not started.
+    found: tuple[RunRow, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -381,6 +381,10 @@
                 self._send_runs_gone(rows, EVACUATED)
                 return
             for order in message.orders:
+                known = self._table.run_by_task.get(order.task)
+                if known is not None:
+                    self._refuse_beside(order, known)
+                    continue
                 self._table.run_by_task[order.task] = TrackedRun(
                     order.task, order.run, order.demand
                 )
@@ -394,6 +398,23 @@
                     )
                 )
 
+    def _refuse_beside(self, order: RunOrder, known: TrackedRun) -> None:
+        """Refuse a start while another run of the task may be running.
+
+        The leader must know that one first, to count its room and its end.
+        """
+        if known.run == order.run:
+            return
+        log_event(
+            'start_beside_run',
+            job=order.task.job_id,
+            task=f'{order.task.step}.{order.task.index}',
+            run=order.run,
+            known_run=known.run,
+        )
+        rows = (RunRow(order.task, order.run, False, order.demand),)
+        self._send_runs_gone(rows, 'other run', (known.row,))
+
     def _handle_stops(self, fence: int, rows: tuple[RunRow, ...]) -> None:
         with self._lock:
             if fence != self._fence:
@@ -892,11 +913,18 @@
         if self._connection is not None:
             self._connection.send(UpstreamChanged(None))
 
-    def _send_runs_gone(self, rows: tuple[RunRow, ...], reason: str) -> None:
+    def _send_runs_gone(
+        self,
+        rows: tuple[RunRow, ...],
+        reason: str,
+        found: tuple[RunRow, ...] = (),
+    ) -> None:
         upstream = self._upstream
         if rows and self._connection is not None and upstream is not None:
             self._connection.send(
-                RunsGone(upstream.instance, upstream.born_ms, rows, reason)
+                RunsGone(
+                    upstream.instance, upstream.born_ms, rows, reason, found
+                )
             )
 
     # Leases.
--- a/baobabgap/upstreams/tests/test_late_starts.py
+++ b/baobabgap/upstreams/tests/test_late_starts.py
@@ -242,6 +242,39 @@
         self.assertEqual([], self.leader.gone)
 
 
+class StartBesideRunTest(AgentTest):
+    def test_ordered_run_replaces_one_that_is_running(self) -> None:
+        """Nobody counted the room of the first, and both could run."""
+        self.upstream.carry_out(
+            RunOrder(TASK, 1, 'x', Demand(1000, 10, 0)),
+            FENCE,
+            self.upstream.clock_ms + 1000,
+        )
+        wait_until(lambda: not self.agent.is_idle, 'a found run')
+        sent: list[RunOrder] = []
+
+        def leave_unanswered(order: RunOrder) -> bool:
+            sent.append(order)
+            return True
+
+        self.upstream.leaves_unanswered = leave_unanswered
+        self.order(1, run=2)
+        wait_until(lambda: self.leader.gone, 'a refusal')
+        (message,) = self.leader.gone
+        self.assertEqual([(TASK, 2)], [(r.task, r.run) for r in message.runs])
+        self.assertEqual([(TASK, 1)], [(r.task, r.run) for r in message.found])
+        self.assertEqual([], sent)
+        self.assertEqual({TASK}, self.upstream.running)
+
+    def test_order_of_a_run_that_is_there_is_repeated(self) -> None:
+        self.order(1)
+        wait_until(lambda: self.upstream.running, 'a run')
+        self.order(1)
+        time.sleep(0.1)
+        self.assertEqual([], self.leader.gone)
+        self.assertEqual([(TASK, 1)], self.upstream.starts)
+
+
 class LateStartsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.starts = LateStarts(LeaseTiming())
