Count a found run of unknown demand as the whole upstream

An agent that restarted reports the runs that it finds on its upstream, which an earlier process of it started, without their demands, and the leader counted them as none.

A run of a job that the leader knows has the demand of its step. Any other run without a demand counts as all that its upstream has, whatever that becomes, until it has ended or its job is submitted again: so nothing starts beside it. That is the largest demand that it can have; the largest one that the leader has seen would be less, and not certain. It lasts for the 2 s for which a run waits for its job, and until its stop is answered.

--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -21,7 +21,8 @@
 
     task: TaskId
     number: int
-    demand: Demand
+    # None if only an earlier process of the agent knew it.
+    demand: Demand | None
     # When it was ordered or found, and its expected duration, seconds.
     started_at: float
     expected_s: float
--- a/baobabgap/dispatch/_host_losses.py
+++ b/baobabgap/dispatch/_host_losses.py
@@ -3,6 +3,7 @@
 import time
 
 from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.jobmodel import Demand
 from baobabgap.protocol import CRASHED
 from baobabgap.protocol import FullReport
 from baobabgap.protocol import RunRow
@@ -58,7 +59,7 @@
             run.task,
             run.number,
             True,
-            run.demand,
+            run.demand or Demand(),
             max(0, round(1000 * (last_heard_at - run.started_at))),
         )
         for run in view.run_by_task.values()
--- a/baobabgap/dispatch/_run_tracker.py
+++ b/baobabgap/dispatch/_run_tracker.py
@@ -7,6 +7,7 @@
 from baobabgap.dispatch._agent_view import AgentView
 from baobabgap.dispatch._agent_view import Run
 from baobabgap.dispatch._term_state import TermState
+from baobabgap.jobmodel import Demand
 from baobabgap.jobmodel import TaskId
 from baobabgap.protocol import RunRow
 from baobabgap.protocol import StopRuns
@@ -63,7 +64,7 @@
             Run(
                 row.task,
                 row.run,
-                row.demand,
+                self._demand_of(row),
                 time.monotonic(),
                 math.inf,
                 was_found=True,
@@ -168,6 +169,15 @@
             if run.is_stopping:
                 self._send_stop(view, run)
 
+    def _demand_of(self, row: RunRow) -> Demand | None:
+        """Return the demand of a found run, or None if nobody knows it."""
+        if row.demand != Demand():
+            return row.demand
+        plan = self._term_state.plan_by_id.get(row.task.job_id)
+        if plan is None or row.task.step >= len(plan.job.steps):
+            return None
+        return plan.job.steps[row.task.step].demand
+
     def _occupy(
         self, view: AgentView, run: Run, *, is_exclusive: bool = False
     ) -> None:
@@ -187,7 +197,7 @@
         self._term_state.run_index.add(run.task, view.name)
         if view.target is None:
             return
-        if run.expected_s < math.inf:
+        if run.demand is not None and run.expected_s < math.inf:
             run.expected = view.target.expect_run(
                 run.demand, run.expected_s, run.started_at
             )
--- a/baobabgap/scheduling/_targets.py
+++ b/baobabgap/scheduling/_targets.py
@@ -40,6 +40,9 @@
     # evacuated zone.
     is_open: bool = True
     running: int = 0
+    # Number of runs whose demand is unknown. While there are any, they count
+    # as much as the whole upstream has, so that nothing fits beside them.
+    unknown_runs: int = 0
     # Whether nothing may start beside the run that it has.
     is_exclusive: bool = False
     # Run time factor of its kind of upstream; 1 is average.
@@ -84,32 +87,43 @@
 
     def occupy(
         self,
-        demand: Demand,
+        demand: Demand | None,
         *,
         is_exclusive: bool = False,
         expected: ExpectedRun | None = None,
     ) -> None:
         """Reserve capacity for a run, exclusively if it must run alone.
 
-        `expected` tells when it should end; without it that is unknown.
+        `expected` tells when it should end; without it that is unknown. So
+        is the demand if that is None.
         """
         if expected is not None:
             self.forecast.add(expected)
-        self.free = self.free.minus(demand)
+        if demand is not None:
+            self.free = self.free.minus(demand)
+        else:
+            self.unknown_runs += 1
+            if self.unknown_runs == 1:
+                self.free = self.free.minus(self.capacity)
         self.running += 1
         self.is_exclusive = self.is_exclusive or is_exclusive
         self.on_change(self)
 
     def release(
-        self, demand: Demand, expected: ExpectedRun | None = None
+        self, demand: Demand | None, expected: ExpectedRun | None = None
     ) -> None:
         """Release the capacity of a run that has ended.
 
-        `expected` is what the call of `occupy` for the run was given.
+        The arguments are those of the call of `occupy` for the run.
         """
         if expected is not None:
             self.forecast.remove(expected)
-        self.free = self.free.plus(demand)
+        if demand is not None:
+            self.free = self.free.plus(demand)
+        else:
+            self.unknown_runs -= 1
+            if not self.unknown_runs:
+                self.free = self.free.plus(self.capacity)
         self.running -= 1
         self._end_exclusive_use()
         self.on_change(self)
@@ -152,7 +166,8 @@
     def set_capacity(self, capacity: Demand) -> None:
         """Change the capacity; less than is occupied is possible."""
         if self.capacity != capacity:
-            self.free = self.free.plus(capacity.minus(self.capacity))
+            if not self.unknown_runs:
+                self.free = self.free.plus(capacity.minus(self.capacity))
             self.capacity = capacity
             self.on_change(self)
 
