Drop a volatile job once no caller can wait for it any more

The entry drops a job when its caller leaves or its time is over, on the link of the call. If that link is lost first, the leader keeps the call on it as one that waits, and an entry that has died, or whose caller has left meanwhile, never sends the job again or drops it. Likewise a job whose second call is dropped stayed attached to the first one, on a lost link.

The leader now ends a volatile job at the time until which the last of its callers waits, as told by the entries (`awaited_until`): counted from the arrival of the call here, so never before the entry's own time. It answers as an entry does then, keeps no result (the caller may send the job again), and logs `job_unawaited`.

--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -111,6 +111,30 @@
                 )
             return
 
+    def drop_unawaited_jobs(self, now: float) -> None:
+        """Cancel volatile jobs for which no caller waits any longer.
+
+        The notice that a caller has left may have been lost with the link
+        of its entry. No answer could reach a caller after its time.
+        """
+        for job_id, calls in list(self._term_state.callers_by_id.items()):
+            plan = self._term_state.plan_by_id[job_id]
+            if now <= plan.awaited_until:
+                continue
+            self._term_state.callers_by_id[job_id] = []
+            for call in calls:
+                answer(call, CallOutcome.UNKNOWN, detail='no answer in time')
+            log_event(
+                'job_unawaited',
+                job=job_id,
+                calls=len(calls),
+                overdue_ms=round(1000 * (now - plan.awaited_until)),
+                begun=plan.has_started,
+            )
+            self._closer.close(
+                JobEnd(job_id, JobState.CANCELLED), dropped=calls[-1]
+            )
+
     def handle_stored_jobs(self, event: JobsStored) -> None:
         """Activate jobs that became durable and answer their callers."""
         if event.term != self._term_state.term:
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -176,6 +176,7 @@
         if is_check_due:
             # Only jobs that found no room, as estimates are rough.
             self._calls.give_up_late_jobs(now)
+            self._calls.drop_unawaited_jobs(now)
             self._stall_monitor.check(now)
             self._queue_report.update(now)
         self._deferral.check(now)
