Compare run numbers with those in an agent's full report

A report that listed another run of a task, with another number, counted as one that lists the tracked run. So a tracked run that the agent didn't have stayed, and the one that it had wasn't tracked: with a lower number its end released nothing, and a stop of the tracked one was answered by "not there", upon which the task started elsewhere beside the run that went on. A higher one was stopped, though the task had no other run.

The tracked run is dropped as not reported, unless its start may be on its way, and the listed one is adopted. Two of the three new tests in test_tracked_runs fail without the change; found by reading, not seen in a play.

--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -117,14 +117,14 @@
         """Return the runs that a full report shows not to exist.
 
         The start order of another run that it doesn't list may be on its
-        way.
+        way. A run of the same task with another number is another run.
         """
-        reported = {row.task for row in report.running}
+        reported = {(row.task, row.run) for row in report.running}
         received = report.starts_received
         return [
             task
             for task, run in self.run_by_task.items()
-            if task not in reported
+            if (task, run.number) not in reported
             and (received is None or run.start_number <= received)
         ]
 
--- a/baobabgap/dispatch/tests/test_tracked_runs.py
+++ b/baobabgap/dispatch/tests/test_tracked_runs.py
@@ -110,6 +110,45 @@
         self.assertEqual(CAPACITY, view.target.free)
         self.assertEqual(0, view.target.running)
 
+    def test_report_of_a_lower_run_shows_that_the_tracked_one_is_not_there(
+        self,
+    ) -> None:
+        """Regression: the end of the run that is there released nothing."""
+        self.submit()
+        ((plan, task),) = filter(None, [self.term_state.find(TASK)])
+        self.runs.add(self.view('old'), plan, task, 2)
+        self.report('old', FIRST)
+        self.assertEqual(1, self.number_at('old'))
+        self.link('new')
+        self.assertFalse(self.has_started_anew())
+        self.assertEqual([], self.orders('old', StopRuns))
+
+    def test_report_of_a_higher_run_adopts_it(self) -> None:
+        """Regression: it was stopped, as the lower one counted as there."""
+        self.submit()
+        self.find('old', FIRST)
+        self.report('old', SECOND)
+        self.assertEqual(2, self.number_at('old'))
+        self.assertEqual([], self.orders('old', StopRuns))
+        self.assertEqual('old', self.upstream())
+
+    def test_ordered_run_that_a_report_may_not_cover_stays_tracked(
+        self,
+    ) -> None:
+        self.submit()
+        self.start_tasks()
+        name = next(
+            name for name in ('old', 'other') if self.has_started_on(name)
+        )
+        self.view(name).run_by_task[TASK].number = 3
+        self.report(name, FIRST)
+        self.assertEqual(3, self.number_at(name))
+
+    def upstream(self) -> str:
+        """Return where the task runs according to its plan."""
+        ((_, task),) = filter(None, [self.term_state.find(TASK)])
+        return task.upstream
+
     def test_waiting_task_awaits_a_run_that_gets_tracked(self) -> None:
         self.submit()
         self.runs.add_unwanted(self.view('old'), FIRST)
