Test the guard of starts itself, and a job that a takeover releases

Whatever lets a task wait, the starter starts none of which a run is tracked; a job that a takeover held while one of its runs was lost and another one stopped awaits that one.

--- a/baobabgap/dispatch/tests/test_tracked_runs.py
+++ b/baobabgap/dispatch/tests/test_tracked_runs.py
@@ -1,16 +1,19 @@
 """No task starts while a run of it may go on somewhere."""
 
 from collections.abc import ValuesView
+import math
 import time
 import unittest
 from unittest.mock import patch
 
 from baobabgap.accepted import RunEnd
 from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch.tests.resubmission import CAPACITY
 from baobabgap.dispatch.tests.resubmission import ResubmissionCase
 from baobabgap.dispatch.tests.resubmission import STEP
 from baobabgap.dispatch.tests.resubmission import TASK
+from baobabgap.dispatch.tests.resubmission import TERM
 from baobabgap.dispatch.tests.resubmission import TIMING
 from baobabgap.protocol import boottime_clock
 from baobabgap.protocol import RunRow
@@ -155,6 +158,31 @@
         self.link('new')
         self.assertFalse(self.has_started_anew())
 
+    def test_starter_starts_no_task_of_which_a_run_is_tracked(self) -> None:
+        """Whatever let it wait for a start."""
+        self.stop_both()
+        self.submit(call=2)
+        ((plan, task),) = filter(None, [self.term_state.find(TASK)])
+        plan.requeue(task)
+        self.link('new')
+        self.assertFalse(self.has_started_anew())
+        self.assertFalse(plan.has_waiting)
+
+    def test_job_released_by_a_takeover_awaits_its_runs(self) -> None:
+        takeover = Takeover(TERM, ('agent/away', 'entry/x/1'), math.inf)
+        self.term_state.takeover = takeover
+        self.submit()
+        self.find('old', FIRST)
+        self.find('other', SECOND)
+        self.runs.drop(self.view('old'), TASK, 'lease lapsed')
+        self.link('new')
+        takeover.note_agent_report('away')
+        takeover.end_if_due(0.0)
+        self.term_state.release_held_plans(self.calls.admit_released)
+        self.assertFalse(self.has_started_anew())
+        self.end(self.view('other'), RunEnd.INTERRUPTED, run=2)
+        self.assertTrue(self.has_started_anew())
+
 
 class RunsThatNeverEndTest(ResubmissionCase):
     """A stop that stays unanswered holds its task until the lease lapses."""
