Claim an orphaned run once that was lost and found again

A job whose caller waited would start anew: an orphaned run that was lost and found again (an agent's report that didn't list it, then one that did) is kept twice for its job, and the job claimed it by the first entry and stopped it by the second. The test fails without the change (a stop is ordered). Found by reading, not seen in a play.

--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -496,6 +496,9 @@
             if view is None or run is None or run.number != row.run:
                 continue
             found = self._term_state.find(row.task)
+            if run.plan is plan:
+                # It was lost and found again, and is claimed by now.
+                continue
             if found is None or found[1].upstream:
                 self._runs.stop(view, row.task)
             else:
--- a/baobabgap/dispatch/tests/test_orphan_runs.py
+++ b/baobabgap/dispatch/tests/test_orphan_runs.py
@@ -57,6 +57,15 @@
         self.runs.drop(self.view('old'), TASK, 'stopped')
         self.assertTrue(self.has_started_anew())
 
+    def test_run_that_was_found_twice_is_claimed_once(self) -> None:
+        """Regression: the job stopped the run that it had just claimed."""
+        self.report('old', ROW)
+        self.runs.drop(self.view('old'), TASK, 'not reported')
+        self.report('old', ROW)
+        self.submit()
+        self.assertEqual([], self.orders('old', StopRuns))
+        self.assertFalse(self.has_started_anew())
+
     def test_all_expired_runs_of_a_task_are_awaited(self) -> None:
         """Regression: the end of the first one let the task start."""
         self.report('old', ROW)
