--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -22,7 +22,8 @@
 
     task: TaskId
     number: int
-    demand: Demand
+    # None if only an earlier process of the agent knew it.
+    demand: Demand | None
     # When it was ordered or found, and its expected duration, seconds.
     started_at: float
     expected_s: float
@@ -128,14 +129,14 @@
         """Return the runs that a full report shows not to exist.
 
         The start order of another run that it doesn't list may be on its
-        way.
+        way. A run of the same task with another number is another run.
         """
-        reported = {row.task for row in report.running}
+        reported = {(row.task, row.run) for row in report.running}
         received = report.starts_received
         return [
             task
             for task, run in self.run_by_task.items()
-            if task not in reported
+            if (task, run.number) not in reported
             and (received is None or run.start_number <= received)
         ]
 
--- a/baobabgap/dispatch/tests/test_tracked_runs.py
+++ b/baobabgap/dispatch/tests/test_tracked_runs.py
@@ -1,16 +1,19 @@
 """No task starts while a run of it may go on somewhere."""
 
 from collections.abc import ValuesView
+import math
 import time
 import unittest
 from unittest.mock import patch
 
 from baobabgap.accepted import RunEnd
 from baobabgap.dispatch._agent_view import AgentView
+from baobabgap.dispatch._takeover import Takeover
 from baobabgap.dispatch.tests.resubmission import CAPACITY
 from baobabgap.dispatch.tests.resubmission import ResubmissionCase
 from baobabgap.dispatch.tests.resubmission import STEP
 from baobabgap.dispatch.tests.resubmission import TASK
+from baobabgap.dispatch.tests.resubmission import TERM
 from baobabgap.dispatch.tests.resubmission import TIMING
 from baobabgap.protocol import boottime_clock
 from baobabgap.protocol import RunRow
@@ -110,12 +113,76 @@
         self.assertEqual(CAPACITY, view.target.free)
         self.assertEqual(0, view.target.running)
 
+    def test_report_of_a_lower_run_shows_that_the_tracked_one_is_not_there(
+        self,
+    ) -> None:
+        """Regression: the end of the run that is there released nothing."""
+        self.submit()
+        ((plan, task),) = filter(None, [self.term_state.find(TASK)])
+        self.runs.add(self.view('old'), plan, task, 2)
+        self.report('old', FIRST)
+        self.assertEqual(1, self.number_at('old'))
+        self.link('new')
+        self.assertFalse(self.has_started_anew())
+        self.assertEqual([], self.orders('old', StopRuns))
+
+    def test_report_of_a_higher_run_adopts_it(self) -> None:
+        """Regression: it was stopped, as the lower one counted as there."""
+        self.submit()
+        self.find('old', FIRST)
+        self.report('old', SECOND)
+        self.assertEqual(2, self.number_at('old'))
+        self.assertEqual([], self.orders('old', StopRuns))
+        self.assertEqual('old', self.upstream())
+
+    def test_ordered_run_that_a_report_may_not_cover_stays_tracked(
+        self,
+    ) -> None:
+        self.submit()
+        self.start_tasks()
+        name = next(
+            name for name in ('old', 'other') if self.has_started_on(name)
+        )
+        self.view(name).run_by_task[TASK].number = 3
+        self.report(name, FIRST)
+        self.assertEqual(3, self.number_at(name))
+
+    def upstream(self) -> str:
+        """Return where the task runs according to its plan."""
+        ((_, task),) = filter(None, [self.term_state.find(TASK)])
+        return task.upstream
+
     def test_waiting_task_awaits_a_run_that_gets_tracked(self) -> None:
         self.submit()
         self.runs.add_unwanted(self.view('old'), FIRST)
         self.link('new')
         self.assertFalse(self.has_started_anew())
 
+    def test_starter_starts_no_task_of_which_a_run_is_tracked(self) -> None:
+        """Whatever let it wait for a start."""
+        self.stop_both()
+        self.submit(call=2)
+        ((plan, task),) = filter(None, [self.term_state.find(TASK)])
+        plan.requeue(task)
+        self.link('new')
+        self.assertFalse(self.has_started_anew())
+        self.assertFalse(plan.has_waiting)
+
+    def test_job_released_by_a_takeover_awaits_its_runs(self) -> None:
+        takeover = Takeover(TERM, ('agent/away', 'entry/x/1'), math.inf)
+        self.term_state.takeover = takeover
+        self.submit()
+        self.find('old', FIRST)
+        self.find('other', SECOND)
+        self.runs.drop(self.view('old'), TASK, 'lease lapsed')
+        self.link('new')
+        takeover.note_agent_report('away')
+        takeover.end_if_due(0.0)
+        self.term_state.release_held_plans(self.calls.admit_released)
+        self.assertFalse(self.has_started_anew())
+        self.end(self.view('other'), RunEnd.INTERRUPTED, run=2)
+        self.assertTrue(self.has_started_anew())
+
 
 class RunsThatNeverEndTest(ResubmissionCase):
     """A stop that stays unanswered holds its task until the lease lapses."""
