Refuse links of a process that a later one has replaced

An entry would use an agent's upstream no more, or an agent ignore all that an entry places, until their link breaks: a process that was replaced while it was frozen opens its link again, and this link took the place of the later process's. The messages of the later one were dropped as those of an old link, and when the earlier process ended, its name had no link at all. Tasks placed meanwhile waited for their deadline. Among entries such a link also ended the joins that wait for the later process (`owner_lost`).

Cause: the newest link of a name was taken for that of the newest process. Links of entries to agents, agents to entries and entries to each other are kept by `NewestLinks` now: a replaced incarnation is refused while the later one is linked, and a replaced link is closed, so that its process opens another if it was the later one after all. A link of another incarnation leaves a join alone whose owner is linked.

Found by reading. The new tests fail with `NewestLinks` taken out of each of the three places, with the refusal, the closing, the return of the last linked process and the check of the join taken out one by one. After: all hold.

--- a/baobabgap/agent/tests/test_scheduler.py
+++ b/baobabgap/agent/tests/test_scheduler.py
@@ -9,6 +9,7 @@
 import unittest
 from unittest.mock import patch
 
+from baobabgap._exceptions import ProtocolMismatch
 from baobabgap.agent._batch_log import BatchLog
 from baobabgap.agent._scheduler import TaskScheduler
 from baobabgap.agent._task_registry import TaskRecord
@@ -40,10 +41,14 @@
     def __init__(self, name: str = 'entry-a', incarnation: str = 'a1') -> None:
         self.peer = Hello(name, 'entry', incarnation)
         self.sent: list[object] = []
+        self.is_closed = False
 
     def send(self, *messages: object) -> None:
         self.sent.extend(messages)
 
+    def close(self) -> None:
+        self.is_closed = True
+
     @property
     def results(self) -> list[TaskResult]:
         return [
@@ -342,6 +347,26 @@
         self.assertEqual(['t1', 't2'], self.started_tasks())
         self.assertEqual([], link.results)
 
+    def test_replaced_entry_process_does_not_displace_the_later_one(
+        self,
+    ) -> None:
+        """It lives on after a freeze, and its link is opened again."""
+        later = self.open_link(incarnation='a2')
+        self.assertTrue(self.link.is_closed)
+        self.scheduler.remove_link(self.link)
+        again = FakeLink(incarnation='a1')
+        with self.assertRaises(ProtocolMismatch):
+            self.scheduler.open_link(again)
+        self.scheduler.remove_link(again)
+        self.place(later, 't1')
+        self.assertEqual(['t1'], self.started_tasks())
+
+    def test_entry_process_returns_if_no_later_one_is_linked(self) -> None:
+        later = self.open_link(incarnation='a2')
+        self.scheduler.remove_link(later)
+        self.place(self.open_link(incarnation='a1'), 't1')
+        self.assertEqual(['t1'], self.started_tasks())
+
     def test_late_result_is_ignored(self) -> None:
         """The task ends at the upstream after it was reported as lost."""
         self.place(self.link, 't1')
--- a/baobabgap/entry/_agent_links.py
+++ b/baobabgap/entry/_agent_links.py
@@ -2,6 +2,7 @@
 
 from baobabgap.messages import AcknowledgeResults
 from baobabgap.transport import Connection
+from baobabgap.transport import NewestLinks
 
 _TaskKey = tuple[str, str]
 
@@ -13,28 +14,30 @@
     """
 
     def __init__(self) -> None:
-        self._link_by_agent: dict[str, Connection] = {}
+        self._links: NewestLinks[Connection] = NewestLinks()
         self._unacknowledged_by_agent: dict[str, list[_TaskKey]] = {}
 
     def add(self, link: Connection) -> None:
-        """Register a link, replacing an earlier one to the agent."""
-        self._link_by_agent[link.peer.name] = link
+        """Register a link, replacing an earlier one to the agent.
+
+        Raises `ProtocolMismatch` if a later process of it is linked.
+        """
+        self._links.open(link)
 
     def remove(self, link: Connection) -> bool:
         """Remove a link; False if a newer one has replaced it."""
-        if not self.is_current(link):
+        if not self._links.remove(link):
             return False
-        del self._link_by_agent[link.peer.name]
         self._unacknowledged_by_agent.pop(link.peer.name, None)
         return True
 
     def is_current(self, link: Connection) -> bool:
         """Return whether this is the current link to its agent."""
-        return self._link_by_agent.get(link.peer.name) is link
+        return self._links.is_current(link)
 
     def send(self, agent: str, message: object) -> None:
         """Send a message to an agent; dropped if there is no link to it."""
-        link = self._link_by_agent.get(agent)
+        link = self._links.find(agent)
         if link is not None:
             link.send(message)
 
--- a/baobabgap/entry/_joins.py
+++ b/baobabgap/entry/_joins.py
@@ -109,8 +109,8 @@
 
     def _ask(self, request: int, join: _Join, link: Connection) -> None:
         if link.peer.incarnation != join.outcome.owner_incarnation:
-            join.link = None
-            join.reconnect_deadline_at = 0.0
+            if join.link is None:
+                join.reconnect_deadline_at = 0.0
             return
         join.link = link
         link.send(JoinJob(request, join.outcome.job, join.digest))
--- a/baobabgap/entry/_token_balancer.py
+++ b/baobabgap/entry/_token_balancer.py
@@ -16,6 +16,7 @@
 from baobabgap.entry._token_pool import TokenPool
 from baobabgap.messages import EntryState
 from baobabgap.transport import Connection
+from baobabgap.transport import NewestLinks
 
 # Smaller differences between virtual deadlines are ignored.
 _URGENCY_MARGIN_S: Final = 0.02
@@ -50,18 +51,22 @@
     def __init__(self, pool: TokenPool) -> None:
         self._pool = pool
         self._peer_by_name: dict[str, _Peer] = {}
+        self._links: NewestLinks[Connection] = NewestLinks()
         self._last_sent: EntryState | None = None
         self._last_head_deadline_at = math.inf
 
     def add_peer(self, link: Connection) -> None:
-        """Add the link to another entry, and make the next report due."""
+        """Add the link to another entry, and make the next report due.
+
+        Raises `ProtocolMismatch` if a later process of it is linked.
+        """
+        self._links.open(link)
         self._peer_by_name[link.peer.name] = _Peer(link)
         self._last_sent = None
 
     def remove_peer(self, link: Connection) -> bool:
         """Remove a lost link; False if a newer one has replaced it."""
-        peer = self._peer_by_name.get(link.peer.name)
-        if peer is None or peer.link is not link:
+        if not self._links.remove(link):
             return False
         del self._peer_by_name[link.peer.name]
         return True
--- a/baobabgap/entry/tests/fakes.py
+++ b/baobabgap/entry/tests/fakes.py
@@ -44,11 +44,16 @@
     ) -> None:
         self.peer = Hello(name, role, incarnation, '', zone)
         self.sent: list[Any] = []
+        self.is_closed = False
 
     def send(self, *messages: object) -> None:
         """Record messages."""
         self.sent.extend(messages)
 
+    def close(self) -> None:
+        """Record that the link was closed."""
+        self.is_closed = True
+
     def pop_sent(self, message_class: type[_Message]) -> list[_Message]:
         """Return the recorded messages of one class, and clear all."""
         found = [item for item in self.sent if isinstance(item, message_class)]
--- a/baobabgap/entry/tests/linked_agent.py
+++ b/baobabgap/entry/tests/linked_agent.py
@@ -33,6 +33,9 @@
         """Queue messages for the other end."""
         self.sent.extend(messages)
 
+    def close(self) -> None:
+        """Close the link, which changes nothing here."""
+
     def pop(self) -> list[Any]:
         """Return what was sent, and forget it."""
         sent, self.sent = self.sent, []
--- a/baobabgap/entry/tests/test_dispatcher.py
+++ b/baobabgap/entry/tests/test_dispatcher.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+from baobabgap._exceptions import ProtocolMismatch
 from baobabgap.configuration import Configuration
 from baobabgap.entry._failures import deadline_exceeded
 from baobabgap.entry.tests.fakes import CAPACITY
@@ -223,6 +224,22 @@
         self.assertEqual([(('kurek.1.a', 't0'),)], [m.tasks for m in asked])
         self.assertFalse(future.done())
 
+    def test_replaced_agent_process_does_not_displace_the_later_one(
+        self,
+    ) -> None:
+        """It lives on after a freeze, and opens its link again."""
+        entry = FakeEntry()
+        earlier = entry.add_agent('a', 1)
+        later = entry.add_agent('a', 1, incarnation='i2')
+        self.assertTrue(earlier.is_closed)
+        entry.dispatcher.agent_down(earlier.connection)
+        again = FakeLink('a', 'agent', 'i1')
+        with self.assertRaises(ProtocolMismatch):
+            entry.dispatcher.agent_up(again.connection)
+        entry.dispatcher.agent_down(again.connection)
+        entry.submit(job())
+        self.assertEqual(1, len(later.pop_sent(PlaceTasks)))
+
     def test_jobs_fail_if_their_agent_does_not_reconnect(self) -> None:
         entry = FakeEntry()
         agent = entry.add_agent('a', 1)
--- a/baobabgap/entry/tests/test_submissions.py
+++ b/baobabgap/entry/tests/test_submissions.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 
+from baobabgap._exceptions import ProtocolMismatch
 from baobabgap.configuration import Configuration
 from baobabgap.control import ControlUnavailableError
 from baobabgap.entry.tests.fakes import FakeEntry
@@ -139,6 +140,40 @@
         self.assertEqual('entry-9', failure.peer)
         self.assertEqual(Ran.UNKNOWN, failure.ran)
 
+    def test_earlier_process_of_the_owner_ends_no_join(self) -> None:
+        """It lives on after a freeze, and opens its link again."""
+        entry = FakeEntry()
+        entry.add_agent('a', 4)
+        owner = entry.add_peer('entry-2')
+        future = entry.submissions.submit(job(), '')
+        entry.control.settle_claim(ClaimStatus.OWNED, 'entry-2')
+        request = owner.pop_sent(JoinJob)[0].request
+        earlier = FakeLink('entry-2', 'entry', 'i0')
+        entry.joins.link_up(earlier.connection)
+        entry.joins.expire(time.monotonic())
+        self.assertFalse(future.done())
+        answer = JobAnswer('kurek.1.a')
+        entry.joins.answer(JoinedAnswer(request, answer))
+        self.assertEqual(answer, future.result(1))
+
+    def test_replaced_entry_process_does_not_displace_the_later_one(
+        self,
+    ) -> None:
+        entry = FakeEntry()
+        entry.add_agent('a', 4)
+        earlier = FakeLink('entry-2', 'entry', 'i0')
+        balancer = entry.dispatcher.balancer
+        balancer.add_peer(earlier.connection)
+        owner = entry.add_peer('entry-2')
+        self.assertTrue(earlier.is_closed)
+        again = FakeLink('entry-2', 'entry', 'i0')
+        with self.assertRaises(ProtocolMismatch):
+            balancer.add_peer(again.connection)
+        balancer.remove_peer(again.connection)
+        entry.submissions.submit(job(), '')
+        entry.control.settle_claim(ClaimStatus.OWNED, 'entry-2')
+        self.assertEqual(1, len(owner.pop_sent(JoinJob)))
+
     def test_owner_that_restarted_is_not_asked(self) -> None:
         entry = FakeEntry()
         entry.add_agent('a', 4)
--- a/baobabgap/transport/__init__.py
+++ b/baobabgap/transport/__init__.py
@@ -5,6 +5,7 @@
 from baobabgap.transport._dialer import dial
 from baobabgap.transport._dialer import Dialer
 from baobabgap.transport._listener import Listener
+from baobabgap.transport._newest_links import NewestLinks
 from baobabgap.transport._traffic import PROCESS_TRAFFIC
 
 __all__ = [
@@ -13,5 +14,6 @@
     'Dialer',
     'LinkTiming',
     'Listener',
+    'NewestLinks',
     'PROCESS_TRAFFIC',
 ]
