Take no token from an earlier process of an agent

An entry would place a task on an upstream without a free slot, where it waits while others are idle: a result on the link of an earlier process of an agent returned its token to the pool if the later process has an epoch of the same number. Cause: a returned token was compared by epoch alone, and each process counts epochs anew; transfers name the incarnation, too. Loads of a replaced link are dropped as well (baseline policies only, no test).

Found by reading. Before (with the check taken out): the second job is placed at the later process, which has granted no token. After: it waits.

--- a/baobabgap/entry/_dispatcher.py
+++ b/baobabgap/entry/_dispatcher.py
@@ -236,19 +236,26 @@
     def handle_load(self, link: Connection, load: UpstreamLoad) -> None:
         """Record a load report, for the baseline policies."""
         with self.lock:
-            self._placer.record_load(link.peer.name, load)
+            if self._links.is_current(link):
+                self._placer.record_load(link.peer.name, load)
 
     def handle_results(self, link: Connection, message: TaskResults) -> None:
         """Process results, and spend the tokens that they return."""
         agent = link.peer.name
         with self.lock:
+            # Epochs are counted by each process of an agent anew.
+            takes_tokens = self._links.is_current(link)
             for result in message.results:
-                self._handle_result(agent, result)
+                self._handle_result(agent, result, takes_tokens)
             self._dispatch()
 
-    def _handle_result(self, agent: str, result: TaskResult) -> None:
-        is_token_accepted = result.token_returns and self.pool.return_token(
-            agent, result.epoch
+    def _handle_result(
+        self, agent: str, result: TaskResult, takes_tokens: bool
+    ) -> None:
+        is_token_accepted = (
+            takes_tokens
+            and result.token_returns
+            and self.pool.return_token(agent, result.epoch)
         )
         placed = self._outstanding.find(agent, result.job, result.task)
         if placed is not None and placed.is_about_another_placement(
--- a/baobabgap/entry/tests/test_dispatcher.py
+++ b/baobabgap/entry/tests/test_dispatcher.py
@@ -303,6 +303,18 @@
         self.assertEqual(1, len(peer.pop_sent(TokenTransfer)))
         self.assertEqual([], agent.pop_sent(PlaceTasks))
 
+    def test_token_of_an_earlier_agent_process_is_dropped(self) -> None:
+        """Both processes have an epoch of the same number."""
+        entry = FakeEntry()
+        earlier = entry.add_agent('a', 1)
+        first = entry.submit(job(1))
+        placed = earlier.pop_sent(PlaceTasks)[0]
+        later = entry.add_agent('a', 1, tokens=0, incarnation='i2')
+        entry.finish(earlier, placed)
+        self.assertTrue(first.result(1).has_all_values)
+        entry.submit(job(2))
+        self.assertEqual([], later.pop_sent(PlaceTasks))
+
     def test_void_transfer_is_dropped(self) -> None:
         entry = FakeEntry()
         agent = entry.add_agent('a', 1, tokens=0)
