Start a released job for its next owner where it never started

Callers would see a job wait until its deadline, and its entry place the same tasks again and again: it was refused with `ran: no` by one entry after an agent had refused or dropped its tasks, and submitted again through another entry. The agent had bound the job to the first one at the placement and gave the tasks back to the second one for ever, or called them lost while the first result was not acknowledged. Cause: the binding and the unstarted result of an earlier submission were applied to the later one.

Found by reading. Only a start binds a job to its owner now, and a result of a task that didn't start gives way to another owner's placement: an owner releases a job only after it has heard that nothing started. Waiting tasks of two owners start for one of them alone (test).

Before (each change taken back): the task of the second owner doesn't start. After: it does. With the binding at the start taken out, both owners' tasks start (`test_owners_of_waiting_tasks_start_one_job_once` fails). Two tests of protections without one: acknowledgements of another process and `ResumeTasks` on a replaced link; both fail with the protection taken out.

--- a/baobabgap/agent/_admission.py
+++ b/baobabgap/agent/_admission.py
@@ -7,6 +7,7 @@
 from baobabgap.agent._links import EntryLink
 from baobabgap.agent._task_registry import TaskRecord
 from baobabgap.agent._task_tracker import lost_result
+from baobabgap.agent._task_tracker import OTHER_OWNER_OF_JOB
 from baobabgap.agent._task_tracker import TaskTracker
 from baobabgap.messages import PlaceTasks
 from baobabgap.messages import TaskOutcome
@@ -76,8 +77,8 @@
         owner = message.owner_incarnation
         if owner != link.peer.incarnation:
             return 'placed for another incarnation of the entry'
-        if not self._tracker.registry.bind_owner(message.job, owner):
-            return 'the job belongs to another incarnation of an entry'
+        if self._tracker.registry.has_other_owner(message.job, owner):
+            return OTHER_OWNER_OF_JOB
         if not self._tracker.offer.accepting:
             return self._tracker.offer.reason
         if not placement.size.fits_in(self._tracker.offer.capacity):
@@ -94,11 +95,11 @@
 ) -> bool:
     """Return whether a task that didn't start is placed anew.
 
-    Its entry places it again only after it has heard that.
+    Its entry places it again, or releases the job for another owner, only
+    after it has heard that.
     """
-    return (
-        record.result is not None
-        and not record.has_started
-        and record.owner_incarnation == link.peer.incarnation
-        and record.number < message.placement
-    )
+    if record.result is None or record.has_started:
+        return False
+    if record.owner_incarnation != link.peer.incarnation:
+        return True
+    return record.number < message.placement
--- a/baobabgap/agent/_task_registry.py
+++ b/baobabgap/agent/_task_registry.py
@@ -113,6 +113,11 @@
         """Return whether a task without a record is known to have started."""
         return lease_identifier(job, task) in self._started_leases
 
+    def has_other_owner(self, job: str, owner_incarnation: str) -> bool:
+        """Return whether a job is bound to another owner."""
+        owner = self._owner_by_job.get(job, owner_incarnation)
+        return owner != owner_incarnation
+
     def bind_owner(self, job: str, owner_incarnation: str) -> bool:
         """Bind a job to its first owner; return whether it is this one."""
         owner = self._owner_by_job.setdefault(job, owner_incarnation)
--- a/baobabgap/agent/_task_tracker.py
+++ b/baobabgap/agent/_task_tracker.py
@@ -27,6 +27,9 @@
 # Seconds after a job's deadline for which its results are kept.
 _RETENTION_AFTER_DEADLINE_S: Final = 30.0
 
+OTHER_OWNER_OF_JOB: Final = (
+    'the job belongs to another incarnation of an entry'
+)
 _OTHER_OWNER: Final = 'placed before by another incarnation of an entry'
 _NO_UPSTREAM: Final = UpstreamOffer(
     '', 0, TaskSize(0.0, 0, 0), False, 'no upstream has announced itself'
@@ -93,6 +96,15 @@
                 reason = 'the deadline passed before a slot was free'
                 self.finish(record, TaskOutcome.NOT_STARTED, reason, 0.0)
                 continue
+            # Only a start binds the job: one that never started may be
+            # released and submitted again through another entry.
+            if not self.registry.bind_owner(
+                record.job, record.owner_incarnation
+            ):
+                self.finish(
+                    record, TaskOutcome.NOT_STARTED, OTHER_OWNER_OF_JOB, 0.0
+                )
+                continue
             record.state = TaskState.RUNNING
             record.started_at = now
             self.ledger.begin()
--- a/baobabgap/agent/tests/test_scheduler.py
+++ b/baobabgap/agent/tests/test_scheduler.py
@@ -107,9 +107,10 @@
         epoch: int = 0,
         size: TaskSize = _SMALL,
         number: int = 0,
+        job: str = _JOB,
     ) -> None:
         message = PlaceTasks(
-            _JOB,
+            job,
             owner or link.peer.incarnation,
             agent,
             epoch or link.epoch,
@@ -276,6 +277,47 @@
         self.scheduler.resume(link, ResumeTasks(_AGENT, pairs, (1, 2)))
         self.assertEqual([1, 1, 2, 0], self.numbers(link))
 
+    def test_job_that_never_started_here_starts_for_its_next_owner(
+        self,
+    ) -> None:
+        """One task was refused, and one waited until it was cancelled."""
+        self.set_accepting(False)
+        self.place(self.link, 'refused')
+        self.set_accepting(slots=1)
+        other = self.open_link('entry-b', 'b1')
+        self.place(other, 'busy', job='a.2.y')
+        self.place(self.link, 'queued')
+        self.scheduler.cancel(self.link, CancelJobs((_JOB,)))
+        self.end(0)
+        self.place(other, 'refused', 'queued')
+        self.end(1)
+        self.assertEqual(['busy', 'refused', 'queued'], self.started_tasks())
+
+    def test_owners_of_waiting_tasks_start_one_job_once(self) -> None:
+        self.set_accepting(slots=1)
+        other = self.open_link('entry-b', 'b1')
+        self.place(other, 'busy', job='a.2.y')
+        self.place(self.link, 't1')
+        self.place(other, 't2')
+        self.end(0)
+        self.end(1)
+        self.assertEqual(['busy', 't1'], self.started_tasks())
+        self.assertEqual(TaskOutcome.NOT_STARTED, other.outcomes[-1])
+
+    def test_acknowledgement_by_another_process_drops_no_result(
+        self,
+    ) -> None:
+        self.place(self.link, 't1')
+        self.end(0)
+        other = self.open_link('entry-b', 'b1')
+        self.scheduler.acknowledge(other, AcknowledgeResults(((_JOB, 't1'),)))
+        self.assertEqual([TaskOutcome.DONE], self.open_link().outcomes)
+
+    def test_resume_on_a_replaced_link_is_ignored(self) -> None:
+        self.open_link()
+        self.scheduler.resume(self.link, ResumeTasks(_AGENT, ((_JOB, 't'),)))
+        self.assertEqual([], self.link.results)
+
     def test_placement_on_a_replaced_link_is_ignored(self) -> None:
         self.open_link()
         self.place(self.link, 't1')
