Test that grants and offers of the past are dropped

The protections had no test: a grant of an old epoch, and grants and offers on a replaced link. The test fails with each of the three taken out.

--- a/baobabgap/entry/tests/test_dispatcher.py
+++ b/baobabgap/entry/tests/test_dispatcher.py
@@ -17,6 +17,7 @@
 from baobabgap.messages import EntryState
 from baobabgap.messages import PlaceTasks
 from baobabgap.messages import ResumeTasks
+from baobabgap.messages import SlotGrant
 from baobabgap.messages import TaskOutcome
 from baobabgap.messages import TaskResult
 from baobabgap.messages import TaskResults
@@ -315,6 +316,20 @@
         entry.submit(job(2))
         self.assertEqual([], later.pop_sent(PlaceTasks))
 
+    def test_grants_and_offers_of_the_past_are_dropped(self) -> None:
+        entry = FakeEntry()
+        earlier = entry.add_agent('a', 1, tokens=0)
+        later = entry.add_agent('a', 1, tokens=0, incarnation='i2')
+        entry.submit(job())
+        dispatcher = entry.dispatcher
+        dispatcher.handle_grant(earlier.connection, SlotGrant(9, 1))
+        dispatcher.handle_grant(later.connection, SlotGrant(0, 1))
+        self.assertEqual([], later.pop_sent(PlaceTasks))
+        closed = UpstreamOffer('a', 1, CAPACITY, False, 'closed')
+        dispatcher.handle_offer(earlier.connection, closed)
+        dispatcher.handle_grant(later.connection, SlotGrant(2, 1))
+        self.assertEqual(1, len(later.pop_sent(PlaceTasks)))
+
     def test_void_transfer_is_dropped(self) -> None:
         entry = FakeEntry()
         agent = entry.add_agent('a', 1, tokens=0)
