Adopt no listing of an upstream process that was replaced meanwhile

Callers could have a task start twice when an agent and its upstream restart one after the other: while the agent waits for the leases of the upstream, a later process of it announces itself; the listing was adopted for that one. Its running task was then unknown to the later process, revoked there and given back as not started, though it had run. Cause: the monitor didn't compare the listing's upstream with the present one at the time of adoption.

Found by reading; the window is one request. Before (with the check taken out): the task of the earlier process is listed as running. After: nothing is adopted until the later process is bound and listed.

--- a/baobabgap/agent/_monitor.py
+++ b/baobabgap/agent/_monitor.py
@@ -47,6 +47,8 @@
         self._runner = runner
         self._scheduler = scheduler
         self._refresh_offer = refresh_offer
+        # Guards the change from one upstream process to the next.
+        self._lock = threading.Lock()
         self._is_adopted = False
         # Leases of tasks that were reported lost while the upstream was
         # silent; stopped once it answers again.
@@ -61,6 +63,10 @@
 
     def set_upstream(self, announcement: Announcement) -> None:
         """Use the upstream that sent this announcement."""
+        with self._lock:
+            self._set_upstream(announcement)
+
+    def _set_upstream(self, announcement: Announcement) -> None:
         known = self._runner.client
         if known is not None and known.incarnation == announcement.incarnation:
             if known.address == announcement.address:
@@ -120,13 +126,21 @@
             or listing.incarnation != client.incarnation
         ):
             return False
-        self._scheduler.adopt(listing)
-        self._health.reset(sent_at)
-        self._is_adopted = True
+        with self._lock:
+            if not self._is_current(client):
+                return False
+            self._scheduler.adopt(listing)
+            self._health.reset(sent_at)
+            self._is_adopted = True
         self._refresh_offer()
         log_event('agent:upstream_adopted', leases=len(listing.leases))
         return True
 
+    def _is_current(self, client: LeaseClient) -> bool:
+        """Return whether a client's upstream process is the latest."""
+        known = self._runner.client
+        return known is not None and known.incarnation == client.incarnation
+
     def _renew(self, client: LeaseClient) -> None:
         now = time.monotonic()
         records = self._scheduler.running_records()
