--- a/baobabgap/agent/tests/test_scheduler.py
+++ b/baobabgap/agent/tests/test_scheduler.py
@@ -9,6 +9,7 @@
 import unittest
 from unittest.mock import patch
 
+from baobabgap._exceptions import ProtocolMismatch
 from baobabgap.agent._batch_log import BatchLog
 from baobabgap.agent._scheduler import TaskScheduler
 from baobabgap.agent._task_registry import TaskRecord
@@ -40,10 +41,14 @@
     def __init__(self, name: str = 'entry-a', incarnation: str = 'a1') -> None:
         self.peer = Hello(name, 'entry', incarnation)
         self.sent: list[object] = []
+        self.is_closed = False
 
     def send(self, *messages: object) -> None:
         self.sent.extend(messages)
 
+    def close(self) -> None:
+        self.is_closed = True
+
     @property
     def results(self) -> list[TaskResult]:
         return [
@@ -102,9 +107,10 @@
         epoch: int = 0,
         size: TaskSize = _SMALL,
         number: int = 0,
+        job: str = _JOB,
     ) -> None:
         message = PlaceTasks(
-            _JOB,
+            job,
             owner or link.peer.incarnation,
             agent,
             epoch or link.epoch,
@@ -271,6 +277,47 @@
         self.scheduler.resume(link, ResumeTasks(_AGENT, pairs, (1, 2)))
         self.assertEqual([1, 1, 2, 0], self.numbers(link))
 
+    def test_job_that_never_started_here_starts_for_its_next_owner(
+        self,
+    ) -> None:
+        """One task was refused, and one waited until it was cancelled."""
+        self.set_accepting(False)
+        self.place(self.link, 'refused')
+        self.set_accepting(slots=1)
+        other = self.open_link('entry-b', 'b1')
+        self.place(other, 'busy', job='a.2.y')
+        self.place(self.link, 'queued')
+        self.scheduler.cancel(self.link, CancelJobs((_JOB,)))
+        self.end(0)
+        self.place(other, 'refused', 'queued')
+        self.end(1)
+        self.assertEqual(['busy', 'refused', 'queued'], self.started_tasks())
+
+    def test_owners_of_waiting_tasks_start_one_job_once(self) -> None:
+        self.set_accepting(slots=1)
+        other = self.open_link('entry-b', 'b1')
+        self.place(other, 'busy', job='a.2.y')
+        self.place(self.link, 't1')
+        self.place(other, 't2')
+        self.end(0)
+        self.end(1)
+        self.assertEqual(['busy', 't1'], self.started_tasks())
+        self.assertEqual(TaskOutcome.NOT_STARTED, other.outcomes[-1])
+
+    def test_acknowledgement_by_another_process_drops_no_result(
+        self,
+    ) -> None:
+        self.place(self.link, 't1')
+        self.end(0)
+        other = self.open_link('entry-b', 'b1')
+        self.scheduler.acknowledge(other, AcknowledgeResults(((_JOB, 't1'),)))
+        self.assertEqual([TaskOutcome.DONE], self.open_link().outcomes)
+
+    def test_resume_on_a_replaced_link_is_ignored(self) -> None:
+        self.open_link()
+        self.scheduler.resume(self.link, ResumeTasks(_AGENT, ((_JOB, 't'),)))
+        self.assertEqual([], self.link.results)
+
     def test_placement_on_a_replaced_link_is_ignored(self) -> None:
         self.open_link()
         self.place(self.link, 't1')
@@ -342,6 +389,26 @@
         self.assertEqual(['t1', 't2'], self.started_tasks())
         self.assertEqual([], link.results)
 
+    def test_replaced_entry_process_does_not_displace_the_later_one(
+        self,
+    ) -> None:
+        """It lives on after a freeze, and its link is opened again."""
+        later = self.open_link(incarnation='a2')
+        self.assertTrue(self.link.is_closed)
+        self.scheduler.remove_link(self.link)
+        again = FakeLink(incarnation='a1')
+        with self.assertRaises(ProtocolMismatch):
+            self.scheduler.open_link(again)
+        self.scheduler.remove_link(again)
+        self.place(later, 't1')
+        self.assertEqual(['t1'], self.started_tasks())
+
+    def test_entry_process_returns_if_no_later_one_is_linked(self) -> None:
+        later = self.open_link(incarnation='a2')
+        self.scheduler.remove_link(later)
+        self.place(self.open_link(incarnation='a1'), 't1')
+        self.assertEqual(['t1'], self.started_tasks())
+
     def test_late_result_is_ignored(self) -> None:
         """The task ends at the upstream after it was reported as lost."""
         self.place(self.link, 't1')
--- a/baobabgap/entry/tests/test_dispatcher.py
+++ b/baobabgap/entry/tests/test_dispatcher.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+from baobabgap._exceptions import ProtocolMismatch
 from baobabgap.configuration import Configuration
 from baobabgap.entry._failures import deadline_exceeded
 from baobabgap.entry.tests.fakes import CAPACITY
@@ -16,6 +17,7 @@
 from baobabgap.messages import EntryState
 from baobabgap.messages import PlaceTasks
 from baobabgap.messages import ResumeTasks
+from baobabgap.messages import SlotGrant
 from baobabgap.messages import TaskOutcome
 from baobabgap.messages import TaskResult
 from baobabgap.messages import TaskResults
@@ -223,6 +225,22 @@
         self.assertEqual([(('kurek.1.a', 't0'),)], [m.tasks for m in asked])
         self.assertFalse(future.done())
 
+    def test_replaced_agent_process_does_not_displace_the_later_one(
+        self,
+    ) -> None:
+        """It lives on after a freeze, and opens its link again."""
+        entry = FakeEntry()
+        earlier = entry.add_agent('a', 1)
+        later = entry.add_agent('a', 1, incarnation='i2')
+        self.assertTrue(earlier.is_closed)
+        entry.dispatcher.agent_down(earlier.connection)
+        again = FakeLink('a', 'agent', 'i1')
+        with self.assertRaises(ProtocolMismatch):
+            entry.dispatcher.agent_up(again.connection)
+        entry.dispatcher.agent_down(again.connection)
+        entry.submit(job())
+        self.assertEqual(1, len(later.pop_sent(PlaceTasks)))
+
     def test_jobs_fail_if_their_agent_does_not_reconnect(self) -> None:
         entry = FakeEntry()
         agent = entry.add_agent('a', 1)
@@ -286,6 +304,32 @@
         self.assertEqual(1, len(peer.pop_sent(TokenTransfer)))
         self.assertEqual([], agent.pop_sent(PlaceTasks))
 
+    def test_token_of_an_earlier_agent_process_is_dropped(self) -> None:
+        """Both processes have an epoch of the same number."""
+        entry = FakeEntry()
+        earlier = entry.add_agent('a', 1)
+        first = entry.submit(job(1))
+        placed = earlier.pop_sent(PlaceTasks)[0]
+        later = entry.add_agent('a', 1, tokens=0, incarnation='i2')
+        entry.finish(earlier, placed)
+        self.assertTrue(first.result(1).has_all_values)
+        entry.submit(job(2))
+        self.assertEqual([], later.pop_sent(PlaceTasks))
+
+    def test_grants_and_offers_of_the_past_are_dropped(self) -> None:
+        entry = FakeEntry()
+        earlier = entry.add_agent('a', 1, tokens=0)
+        later = entry.add_agent('a', 1, tokens=0, incarnation='i2')
+        entry.submit(job())
+        dispatcher = entry.dispatcher
+        dispatcher.handle_grant(earlier.connection, SlotGrant(9, 1))
+        dispatcher.handle_grant(later.connection, SlotGrant(0, 1))
+        self.assertEqual([], later.pop_sent(PlaceTasks))
+        closed = UpstreamOffer('a', 1, CAPACITY, False, 'closed')
+        dispatcher.handle_offer(earlier.connection, closed)
+        dispatcher.handle_grant(later.connection, SlotGrant(2, 1))
+        self.assertEqual(1, len(later.pop_sent(PlaceTasks)))
+
     def test_void_transfer_is_dropped(self) -> None:
         entry = FakeEntry()
         agent = entry.add_agent('a', 1, tokens=0)
