--- /dev/null
+++ b/baobabgap/dispatch/tests/explorer/hunt.py
@@ -0,0 +1,49 @@
+"""Explores seed after seed for a while; see docs/EXPLORER.md."""
+
+import argparse
+import time
+
+from baobabgap.dispatch.tests.explorer.machine import explore
+from baobabgap.dispatch.tests.explorer.steps import rule_broken_by
+from baobabgap.dispatch.tests.explorer.steps import shorten
+
+
+def main() -> None:
+    """Print the short form of what breaks a rule, then the totals."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seconds', type=float, default=60.0)
+    parser.add_argument('--seed', type=int, default=1, help='the first one')
+    parser.add_argument('--examples', type=int, default=200)
+    parser.add_argument('--steps', type=int, default=40)
+    parser.add_argument('--without', nargs='*', default=[], metavar='STEP')
+    options = parser.parse_args()
+    began_at = time.monotonic()
+    broken = sequences = 0
+    seed = options.seed
+    while time.monotonic() - began_at < options.seconds:
+        steps, tried = explore(
+            seed, options.examples, options.steps, options.without
+        )
+        sequences += tried
+        if steps:
+            broken += 1
+            found_s = time.monotonic() - began_at
+            shortest = shorten(steps)
+            print(
+                f'seed {seed}: sequence {tried} of {len(steps)} steps, '
+                f'{found_s:.0f} s after the begin of the hunt: '
+                f'{rule_broken_by(shortest)}'
+            )
+            for step in shortest:
+                print(f'    {step},', flush=True)
+        seed += 1
+    print(
+        f'{seed - options.seed} seeds, {sequences} sequences of at most '
+        f'{options.steps} steps, {time.monotonic() - began_at:.0f} s: '
+        f'{broken} broke a rule',
+        flush=True,
+    )
+
+
+if __name__ == '__main__':
+    main()
