--- a/baobabgap/dispatch/tests/explorer/world.py
+++ b/baobabgap/dispatch/tests/explorer/world.py
@@ -53,6 +53,7 @@
 from baobabgap.protocol import EntryReport
 from baobabgap.protocol import LeaderReady
 from baobabgap.protocol import LeaseTiming
+from baobabgap.protocol import ReportRequest
 from baobabgap.protocol import StartRuns
 from baobabgap.protocol import StartsExpected
 from baobabgap.protocol import SubmitJob
@@ -573,6 +574,15 @@
         self.old_leaders.append(old)
         self.leader = Leader(self, old.term + 1, copy.deepcopy(old.state))
 
+    def ask_report(self, agent: int) -> None:
+        """Let the leader ask for a full report, as for work that waits."""
+        leader = self.leader
+        view = leader.scheduler._term_state.view_by_name.get(
+            self.agents[agent].name
+        )
+        if view is not None and view.connection is not None:
+            view.connection.send(ReportRequest(leader.term))
+
     def submit(self, job: int, entry: int) -> None:
         """Submit a job; its earlier callers leave."""
         self.leave(job)
