Stop starts that the next incarnation may have answered

A caller's task ran twice at the same time: an upstream restarted under the same identity, the next start reached the new incarnation and was answered, and the poll that showed the restart told the run as crashed while it ran. The answer to a start doesn't say which incarnation gave it.

A start counts as the earlier incarnation's only once a poll sent after its answer has shown that incarnation; until then it is stopped on the next one like an unanswered one.

--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -154,7 +154,7 @@
         known = {(row.task, row.run) for row in report.running}
         known.update((row.task, row.run) for row in report.ended)
         return [
-            RunRow(run.task, run.number, False, run.demand)
+            RunRow(run.task, run.number, False, run.demand or Demand())
             for run in self.run_by_task.values()
             if run.agent_incarnation != self.linked_incarnation
             and (run.task, run.number) not in known
--- a/baobabgap/upstreams/_late_starts.py
+++ b/baobabgap/upstreams/_late_starts.py
@@ -1,4 +1,4 @@
-"""Start calls without an answer, which may be carried out later."""
+"""Start calls that may reach the next incarnation of an upstream."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -24,18 +24,20 @@
 
 
 class LateStarts:
-    """The start calls that have not been answered.
+    """The start calls that the next incarnation may have carried out.
 
     The next incarnation of an upstream accepts the calls to an earlier one
     if it has the same identity. It knows of no stop, fence or end, and a
-    lease that was counted on the earlier clock ends long after it. Not safe
-    for use by several threads.
+    lease that was counted on the earlier clock ends long after it. An answer
+    doesn't say which incarnation gave it, unless a later poll shows that the
+    earlier one is still there. Not safe for use by several threads.
     """
 
     def __init__(self, timing: LeaseTiming) -> None:
         self._timing: Final = timing
-        # In the order in which they were sent.
-        self._starts: dict[SentStart, None] = {}
+        # In the order in which they were sent, with the times of their
+        # answers; None without an answer.
+        self._starts: dict[SentStart, float | None] = {}
 
     def begin(self, instance: str, run: TrackedRun, now: float) -> SentStart:
         """Record a start call that is about to be sent."""
@@ -44,10 +46,24 @@
         self._starts[start] = None
         return start
 
+    def note_answered(self, start: SentStart, now: float) -> None:
+        """Record that the upstream has carried out a call."""
+        if start in self._starts:
+            self._starts[start] = now
+
     def settle(self, start: SentStart) -> None:
-        """Record that a call was answered, or not delivered."""
+        """Record that a call had no effect, or was not delivered."""
         self._starts.pop(start, None)
 
+    def settle_answered(self, sent_at: float) -> None:
+        """Settle what was answered before a poll sent at `sent_at`.
+
+        The poll has shown that the incarnation is the same as before.
+        """
+        for start, answered_at in list(self._starts.items()):
+            if answered_at is not None and answered_at <= sent_at:
+                del self._starts[start]
+
     def runs_to_stop(self, instance: str, now: float) -> Iterator[TrackedRun]:
         """Return the runs that the next incarnation may still start.
 
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -529,10 +529,18 @@
                 lease,
                 was_delivered=outcome is not StartOutcome.NOT_DELIVERED,
             )
-            if outcome is not StartOutcome.UNANSWERED:
-                self._late_starts.settle(sent_start)
+            self._settle_start(sent_start, outcome)
         self._handle_start_outcome(start, outcome, clock_ms, sent_at)
 
+    def _settle_start(self, start: SentStart, outcome: StartOutcome) -> None:
+        match outcome:
+            case StartOutcome.UNANSWERED:
+                return
+            case StartOutcome.STARTED:
+                self._late_starts.note_answered(start, boottime_clock())
+            case _:
+                self._late_starts.settle(start)
+
     def _begin_start(
         self, call: _StartCall, sent_at: float
     ) -> tuple[SentLease, SentStart] | None:
@@ -778,6 +786,7 @@
                 return
             self._is_answering = True
             self._other_born_ms = 0
+            self._late_starts.settle_answered(sent_at)
             self._record_reading(report.clock_ms, sent_at, answered_at)
             self._handle_answered_poll()
             self._queue_due_stops()
