--- a/baobabgap/upstreams/tests/test_odd_answers.py
+++ b/baobabgap/upstreams/tests/test_odd_answers.py
@@ -86,7 +86,7 @@
         while len(self.leader.ended_numbers) <= ended:
             self.assertLess(time.monotonic(), give_up_at, 'no run has ended')
             self.tasks += 1
-            self.start_task(TaskId(f'{self.tasks:x}', 0, 0))
+            self.start_task(TaskId(f'task-{self.tasks}', 0, 0))
             time.sleep(0.2)
 
     def start_task(self, task: TaskId) -> None:
