Hold the ports of a launched deployment until it is closed

It keeps each port bound now, without listening. `SO_REUSEADDR` is set only after that bind, so two holders never share a port, and a daemon, which sets it, can listen there, also after a restart.

Before (with the holding taken out): another program can bind the port. After: it can't, and a server listens there twice in a row.

--- a/tools/deployment_plan.py
+++ b/tools/deployment_plan.py
@@ -27,6 +27,40 @@
     settings: dict[str, Any]
 
 
+class HeldPorts:
+    """Allocates free ports, and holds them until it is closed.
+
+    Each port is bound but doesn't listen. No other program that looks for a
+    free port finds it, while a server that sets `SO_REUSEADDR`, as those of
+    a daemon do, can listen there, also after a restart.
+    """
+
+    def __init__(self) -> None:
+        self._rng = random.SystemRandom()
+        self._holders: list[socket.socket] = []
+
+    def allocate(self) -> int:
+        """Return a free port that nobody holds."""
+        while True:
+            port = self._rng.randrange(_LOWEST_PORT, _HIGHEST_PORT)
+            holder = socket.socket()
+            try:
+                holder.bind((_HOST, port))
+            except OSError:
+                holder.close()
+                continue
+            # Only after it is bound: it must not share the port of another.
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._holders.append(holder)
+            return port
+
+    def close(self) -> None:
+        """Give all ports back."""
+        for holder in self._holders:
+            holder.close()
+        self._holders.clear()
+
+
 @dataclass(frozen=True, slots=True)
 class DeploymentPlan:
     """The number of processes of each role, and their settings."""
@@ -40,12 +74,13 @@
     # Merged into the section of the same name in each process's settings.
     extra_settings: dict[str, dict[str, Any]] = field(default_factory=dict)
 
-    def processes(self, folder: Path) -> list[PlannedProcess]:
-        """Return the processes with their settings, on free ports.
+    def processes(
+        self, folder: Path, ports: HeldPorts
+    ) -> list[PlannedProcess]:
+        """Return the processes with their settings, on ports held for them.
 
         Control hosts come first, then entries, agents and stand-ins.
         """
-        ports = _PortAllocator()
         control_hosts: list[dict[str, Any]] = [
             {'name': f'control-{n}', 'host': _HOST, 'port': ports.allocate()}
             for n in _one_to(self.control_hosts)
@@ -125,31 +160,5 @@
         return PlannedProcess(name, role, f'{_HOST}:{http_port}', settings)
 
 
-class _PortAllocator:
-    """Allocates ports that are free at the time, each once."""
-
-    def __init__(self) -> None:
-        self._rng = random.SystemRandom()
-        self._allocated: set[int] = set()
-
-    def allocate(self) -> int:
-        """Return a free port that wasn't returned before."""
-        while True:
-            port = self._rng.randrange(_LOWEST_PORT, _HIGHEST_PORT)
-            if port in self._allocated or not _is_free(port):
-                continue
-            self._allocated.add(port)
-            return port
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as listener:
-        try:
-            listener.bind((_HOST, port))
-        except OSError:
-            return False
-    return True
-
-
 def _one_to(count: int) -> range:
     return range(1, count + 1)
--- a/tools/history/_deployment.py
+++ b/tools/history/_deployment.py
@@ -1,11 +1,14 @@
 """The processes of one run, with relays to the control group."""
 
+from pathlib import Path
+import tempfile
 import threading
 from typing import Final
 from typing import Self
 
 from baobabgap.control.tests._silenceable_relay import SilenceableRelay
 from tools.deployment_plan import DeploymentPlan
+from tools.deployment_plan import HeldPorts
 from tools.deployment_plan import PlannedProcess
 from tools.history._events import Started
 from tools.launcher import Launcher
@@ -64,14 +67,16 @@
     @classmethod
     def start(cls) -> Self:
         """Start all processes and wait until they are ready."""
-        launcher = Launcher.from_plan(_PLAN)
-        processes = _PLAN.processes(launcher.folder)
+        folder = Path(tempfile.mkdtemp(prefix='baobabgap-'))
+        ports = HeldPorts()
+        processes = _PLAN.processes(folder, ports)
         relays = {
             process.name: _add_relays(process)
             for process in processes
             if process.role in _MEMBER_ROLES
         }
-        deployment = cls(Launcher(processes, launcher.folder), relays)
+        launcher = Launcher(processes, folder, ports=ports)
+        deployment = cls(launcher, relays)
         try:
             deployment.launcher.start_all()
             deployment.launcher.wait_until_ready()
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -29,6 +29,7 @@
 from baobabgap import ConnectionLost
 from baobabgap.webclient import WebClient
 from tools.deployment_plan import DeploymentPlan
+from tools.deployment_plan import HeldPorts
 from tools.deployment_plan import PlannedProcess
 
 _DAEMON: Final = (sys.executable, '-m', 'baobabgap.daemon')
@@ -64,12 +65,14 @@
         processes: Sequence[PlannedProcess],
         folder: Path,
         command: Sequence[str] = _DAEMON,
+        ports: HeldPorts | None = None,
     ) -> None:
         self._planned_by_name = {
             planned.name: planned for planned in processes
         }
         self._folder = folder
         self._command = tuple(command)
+        self._ports = ports
         self._running_by_name: dict[str, subprocess.Popen[bytes]] = {}
 
     @classmethod
@@ -78,7 +81,8 @@
     ) -> Self:
         """Build a launcher with a temporary folder for settings and state."""
         folder = Path(tempfile.mkdtemp(prefix='baobabgap-'))
-        return cls(plan.processes(folder), folder, command)
+        ports = HeldPorts()
+        return cls(plan.processes(folder, ports), folder, command, ports)
 
     def __enter__(self) -> Self:
         return self
@@ -233,7 +237,7 @@
         return self._folder / f'{name}.yaml'
 
     def close(self) -> None:
-        """Kill all running processes and remove the folder."""
+        """Kill all running processes; give back their ports and folder."""
         processes = list(self._running_by_name.values())
         self._running_by_name.clear()
         for process in processes:
@@ -241,6 +245,8 @@
             process.kill()
         for process in processes:
             process.wait()
+        if self._ports is not None:
+            self._ports.close()
         shutil.rmtree(self._folder, ignore_errors=True)
 
 
--- a/tools/matrix/_deployment.py
+++ b/tools/matrix/_deployment.py
@@ -14,6 +14,7 @@
 from baobabgap import ConnectionLost
 from baobabgap.webclient import WebClient
 from tools.deployment_plan import DeploymentPlan
+from tools.deployment_plan import HeldPorts
 from tools.launcher import Launcher
 from tools.launcher import LaunchError
 from tools.launcher import read_json
@@ -109,7 +110,8 @@
         folder = Path(tempfile.mkdtemp(prefix='baobabgap-matrix-'))
         planned = []
         ports = {}
-        for process in _PLAN.processes(folder):
+        held_ports = HeldPorts()
+        for process in _PLAN.processes(folder, held_ports):
             listen = process.settings['listen']
             for host in process.settings.get('control_hosts', ()):
                 host['host'] = RELAY_HOST
@@ -121,7 +123,8 @@
                 process = replace(process, http_address=address)
             planned.append(process)
         relays = Relays()
-        deployment = cls(Launcher(planned, folder, _COMMAND), relays)
+        launcher = Launcher(planned, folder, _COMMAND, held_ports)
+        deployment = cls(launcher, relays)
         deployment._port_by_name = ports
         try:
             for port in ports.values():
--- a/tools/tests/test_launcher.py
+++ b/tools/tests/test_launcher.py
@@ -1,11 +1,15 @@
 """Tests of the launcher with dummy daemons."""
 
 from pathlib import Path
+from random import SystemRandom
+import socket
 import sys
 import unittest
+from unittest.mock import patch
 
 from baobabgap.settingsfile import load_settings
 from tools.deployment_plan import DeploymentPlan
+from tools.deployment_plan import HeldPorts
 from tools.launcher import Launcher
 from tools.launcher import LaunchError
 
@@ -34,6 +38,42 @@
                     self.assertEqual(name, settings.name)
 
 
+class TestHeldPorts(unittest.TestCase):
+    """A port can't be taken between its selection and its use."""
+
+    def setUp(self) -> None:
+        self.ports = HeldPorts()
+        self.addCleanup(self.ports.close)
+        self.port = self.ports.allocate()
+
+    def test_nobody_else_finds_the_port_free(self) -> None:
+        with socket.socket() as other, self.assertRaises(OSError):
+            other.bind(('127.0.0.1', self.port))
+        others = HeldPorts()
+        self.addCleanup(others.close)
+        with patch.object(
+            SystemRandom,
+            'randrange',
+            side_effect=[self.port, *range(15_000, 15_100)],
+        ):
+            self.assertNotEqual(self.port, others.allocate())
+
+    def test_server_listens_on_the_port_and_again_after_its_end(self) -> None:
+        for _ in range(2):
+            with socket.create_server(('127.0.0.1', self.port)):
+                socket.create_connection(('127.0.0.1', self.port), 1.0).close()
+            with self.assertRaises(ConnectionRefusedError):
+                socket.create_connection(('127.0.0.1', self.port), 1.0)
+
+    def test_launcher_holds_its_ports_until_it_is_closed(self) -> None:
+        with Launcher.from_plan(_SMALL_PLAN) as launcher:
+            host, port = launcher.http_address('entry-1').split(':')
+            with socket.socket() as other, self.assertRaises(OSError):
+                other.bind((host, int(port)))
+        with socket.socket() as other:
+            other.bind((host, int(port)))
+
+
 class TestLauncher(unittest.TestCase):
     """Processes start and stop; none is left running after an error."""
 
