Wait for a first grant in the fixture of the agent's tests

The fixture read the last grant when an offer had arrived and no grant had: IndexError in setUp, once in 25 tests beside load. It waits for the same four tokens as before.

--- a/baobabgap/agent/tests/test_agent.py
+++ b/baobabgap/agent/tests/test_agent.py
@@ -28,7 +28,9 @@
         self.addCleanup(self.deployment.stop)
         self.entry = self.deployment.entry
         self.entry.wait_until_accepting()
-        self.entry.wait(lambda: self.entry.grants[-1].tokens == 4)
+        self.entry.wait(
+            lambda: [grant.tokens for grant in self.entry.grants[-1:]] == [4]
+        )
 
     def outcomes(self, count: int) -> dict[str, TaskOutcome]:
         results = self.entry.wait_for_results(count)
