Adopt the run that a report lists in the place of a tracked one

A task could run twice at the same time: the leader tracked run 2 of an earlier process of the agent, the next process listed run 1; the leader kept run 2, ordered its stop, was told 'not here' and started the task elsewhere beside run 1.

A run that the report lists another run for is dropped and the listed one is adopted, and an agent that refuses a stop as another run is there names that run. A late start of the dropped run is still found by a poll only.

--- a/baobabgap/dispatch/_agent_view.py
+++ b/baobabgap/dispatch/_agent_view.py
@@ -144,20 +144,22 @@
         """Return the runs of which the agent's process can't know.
 
         They were ordered from an earlier process, whose calls may still be
-        carried out, also by the next incarnation of the upstream.
+        carried out, also by the next incarnation of the upstream. A run that
+        is listed in the place of a tracked one is adopted instead.
         """
         upstream, reported = self.upstream, report.upstream
         if upstream is None or reported is None:
             return []
         if upstream.instance != reported.instance:
             return []
-        known = {(row.task, row.run) for row in report.running}
-        known.update((row.task, row.run) for row in report.ended)
+        listed = {row.task for row in report.running}
+        ended = {(row.task, row.run) for row in report.ended}
         return [
             RunRow(run.task, run.number, False, run.demand or Demand())
             for run in self.run_by_task.values()
             if run.agent_incarnation != self.linked_incarnation
-            and (run.task, run.number) not in known
+            and run.task not in listed
+            and (run.task, run.number) not in ended
         ]
 
     def is_current_instance(self, instance: str, born_ms: int) -> bool:
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -470,8 +470,9 @@
         )
         if is_ended or upstream is None:
             return
-        if row.task in self._table.run_by_task:
-            self._send_runs_gone((row,), 'not here')
+        other = self._table.run_by_task.get(row.task)
+        if other is not None:
+            self._send_runs_gone((row,), 'not here', (other.row,))
             return
         run = self._table.run_by_task[row.task] = TrackedRun(
             row.task,
