Pause between polls whose answers have rows that can't be read

The agent polled 13,092 times in a second (test_unreadable_row_is_polled_without_a_pause on the code before) while an answer held such a row, as the upstream answers at once while an end isn't acknowledged. It pauses between these polls, as it does while acknowledgements are awaited.

--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -686,7 +686,11 @@
                     self._pause(_POLL_RETRY_PAUSE_S)
                 continue
             self._handle_report(upstream, fence, report, sent_at)
-            if not lease_end_ms or self._is_full_report_due:
+            if (
+                not lease_end_ms
+                or self._is_full_report_due
+                or report.unreadable_rows
+            ):
                 self._pause(_POLL_PAUSE_S)
             else:
                 self._wait_for_acknowledgement()
--- a/baobabgap/upstreams/tests/test_odd_answers.py
+++ b/baobabgap/upstreams/tests/test_odd_answers.py
@@ -26,6 +26,7 @@
 from baobabgap.protocol import StopRuns
 from baobabgap.upstreams import StartOutcome
 from baobabgap.upstreams import UpstreamReport
+from baobabgap.upstreams._run_agent import _POLL_PAUSE_S
 from baobabgap.upstreams.tests.test_restarted_upstream import AgentTest
 from baobabgap.upstreams.tests.test_restarted_upstream import FENCE
 from baobabgap.upstreams.tests.test_restarted_upstream import STATE
@@ -48,8 +49,13 @@
             lambda report: report
         )
         self.odd_start_clock_ms = 0
+        self.answers_at_once = False
+        self.polls = 0
 
     def poll(self, *arguments: Any) -> UpstreamReport | None:
+        self.polls += 1
+        if self.answers_at_once:
+            arguments = (*arguments[:-1], 0)
         report = super().poll(*arguments)
         return self.spoil_report(report) if report is not None else None
 
@@ -223,6 +229,22 @@
             self.assertEqual({TASK}, self.upstream.running)
 
 
+class PollRateTest(OddAnswersTest):
+    def test_unreadable_row_is_polled_without_a_pause(self) -> None:
+        self.upstream.answers_at_once = True
+        with self.upstream.odd_reports(unreadable_rows=1):
+            time.sleep(0.2)
+            polls = self.upstream.polls
+            began_at = time.monotonic()
+            time.sleep(_ODD_S)
+            polls = self.upstream.polls - polls
+            polling_s = time.monotonic() - began_at
+        # Pauses may be shorter by the rounding of timers.
+        self.assertLess(polls, 1.1 * polling_s / _POLL_PAUSE_S)
+        self.upstream.answers_at_once = False
+        self.run_task()
+
+
 class OddFirstClockTest(OddAnswersTest):
     def make_upstream(self) -> FakeUpstream:
         self.upstream = OddUpstream()
