Keep the agent's process with an orphaned run that a job claims

A claimed run counted as one of an earlier process of the agent: the leader kept it for up to 16 s after the agent told that its upstream was quiet. test_claimed_run_counts_as_one_of_an_earlier_process fails without the change. Found by the review.

--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -504,6 +504,9 @@
             else:
                 self._runs.remove(view, row.task)
                 self._runs.add(view, *found, row.run, was_found=True)
+                view.run_by_task[
+                    row.task
+                ].agent_incarnation = run.agent_incarnation
         self._await_earlier_runs(plan)
         if plan.is_done:
             self._closer.close(JobEnd(job_id, JobState.COMPLETED))
--- a/baobabgap/dispatch/tests/test_orphan_runs.py
+++ b/baobabgap/dispatch/tests/test_orphan_runs.py
@@ -66,6 +66,13 @@
         self.assertEqual([], self.orders('old', StopRuns))
         self.assertFalse(self.has_started_anew())
 
+    def test_claimed_run_counts_as_one_of_an_earlier_process(self) -> None:
+        self.report('old', ROW)
+        process = self.view('old').run_by_task[TASK].agent_incarnation
+        self.submit()
+        run = self.view('old').run_by_task[TASK]
+        self.assertEqual(process, run.agent_incarnation)
+
     def test_all_expired_runs_of_a_task_are_awaited(self) -> None:
         """Regression: the end of the first one let the task start."""
         self.report('old', ROW)
