Acknowledge no ends to an upstream that may have restarted

The end, number 1 of a new incarnation, was discarded 1.3 ms after it came: polls to the new incarnation acknowledged up to the number of the earlier one, one more of them since another start time counts at a second answer only.

After an unanswered poll, and while an answer has stated another start time, the agent acknowledges nothing, which an upstream can always bear.

--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -651,7 +651,13 @@
                     return
                 upstream = self._upstream
                 fence = self._fence
-                acknowledged_number = self._acknowledged_number
+                # Another incarnation would discard its own ends.
+                may_have_restarted = (
+                    self._other_born_ms or self._unanswered_polls
+                )
+                acknowledged_number = (
+                    0 if may_have_restarted else self._acknowledged_number
+                )
                 lease_end_ms = (
                     self._next_lease_end_ms()
                     if self._clock.is_known and not self._other_born_ms
