--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -148,12 +148,12 @@
         self.changed = threading.Condition(self.lock)
         self.server = None
         self.life = 0
-        # (task, run) by which the stand-in holds a run that never ends.
         self.state = 'ready'
 
     # Life cycle.
 
-    def start(self):
+    def start(self, first_heartbeat_s=0.0):
+        """Start a new life, under the same id, at the same address."""
         with self.lock:
             self.life += 1
             life = self.life
@@ -216,13 +216,19 @@
             target=self.server.serve_forever, args=(0.05,), daemon=True
         ).start()
         threading.Thread(
-            target=self._send_heartbeats, args=(life,), daemon=True
+            target=self._send_heartbeats,
+            args=(life, first_heartbeat_s),
+            daemon=True,
         ).start()
         threading.Thread(
             target=self._work, args=(life,), daemon=True
         ).start()
         self.record.add(
-            'worker_started', worker=self.number, id=self.id, born=self.born
+            'worker_started',
+            worker=self.number,
+            id=self.id,
+            born=self.born,
+            labels=self.labels,
         )
 
     def crash(self):
@@ -324,7 +330,11 @@
             'how': how,
         }
         self.record.add(
-            'run_started', worker=self.number, task=task, run=number
+            'run_started',
+            worker=self.number,
+            task=task,
+            run=number,
+            labels=self.labels,
         )
         return 200, answer
 
@@ -363,8 +373,9 @@
 
     # Heartbeats.
 
-    def _send_heartbeats(self, life):
+    def _send_heartbeats(self, life, first_s):
         sequence = 0
+        time.sleep(first_s)
         while self.life == life:
             sequence += 1
             call(
@@ -699,6 +710,7 @@
         deadline_ms=1500,
         timeout_s=None,
         fail=0,
+        requires='',
     ):
         row = {
             'count': count,
@@ -706,6 +718,8 @@
             'memMb': 64,
             'estimateMs': estimate_ms or max(1, work_ms),
         }
+        if requires:
+            row['requires'] = requires
         document = {
             'spec': json.dumps({'work_ms': work_ms, 'fail': fail}),
             'steps': steps or [row],
