--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -166,6 +166,8 @@
         # The job whose next start gets no answer, and is carried out later.
         self.late_job = ''
         self.late_s = 0.0
+        # Rows of another writer that stand among those of the runs.
+        self.odd_rows = []
 
     # Life cycle.
 
@@ -439,7 +441,7 @@
         return 200, {
             'clockMs': self.clock_ms(),
             'born': self.born,
-            'running': running,
+            'running': [*running, *self.odd_rows],
             'ended': self.ended[:500],
         }
 
