Replace a control host that is lost while it joins

The leader waited 10 s for an added host to become a voter. A host that is lost as it joins never does: the TimeoutError, which the loop didn't catch, ended the membership manager and with it the leader's part in the group. The learner stayed a member and counted toward the group's size, so that no other host was added; a removal under its name replaced the future of its addition, which then never completed.

The end of an older link no longer removes a host that has linked again. Futures of additions and removals of one host are kept apart; an addition that is taken back fails with MemberRemoved.

--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -414,15 +414,18 @@
                     self._scheduler.post_event(CallDropped(call, connection))
 
     def _serve_joiner(self, connection: Connection) -> None:
-        name = connection.peer.name
+        standbys: list[ControlHost] = []
         try:
             for message in connection.messages():
                 if isinstance(message, JoinGroup):
-                    self._membership.add_standby(
-                        ControlHost(message.name, message.host, message.port)
+                    standby = ControlHost(
+                        message.name, message.host, message.port
                     )
+                    standbys.append(standby)
+                    self._membership.add_standby(standby)
         finally:
-            self._membership.remove_standby(name)
+            for standby in standbys:
+                self._membership.remove_standby(standby)
 
     def _close_member_connections(self) -> None:
         with self._member_lock:
--- a/baobabgap/replication/__init__.py
+++ b/baobabgap/replication/__init__.py
@@ -7,6 +7,7 @@
 
 from baobabgap.replication._errors import DamagedLog
 from baobabgap.replication._errors import DataFolderInUse
+from baobabgap.replication._errors import MemberRemoved
 from baobabgap.replication._errors import MembershipChangeRefused
 from baobabgap.replication._errors import NotLeader
 from baobabgap.replication._errors import OutcomeUnknown
@@ -22,6 +23,7 @@
     'DataFolderInUse',
     'GroupRole',
     'LogStatus',
+    'MemberRemoved',
     'MembershipChangeRefused',
     'MemberStatus',
     'NotLeader',
--- a/baobabgap/replication/_changes.py
+++ b/baobabgap/replication/_changes.py
@@ -1,11 +1,13 @@
 """Membership changes, each of which affects one voter's store."""
 
 from concurrent.futures import Future
+from dataclasses import dataclass
 from dataclasses import replace
 from functools import partial
 from typing import Final
 
 from baobabgap.replication._entry import EntryKind
+from baobabgap.replication._errors import MemberRemoved
 from baobabgap.replication._errors import MembershipChangeRefused
 from baobabgap.replication._errors import OutcomeUnknown
 from baobabgap.replication._membership import Member
@@ -20,6 +22,18 @@
 LARGEST_GROUP: Final = 7
 
 
+@dataclass(frozen=True, slots=True)
+class _RequestedChange:
+    """A change that a caller waits for."""
+
+    # The host that is added or removed.
+    name: str
+    # Whether it is to become a voter.
+    is_addition: bool
+    # Completes with the change; see `MembershipChanges.add` and `remove`.
+    future: Future[None]
+
+
 class MembershipChanges:
     """Adds, removes and repairs members; runs on the leader.
 
@@ -32,13 +46,14 @@
     def __init__(self, state: GroupState, peers: Peers) -> None:
         self._state: Final = state
         self._peers: Final = peers
-        self._future_by_name: dict[str, Future[None]] = {}
+        # Several may concern one host: a learner can be removed again.
+        self._requested: list[_RequestedChange] = []
 
     def tick(self) -> None:
         """Start the next due change, if any; the lock is held."""
         if not self._may_change():
             return
-        self._complete_futures()
+        self._complete_requested()
         for member in self._state.membership.members:
             changed = self._due_change(member)
             if changed is not None:
@@ -54,7 +69,12 @@
                 return
 
     def add(self, host: ControlHost) -> Future[None]:
-        """Add a host; completes once it is a voter."""
+        """Add a host; completes once it is a voter.
+
+        That may never be: the future then fails with `MemberRemoved` when the
+        host is removed, or with `OutcomeUnknown` when this host no longer
+        leads.
+        """
         with self._state.lock:
             membership = self._state.membership
             obstacle = self._change_obstacle()
@@ -66,7 +86,7 @@
                 return self._refused_future(obstacle)
             learner = Member.from_control_host(host, '', voter=False)
             self._append_membership(membership.with_member(learner))
-            return self._register_future(host.name)
+            return self._register(host.name, is_addition=True)
 
     def remove(self, name: str) -> Future[None]:
         """Remove a host; completes once the change is committed."""
@@ -83,12 +103,12 @@
             if obstacle:
                 return self._refused_future(obstacle)
             self._append_membership(smaller)
-            return self._register_future(name)
+            return self._register(name, is_addition=False)
 
     def fail_all(self) -> None:
         """Fail all futures after the loss of leadership; the lock is held."""
-        futures = list(self._future_by_name.values())
-        self._future_by_name = {}
+        futures = [change.future for change in self._requested]
+        self._requested = []
         error = OutcomeUnknown('leadership was lost', step='change members')
         if futures:
             self._state.run_later(lambda: fail_futures(futures, error))
@@ -144,9 +164,9 @@
             EntryKind.MEMBERSHIP, membership.to_bytes()
         )
 
-    def _register_future(self, name: str) -> Future[None]:
+    def _register(self, name: str, *, is_addition: bool) -> Future[None]:
         future: Future[None] = Future()
-        self._future_by_name[name] = future
+        self._requested.append(_RequestedChange(name, is_addition, future))
         return future
 
     def _refused_future(self, reason: str) -> Future[None]:
@@ -156,9 +176,23 @@
         )
         return future
 
-    def _complete_futures(self) -> None:
-        for name, future in list(self._future_by_name.items()):
-            member = self._state.membership.member(name)
-            if member is None or member.voter:
-                del self._future_by_name[name]
-                self._state.run_later(partial(future.set_result, None))
+    def _complete_requested(self) -> None:
+        """Complete the futures of changes; the last one is committed."""
+        pending = []
+        for change in self._requested:
+            member = self._state.membership.member(change.name)
+            if not change.is_addition or (member and member.voter):
+                finish = partial(change.future.set_result, None)
+            elif member is None:
+                finish = partial(
+                    change.future.set_exception,
+                    MemberRemoved(
+                        f'{change.name} was removed before it caught up',
+                        step='change members',
+                    ),
+                )
+            else:
+                pending.append(change)
+                continue
+            self._state.run_later(finish)
+        self._requested = pending
--- a/baobabgap/replication/_errors.py
+++ b/baobabgap/replication/_errors.py
@@ -28,6 +28,10 @@
     """The membership change was not started; nothing has changed."""
 
 
+class MemberRemoved(BaobabgapError):
+    """The host was removed before it became a voter."""
+
+
 class StorageUnavailable(BaobabgapError):
     """A write or a sync failed; nothing was acknowledged."""
 
--- a/baobabgap/replication/_log.py
+++ b/baobabgap/replication/_log.py
@@ -238,7 +238,9 @@
     def add_member(self, host: ControlHost) -> Future[None]:
         """Add one host; completes once it is a voter.
 
-        Fails with `MembershipChangeRefused` or `OutcomeUnknown`.
+        Fails with `MembershipChangeRefused` or `OutcomeUnknown`, or with
+        `MemberRemoved` if the host is removed before. Until then a host that
+        was lost while it joined keeps the future pending.
         """
         return self._changes.add(host)
 
