End a process of which a part has failed

EssentialTasks watches the tasks without which a process can't work. When one fails, a leader resigns (its leadership no longer counts as begun, its log stops and its members' links close), the failure is logged and counted, and the main loop stops the process, which ends with status 1 at the latest after the grace time. A host with such a failure doesn't ask to join. Standalone: the same for the daemon.

Before, on: test_unexpected_error_of_a_session_costs_one_link fails (not within 20 s: links to the leader); the others fail as there is nothing to report a failure to. While this was written, the leader without its leadership task kept is_leading and its members (not within 20 s: another leader). After: test_failed_tasks, test_essential_tasks and test_main pass.

--- a/baobabgap/agent/_agent.py
+++ b/baobabgap/agent/_agent.py
@@ -1,5 +1,6 @@
 """The agent process that serves one upstream."""
 
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 import threading
 import time
@@ -25,6 +26,7 @@
 from baobabgap.messages import PlaceTasks
 from baobabgap.messages import ResumeTasks
 from baobabgap.settings import Settings
+from baobabgap.tasks import EssentialTasks
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 from baobabgap.transport import Connection
@@ -66,6 +68,7 @@
         self.incarnation: Final = uuid.uuid4().hex
         self.metrics: Final = Metrics()
         self.metrics.add_source(PROCESS_TRAFFIC.as_metrics)
+        self.tasks: Final = EssentialTasks(self.metrics)
         self._pool = ThreadPoolExecutor(_THREADS, thread_name_prefix='agent')
         self._batch_log = BatchLog(settings.name)
         health = UpstreamHealth(settings.agent)
@@ -131,13 +134,18 @@
         """The port for the upstream, the balancer and operators."""
         return self._server.port
 
+    @property
+    def task_groups(self) -> Sequence[EssentialTasks]:
+        """The tasks without which this process can't work."""
+        return [self.tasks]
+
     def start(self) -> None:
         """Accept the upstream's announcement and dial the entries."""
-        self._pool.submit(self._batch_log.run)
-        self._server.start(self._pool)
+        self.tasks.watch('batch log', self._pool.submit(self._batch_log.run))
+        self.tasks.watch('web server', self._server.start(self._pool))
         self._control.start()
-        self._pool.submit(self._monitor.watch)
-        self._pool.submit(self._tick_loop)
+        self.tasks.watch('monitor', self._pool.submit(self._monitor.watch))
+        self.tasks.watch('ticks', self._pool.submit(self._tick_loop))
 
     def stop(self) -> None:
         """Refuse new tasks, wait for running ones to end, and stop."""
--- a/baobabgap/control/_client.py
+++ b/baobabgap/control/_client.py
@@ -212,11 +212,20 @@
 
     def _maintenance_loop(self) -> None:
         while not self._stopping.wait(_MAINTENANCE_INTERVAL_S):
-            self._pending.expire()
-            self._send_pending()
-            connection = self._connection
-            if connection is not None:
-                self._follow_leader(connection)
+            try:
+                self._maintain()
+            except Exception as error:
+                # If this loop ended, no request would expire again.
+                log_event(
+                    'control_client:maintenance_failed', error=repr(error)
+                )
+
+    def _maintain(self) -> None:
+        self._pending.expire()
+        self._send_pending()
+        connection = self._connection
+        if connection is not None:
+            self._follow_leader(connection)
 
     def _run(self) -> None:
         while not self._stopping.is_set() and not self._is_superseded:
--- a/baobabgap/control/_host.py
+++ b/baobabgap/control/_host.py
@@ -1,5 +1,6 @@
 """The process of one control host."""
 
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 import time
@@ -31,6 +32,7 @@
 from baobabgap.replication import ReplicatedLog
 from baobabgap.settings import ControlHost
 from baobabgap.settings import Settings
+from baobabgap.tasks import EssentialTasks
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 from baobabgap.transport import Connection
@@ -95,6 +97,8 @@
             _MAX_BODY_BYTES,
         )
         self._add_metrics()
+        self.tasks: Final = EssentialTasks(self.metrics)
+        self._log.on_task_failure = self.tasks.report_failure
 
     @classmethod
     def from_settings(cls, settings: Settings) -> 'ControlHostProcess':
@@ -116,6 +120,11 @@
         """Whether this host can carry out requests."""
         return not self._is_draining and self._background_tasks.reaches_leader
 
+    @property
+    def task_groups(self) -> Sequence[EssentialTasks]:
+        """The tasks without which this process can't work."""
+        return [self.tasks]
+
     def status(self) -> dict[str, Any]:
         """Describe this host for operators."""
         return self._pages.status()
@@ -125,7 +134,7 @@
         self._log.start()
         self._listener.start()
         self._relay.start()
-        self._web.start(self._pool)
+        self.tasks.watch('web server', self._web.start(self._pool))
         self._background_tasks.start()
         log_event(
             'control:started',
--- a/baobabgap/control/_relay.py
+++ b/baobabgap/control/_relay.py
@@ -16,6 +16,7 @@
 from baobabgap.replication import NotLeader
 from baobabgap.replication import OutcomeUnknown
 from baobabgap.settings import ControlHost
+from baobabgap.telemetry import log_event
 from baobabgap.transport import Connection
 from baobabgap.transport import dial
 from baobabgap.transport import LinkTiming
@@ -113,6 +114,13 @@
                 except BaobabgapError:
                     # The next iteration dials the leader of that time.
                     pass
+                except Exception as error:
+                    # One unexpected message must not end the relay for good.
+                    log_event(
+                        'relay:link_failed',
+                        leader=leader.name,
+                        error=repr(error),
+                    )
             self._stopping.wait(_REDIAL_DELAY_S)
 
     def _run_link(self, leader: ControlHost) -> None:
--- a/baobabgap/daemon/_main.py
+++ b/baobabgap/daemon/_main.py
@@ -12,14 +12,18 @@
 
 
 def main() -> int:
-    """Run one role until a stop signal; return the exit status."""
+    """Run one role until a stop signal, or until a part of it fails.
+
+    Returns the exit status: 0 after a planned stop, 1 if a task failed without
+    which the role can't work, 2 if the role could not start.
+    """
     arguments = _build_parser().parse_args()
     try:
-        run_role(_settings_from(arguments))
+        has_succeeded = run_role(_settings_from(arguments))
     except BaobabgapError as error:
         print(f'baobabgapd: {error}', file=sys.stderr)
         return 2
-    return 0
+    return 0 if has_succeeded else 1
 
 
 def _settings_from(arguments: argparse.Namespace) -> Settings:
--- a/baobabgap/daemon/_run.py
+++ b/baobabgap/daemon/_run.py
@@ -13,12 +13,17 @@
 from baobabgap.settings import Role
 from baobabgap.settings import Settings
 from baobabgap.standin import StandInUpstream
+from baobabgap.tasks import EssentialTasks
 from baobabgap.telemetry import start_logging
 
 
 class RoleProcess(Protocol):
     """The interface of a role that the daemon runs."""
 
+    @property
+    def task_groups(self) -> Sequence[EssentialTasks]:
+        """The tasks with which the daemon ends if one of them fails."""
+
     def start(self) -> None:
         """Start the role and return."""
 
@@ -44,10 +49,12 @@
 def run_role(
     settings: Settings,
     signals: Sequence[int] = (signal.SIGTERM, signal.SIGINT),
-) -> None:
+) -> bool:
     """Run a role until the first stop signal, then stop it gracefully.
 
-    Further signals have no effect: the stop is already in progress.
+    Further signals have no effect: the stop is already in progress. The role
+    is also stopped if a task fails without which it can't work. Returns
+    whether none has failed.
     """
     stop_requested = threading.Event()
 
@@ -58,6 +65,9 @@
         signal.signal(signal_number, request_stop)
     start_logging(settings.log_file, settings.name, settings.role)
     role = build_role(settings)
+    for tasks in role.task_groups:
+        tasks.on_failure = stop_requested.set
     role.start()
     stop_requested.wait()
     role.stop()
+    return not any(tasks.failed_task for tasks in role.task_groups)
--- a/baobabgap/daemon/_standalone.py
+++ b/baobabgap/daemon/_standalone.py
@@ -1,5 +1,6 @@
 """All roles in one process with a stand-in upstream, for evaluation."""
 
+from collections.abc import Sequence
 from dataclasses import replace
 
 from baobabgap.agent import Agent
@@ -10,6 +11,7 @@
 from baobabgap.settings import Role
 from baobabgap.settings import Settings
 from baobabgap.standin import StandInUpstream
+from baobabgap.tasks import EssentialTasks
 
 
 class Standalone:
@@ -69,6 +71,16 @@
         """The HTTP port for clients and operators."""
         return self._entry.http_port
 
+    @property
+    def task_groups(self) -> Sequence[EssentialTasks]:
+        """The tasks without which one of the roles can't work."""
+        return [
+            *self._control.task_groups,
+            *self._entry.task_groups,
+            *self._agent.task_groups,
+            *self._upstream.task_groups,
+        ]
+
     def start(self) -> None:
         """Start the roles, each after those it depends on."""
         self._control.start()
--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -6,7 +6,6 @@
 from concurrent.futures import ThreadPoolExecutor
 import secrets
 import threading
-import traceback
 from typing import Any
 from typing import Final
 
@@ -51,6 +50,7 @@
 from baobabgap.scheduling import LATE_FACTOR
 from baobabgap.settings import ControlHost
 from baobabgap.settings import Settings
+from baobabgap.tasks import EssentialTasks
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 from baobabgap.transport import Connection
@@ -85,10 +85,13 @@
         self._pool = ThreadPoolExecutor(_MAX_THREADS, 'control')
         self.metrics: Final = Metrics()
         self.metrics.add_source(PROCESS_TRAFFIC.as_metrics)
+        # Whoever runs this node must end and start it anew once one fails.
+        self.tasks: Final = EssentialTasks(self.metrics)
         self._state = AcceptedState(options.retention_ms)
         self._log = ReplicatedLog.from_settings(
             settings, self._incarnation, self._state, self._pool
         )
+        self._log.on_task_failure = self.tasks.report_failure
         self._committer = Committer(self._log)
         self._leadership = Leadership(
             self._log,
@@ -211,13 +214,14 @@
         messages: Iterator[object],
     ) -> None:
         """Request membership in the group; a session for a `LeaderLink`."""
-        connection.send(
-            JoinGroup(
-                self._settings.name,
-                self._settings.listen.host,
-                self.internal_port,
+        if not self.tasks.failed_task:
+            connection.send(
+                JoinGroup(
+                    self._settings.name,
+                    self._settings.listen.host,
+                    self.internal_port,
+                )
             )
-        )
         for _ in messages:
             pass
 
@@ -322,21 +326,20 @@
                     connection.send(self._leader_ready(connection))
 
     def _start_task(self, name: str, run: Callable[[], None]) -> None:
-        def run_logged() -> None:
+        def run_or_resign() -> None:
             try:
                 run()
-            except Exception as error:
-                # The host can't serve without this task; another host takes
-                # over.
-                log_event(
-                    'task_failed',
-                    task=name,
-                    error=repr(error),
-                    trace=traceback.format_exc(limit=-6),
-                )
-                self._log.stop()
+            except Exception:
+                self._resign()
+                raise
 
-        self._pool.submit(run_logged)
+        self.tasks.watch(name, self._pool.submit(run_or_resign))
+
+    def _resign(self) -> None:
+        """Have another host lead, and send the members there."""
+        self._leadership.stop()
+        self._log.stop()
+        self._close_member_connections()
 
     def _leader_ready(self, connection: Connection) -> LeaderReady:
         addresses = tuple(
--- a/baobabgap/dispatch/_leadership.py
+++ b/baobabgap/dispatch/_leadership.py
@@ -94,35 +94,39 @@
         def begin(done: Future[int]) -> None:
             # Runs in the task that applies commands, so that the state
             # doesn't change meanwhile.
-            error = done.exception()
-            if error is not None:
+            try:
+                done.result()
+                gained = self._gained(term)
+            except Exception as error:
                 log_event('leading_not_begun', term=term, error=str(error))
                 self._requested_term = 0
                 return
-            unfinished = tuple(
-                UnfinishedJob(
-                    job.job,
-                    set(job.done),
-                    {
-                        task: set(runs)
-                        for task, runs in job.failed_runs_by_task.items()
-                    },
-                )
-                for job in self._state.unfinished_by_id.values()
-            )
             self._confirmed_at = asked_at
-            scheduler.post_event(
-                LeadershipGained(
-                    term,
-                    unfinished,
-                    tuple(sorted(self._state.members)),
-                    self._state.evacuated_zones,
-                )
-            )
+            scheduler.post_event(gained)
             self.term = term
 
         self._log.read_barrier().add_done_callback(begin)
 
+    def _gained(self, term: int) -> LeadershipGained:
+        """Copy from the state what the scheduler begins a term with."""
+        unfinished = tuple(
+            UnfinishedJob(
+                job.job,
+                set(job.done),
+                {
+                    task: set(runs)
+                    for task, runs in job.failed_runs_by_task.items()
+                },
+            )
+            for job in self._state.unfinished_by_id.values()
+        )
+        return LeadershipGained(
+            term,
+            unfinished,
+            tuple(sorted(self._state.members)),
+            self._state.evacuated_zones,
+        )
+
     def _confirm(self) -> None:
         now = boottime_clock()
         if now - self._confirm_requested_at < _CONFIRM_INTERVAL_S:
--- a/baobabgap/dispatch/_membership_manager.py
+++ b/baobabgap/dispatch/_membership_manager.py
@@ -97,7 +97,11 @@
                 continue
             if self._leading_since is None:
                 self._leading_since = time.monotonic()
-            self._adjust_members(self._leading_since)
+            try:
+                self._adjust_members(self._leading_since)
+            except Exception as error:
+                # The next check starts from the members of that time.
+                log_event('group_not_checked', error=repr(error))
 
     def _adjust_members(self, leading_since: float) -> None:
         members = self._log.status().members
--- a/baobabgap/entry/_entry.py
+++ b/baobabgap/entry/_entry.py
@@ -1,5 +1,7 @@
 """The entry role: accepts jobs over HTTP and answers each of them once."""
 
+from collections.abc import Callable
+from collections.abc import Sequence
 from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
 import threading
@@ -28,6 +30,7 @@
 from baobabgap.messages import Hello
 from baobabgap.messages import TicketOutcome
 from baobabgap.settings import Settings
+from baobabgap.tasks import EssentialTasks
 from baobabgap.telemetry import log_event
 from baobabgap.telemetry import Metrics
 from baobabgap.transport import Connection
@@ -49,6 +52,7 @@
     def __init__(self, settings: Settings) -> None:
         entry_settings = settings.entry
         self.metrics: Final = Metrics()
+        self.tasks: Final = EssentialTasks(self.metrics)
         self._settings = settings
         self._incarnation = uuid4().hex[:16]
         self._executor = ThreadPoolExecutor(_MAX_THREADS)
@@ -58,6 +62,8 @@
         self._kept = KeptAnswers(
             entry_settings.kept_answers, entry_settings.kept_values
         )
+        # When upstreams and lost links were last checked.
+        self._checked_at = 0.0
         self._quotas = QuotaLedger()
         self._joins = Joins(entry_settings.owner_return_s)
         timing = LinkTiming(
@@ -134,13 +140,18 @@
         """The TCP port for callers, the load balancer and operators."""
         return self._web.port
 
+    @property
+    def task_groups(self) -> Sequence[EssentialTasks]:
+        """The tasks without which this process can't work."""
+        return [self.tasks]
+
     def start(self) -> None:
         """Start serving."""
         self._listener.start()
         self._control.start()
-        self._web.start(self._executor)
-        self._executor.submit(self._report_loop)
-        self._executor.submit(self._check_loop)
+        self.tasks.watch('web server', self._web.start(self._executor))
+        self._executor.submit(self._run_repeatedly, self._report)
+        self._executor.submit(self._run_repeatedly, self._check_due)
         log_event(
             'entry_started',
             internal_port=self.internal_port,
@@ -261,30 +272,40 @@
 
     # Periodic work
 
-    def _report_loop(self) -> None:
-        """Report state changes to the peers, at a limited rate."""
+    def _run_repeatedly(self, step: Callable[[], float]) -> None:
+        """Run a step until stopped; it returns the pause in seconds.
+
+        Errors are logged and don't end the loop: no job would time out.
+        """
         while not self._stopping.is_set():
-            self._dispatcher.state_changed.wait(_CHECK_INTERVAL_S)
-            self._dispatcher.state_changed.clear()
-            with self._dispatcher.lock:
-                policy = self._dispatcher.configuration.policy
-                if self._dispatcher.balancer.peer_count() > 0:
-                    now = time.monotonic()
-                    state = self._dispatcher.state(now)
-                    self._dispatcher.balancer.report(state, now, policy)
-            self._stopping.wait(policy.report_pause_ms / 1000)
-
-    def _check_loop(self) -> None:
+            try:
+                pause_s = step()
+            except Exception as error:
+                log_event('entry_step_failed', error=repr(error))
+                pause_s = _CHECK_INTERVAL_S
+            self._stopping.wait(pause_s)
+
+    def _report(self) -> float:
+        """Report state changes to the peers, at a limited rate."""
+        self._dispatcher.state_changed.wait(_CHECK_INTERVAL_S)
+        self._dispatcher.state_changed.clear()
+        with self._dispatcher.lock:
+            policy = self._dispatcher.configuration.policy
+            if self._dispatcher.balancer.peer_count() > 0:
+                now = time.monotonic()
+                state = self._dispatcher.state(now)
+                self._dispatcher.balancer.report(state, now, policy)
+        return float(policy.report_pause_ms) / 1000
+
+    def _check_due(self) -> float:
         """Check deadlines, upstreams and lost links."""
-        checked_at = 0.0
-        while not self._stopping.is_set():
-            now = time.monotonic()
-            next_deadline = self._dispatcher.expire(now)
-            if now - checked_at >= _CHECK_INTERVAL_S:
-                checked_at = now
-                self._check(now)
-            pause_s = min(next_deadline - time.monotonic(), _CHECK_INTERVAL_S)
-            self._stopping.wait(max(pause_s, _MIN_CHECK_PAUSE_S))
+        now = time.monotonic()
+        next_deadline = self._dispatcher.expire(now)
+        if now - self._checked_at >= _CHECK_INTERVAL_S:
+            self._checked_at = now
+            self._check(now)
+        pause_s = min(next_deadline - time.monotonic(), _CHECK_INTERVAL_S)
+        return max(pause_s, _MIN_CHECK_PAUSE_S)
 
     def _check(self, now: float) -> None:
         self._dispatcher.acknowledge_results()
--- a/baobabgap/leaderlink/_link.py
+++ b/baobabgap/leaderlink/_link.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from concurrent.futures import Executor
+from concurrent.futures import Future
 import random
 import threading
 import time
+import traceback
 from typing import Any
 from typing import Final
 
@@ -63,9 +65,9 @@
         self._unreachable: set[str] = set()
         self._excluded_until: dict[str, float] = {}
 
-    def start(self) -> None:
-        """Start the search in a task of the pool."""
-        self._pool.submit(self._run)
+    def start(self) -> Future[None]:
+        """Start the search in a task of the pool, and return the task."""
+        return self._pool.submit(self._run)
 
     def stop(self) -> None:
         """Close the link and end the search."""
@@ -136,6 +138,16 @@
             self._exclude(address)
             log_event('leader_link_lost', address=address, error=str(error))
             return True
+        except Exception as error:
+            # One unexpected message must not end the search for good.
+            self._exclude(address)
+            log_event(
+                'leader_link_failed',
+                address=address,
+                error=repr(error),
+                trace=traceback.format_exc(limit=-4),
+            )
+            return True
         finally:
             self._connection = None
             connection.close()
--- a/baobabgap/replication/_applier.py
+++ b/baobabgap/replication/_applier.py
@@ -170,6 +170,9 @@
             log_event('snapshot_saved', index=snapshot.index)
         except StorageUnavailable as error:
             log_event('snapshot_not_saved', reason=str(error))
+        except Exception as error:
+            # The log is kept, so that the next snapshot can make good for it.
+            log_event('snapshot_not_saved', reason=repr(error))
         finally:
             self._is_saving = False
 
--- a/baobabgap/replication/_log.py
+++ b/baobabgap/replication/_log.py
@@ -58,6 +58,11 @@
         self._tasks: list[Future[None]] = []
         self._session_connections: set[Connection] = set()
         self._stopped = threading.Event()
+        # Called with the name of a task that has failed and the error. This
+        # host no longer takes part in the group then, until it starts anew.
+        self.on_task_failure: Callable[[str, Exception], None] = (
+            lambda name, error: None
+        )
         self._state.on_step_down = self._fail_pending_requests
 
     @classmethod
@@ -268,6 +273,7 @@
                 state.step_down(f'{name} failed')
                 state.writer_work.notify_all()
                 state.applier_work.notify_all()
+            self.on_task_failure(name, error)
 
     def _tick_until_stopped(self) -> None:
         interval_s = (
--- a/baobabgap/replication/_peer.py
+++ b/baobabgap/replication/_peer.py
@@ -221,6 +221,10 @@
                 self._wake.clear()
         except BaobabgapError as error:
             self._log_error(error)
+        except Exception as error:
+            log_event(
+                'peer_sending_failed', peer=self.host.name, error=repr(error)
+            )
         finally:
             # Every new link starts a new sending task, also after an error.
             connection.close()
--- a/baobabgap/standin/_standin.py
+++ b/baobabgap/standin/_standin.py
@@ -1,5 +1,6 @@
 """A simulated upstream that runs tasks by sleeping."""
 
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 import threading
 import time
@@ -12,6 +13,7 @@
 from baobabgap.standin._application import StandInApplication
 from baobabgap.standin._behaviour import Behaviour
 from baobabgap.standin._leases import LeaseTable
+from baobabgap.tasks import EssentialTasks
 from baobabgap.web import WebServer
 from baobabgap.webclient import WebClient
 
@@ -68,6 +70,11 @@
         """The port on which it serves its agent."""
         return self._server.port
 
+    @property
+    def task_groups(self) -> Sequence[EssentialTasks]:
+        """None: the loop of announcements handles its errors."""
+        return []
+
     def bind(self, agent_incarnation: str, is_sole: bool) -> None:
         """Accept starts only from this agent, as after an announcement."""
         self._application.bind(agent_incarnation, is_sole)
--- a/baobabgap/transport/_dialer.py
+++ b/baobabgap/transport/_dialer.py
@@ -4,12 +4,14 @@
 from concurrent.futures import Executor
 import random
 import threading
+import traceback
 from typing import Final
 
 from websockets.exceptions import WebSocketException
 
 from baobabgap._exceptions import BaobabgapError
 from baobabgap._exceptions import ConnectionLost
+from baobabgap.telemetry import log_event
 from baobabgap.transport._connection import Connection
 from baobabgap.transport._connection import LinkTiming
 from baobabgap.transport._link_socket import connect
@@ -110,4 +112,12 @@
         except BaobabgapError as error:
             if self._on_error is not None:
                 self._on_error(error)
+        except Exception as error:
+            # One unexpected message must not end the dialling for good.
+            log_event(
+                'dialled_link_failed',
+                address=self._address,
+                error=repr(error),
+                trace=traceback.format_exc(limit=-4),
+            )
         return opened
--- a/baobabgap/web/_server.py
+++ b/baobabgap/web/_server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from concurrent.futures import Executor
+from concurrent.futures import Future
 import select
 import socket
 from typing import Any
@@ -85,9 +86,9 @@
         """The port in use, also if port 0 was requested."""
         return int(self._server.bind_addr[1])
 
-    def start(self, pool: Executor) -> None:
-        """Start serving in a task of the pool."""
-        pool.submit(self._server.serve)
+    def start(self, pool: Executor) -> Future[None]:
+        """Start serving in a task of the pool, and return the task."""
+        return pool.submit(self._server.serve)
 
     def stop(self) -> None:
         """Stop the server after the requests in progress are answered."""
