Go on with accepted jobs whose queue has been removed

A stored job whose queue had gone could be neither read nor cancelled.

A new leader answered a repeated submission before it looked whether the job may have begun: no queue, numbers too large. The entry corrected two outcomes of a second leader only. Such an answer holds for the try, not for the job.

A job that was accepted is still that job. Known jobs are answered as with their queue. A repeated submission is continued under the settings of the removed queue, which the table remembers: runs and ends of it that are found answer the call; without one the answer is UNKNOWN, and runs that can't be continued are stopped at once. One function of the leader rejects submissions, after one decision whether the job may have begun; entries apply the same rule again. A job that has certainly not begun is still told 404 at once.

--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -18,9 +18,9 @@
 from baobabgap.dispatch._events import PostEvent
 from baobabgap.dispatch._job_closer import JobCloser
 from baobabgap.dispatch._replies import answer
-from baobabgap.dispatch._replies import answer_not_served
 from baobabgap.dispatch._replies import answer_unavailable
 from baobabgap.dispatch._replies import call_fields
+from baobabgap.dispatch._replies import reject
 from baobabgap.dispatch._run_tracker import RunTracker
 from baobabgap.dispatch._start_deferral import StartDeferral
 from baobabgap.dispatch._term_state import TermState
@@ -47,6 +47,7 @@
 # lease has lapsed.
 _USUAL_RETURN_S: Final = 0.5
 _USUAL_TAKEOVER_S: Final = 1.8
+_NO_SUCH_QUEUE: Final = 'no such queue'
 
 
 class CallHandler:
@@ -83,7 +84,8 @@
         call = arrived.call
         match = table.find(call.host, call.path)
         if match is None:
-            answer(arrived, CallOutcome.NO_SUCH_QUEUE)
+            removed = table.find_removed(call.host, call.path)
+            self._handle_without_queue(arrived, removed)
             return
         match call:
             case SubmitJob():
@@ -93,6 +95,72 @@
             case CancelPath():
                 self._cancel(arrived, match.rest)
 
+    def _handle_without_queue(
+        self, arrived: CallArrived, removed: QueueMatch | None
+    ) -> None:
+        """Answer a call for a path that has no queue, or has none any more.
+
+        A job that was accepted under an earlier configuration is still that
+        job. `removed` is the queue that the path had, if it is remembered.
+        """
+        call = arrived.call
+        job_id = removed.rest if removed else call.path.rpartition('/')[2]
+        match call:
+            case SubmitJob():
+                self._submit_without_queue(arrived, call, job_id, removed)
+            case ReadPath() if self._is_known(job_id):
+                self._read_job(arrived, job_id)
+            case CancelPath() if self._is_known(job_id):
+                self._cancel(arrived, job_id)
+            case _:
+                answer(arrived, CallOutcome.NO_SUCH_QUEUE)
+
+    def _submit_without_queue(
+        self,
+        arrived: CallArrived,
+        call: SubmitJob,
+        job_id: str,
+        removed: QueueMatch | None,
+    ) -> None:
+        """Go on with a job of a removed queue, or reject it."""
+        if self._answer_known_job(arrived, call, job_id):
+            return
+        may_have_begun = self._may_have_begun(call, job_id)
+        if may_have_begun and removed is not None and call.is_volatile:
+            self._submit_new(arrived, call, removed, is_queue_removed=True)
+            return
+        self._runs.stop_orphans(job_id)
+        reject(
+            arrived,
+            CallOutcome.NO_SUCH_QUEUE,
+            may_have_begun=may_have_begun,
+            detail=_NO_SUCH_QUEUE,
+        )
+
+    def _is_known(self, job_id: str) -> bool:
+        """Return whether a job is accepted, or is being stored."""
+        return (
+            job_id in self._term_state.plan_by_id
+            or job_id in self._term_state.storing_by_id
+            or self._state.state_of(job_id) is not None
+        )
+
+    def _may_have_begun(self, call: SubmitJob, job_id: str) -> bool:
+        """Return whether a leader may have begun tasks of a new submission.
+
+        The one place that decides whether a rejection may be true.
+        """
+        term_state = self._term_state
+        if not call.is_volatile:
+            # All that earlier leaders accepted is known by now.
+            return call.is_repeat
+        return (
+            call.is_repeat
+            or term_state.takeover.may_have_begun(job_id)
+            or term_state.orphans.has_job(job_id)
+            or bool(term_state.crash_history.of_job(job_id))
+        )
+
     def handle_dropped_call(self, event: CallDropped) -> None:
         """Remove a dropped call; cancel its job if no call is left."""
         for job_id, calls in self._term_state.callers_by_id.items():
@@ -250,8 +318,12 @@
         self._metrics.count('baobabgap_jobs_total{end="given_up"}')
         self._count_refusal(job.queue, 'waited')
         for call in calls:
-            answer_not_served(
-                call, 'waited in vain', retry_after_ms, may_have_begun
+            reject(
+                call,
+                CallOutcome.OVERLOADED,
+                may_have_begun=may_have_begun,
+                detail='waited in vain',
+                retry_after_ms=retry_after_ms,
             )
 
     def _hopeless_ids(self, now: float) -> set[str]:
@@ -288,9 +360,20 @@
     def _submit(
         self, arrived: CallArrived, call: SubmitJob, match: QueueMatch
     ) -> None:
+        if not self._answer_known_job(arrived, call, match.rest):
+            self._submit_new(arrived, call, match)
+
+    def _submit_new(
+        self,
+        arrived: CallArrived,
+        call: SubmitJob,
+        match: QueueMatch,
+        *,
+        is_queue_removed: bool = False,
+    ) -> None:
+        """Accept or reject a job that this leader doesn't know."""
         job_id = match.rest
-        if self._answer_known_job(arrived, call, job_id):
-            return
+        may_have_begun = self._may_have_begun(call, job_id)
         job = self._job_from(call, match)
         try:
             arrived_at = time.monotonic() - call.waited_ms / 1000
@@ -298,18 +381,18 @@
         except ArithmeticError as error:
             # A sender must not be able to end the term with its numbers.
             log_event('job_not_plannable', job=job_id, error=repr(error))
-            answer(arrived, CallOutcome.INVALID, detail='numbers too large')
+            reject(
+                arrived,
+                CallOutcome.INVALID,
+                may_have_begun=may_have_begun,
+                detail='numbers too large',
+            )
             return
         if job.is_volatile:
             plan.awaited_until = _awaited_until(call)
-        # A refusal states that nothing has run, which may be wrong for a
-        # job that may have begun.
-        has_crashed = self._note_earlier_crashes(plan)
-        plan.may_have_begun = (
-            has_crashed
-            or call.is_repeat
-            or self._term_state.takeover.may_have_begun(job_id)
-        )
+        plan.is_queue_removed = is_queue_removed
+        plan.may_have_begun = may_have_begun
+        self._note_earlier_crashes(plan)
         if any(task.is_given_up for task in plan.task_by_id.values()):
             answer(
                 arrived,
@@ -319,6 +402,9 @@
             )
             return
         if self._is_admissible(plan):
+            if is_queue_removed:
+                self._reject_without_queue(plan, arrived)
+                return
             refusal = self._find_refusal(plan)
             if refusal is not None:
                 self._answer_refused(plan, refusal, arrived)
@@ -335,16 +421,15 @@
             ),
         )
 
-    def _note_earlier_crashes(self, plan: JobPlan) -> bool:
-        """Apply the crashes under an earlier submission; return if any."""
+    def _note_earlier_crashes(self, plan: JobPlan) -> None:
+        """Apply the crashes under an earlier submission."""
         if not plan.job.is_volatile:
-            return False
+            return
         history = self._term_state.crash_history.of_job(plan.job.job_id)
         for (task_id, run), evidence in history.items():
             task = plan.task_by_id.get(task_id)
             if task is not None:
                 plan.note_crash(task, run, evidence)
-        return bool(history)
 
     def _job_from(self, call: SubmitJob, match: QueueMatch) -> AcceptedJob:
         queue = match.queue
@@ -399,6 +484,12 @@
         calls = self._term_state.callers_by_id.get(job_id)
         if not calls or plan.has_started:
             return True
+        if plan.is_queue_removed:
+            # No run of it was found.
+            self._reject_without_queue(plan, *calls)
+            del self._term_state.callers_by_id[job_id]
+            self._term_state.pop_plan(job_id)
+            return False
         # A job that may have begun was not judged when it was submitted.
         refusal = self._find_refusal(plan, is_new=plan.may_have_begun)
         if refusal is None:
@@ -475,11 +566,23 @@
         self, plan: JobPlan, refusal: Refusal, *calls: CallArrived
     ) -> None:
         for call in calls:
-            answer_not_served(
+            reject(
+                call,
+                CallOutcome.OVERLOADED,
+                may_have_begun=plan.may_have_begun,
+                detail=refusal.reason,
+                retry_after_ms=refusal.retry_after_ms,
+            )
+
+    def _reject_without_queue(
+        self, plan: JobPlan, *calls: CallArrived
+    ) -> None:
+        for call in calls:
+            reject(
                 call,
-                refusal.reason,
-                refusal.retry_after_ms,
-                plan.may_have_begun,
+                CallOutcome.NO_SUCH_QUEUE,
+                may_have_begun=plan.may_have_begun,
+                detail=_NO_SUCH_QUEUE,
             )
 
     def _accept_volatile(self, plan: JobPlan, arrived: CallArrived) -> None:
@@ -543,12 +646,15 @@
         )
 
     def _read(self, arrived: CallArrived, match: QueueMatch) -> None:
-        job_id = match.rest
-        plan = self._term_state.plan_by_id.get(job_id)
-        if not job_id:
+        if match.rest:
+            self._read_job(arrived, match.rest)
+        else:
             waiting = self._count_waiting(match.queue.name)
             answer(arrived, CallOutcome.COUNTED, waiting=waiting)
-        elif plan is None:
+
+    def _read_job(self, arrived: CallArrived, job_id: str) -> None:
+        plan = self._term_state.plan_by_id.get(job_id)
+        if plan is None:
             self._answer_ended(arrived, job_id)
         elif plan.is_done:
             self._term_state.readers_by_id[job_id].append(arrived)
--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -43,7 +43,6 @@
 from baobabgap.protocol import StartsExpected
 from baobabgap.protocol import SubmitJob
 from baobabgap.queues import QueueConfiguration
-from baobabgap.queues import QueueTable
 from baobabgap.queues import RequestLimits
 from baobabgap.replication import NotLeader
 from baobabgap.replication import ReplicatedLog
@@ -306,9 +305,7 @@
         )
 
     def _apply_configuration(self, configuration: QueueConfiguration) -> None:
-        self._scheduler.use_queue_table(
-            QueueTable.from_configuration(configuration)
-        )
+        self._scheduler.use_configuration(configuration)
         log_event(
             'configuration_in_force',
             version=configuration.version,
--- a/baobabgap/dispatch/_replies.py
+++ b/baobabgap/dispatch/_replies.py
@@ -60,15 +60,18 @@
     )
 
 
-def answer_not_served(
+def reject(
     arrived: CallArrived,
-    detail: str,
-    retry_after_ms: int,
+    outcome: CallOutcome,
+    *,
     may_have_begun: bool,
+    detail: str,
+    retry_after_ms: int = 0,
 ) -> None:
-    """Answer that a job is given up: refused, or unknown if it may have run.
+    """Reject a submission, or answer that its outcome is unknown.
 
-    A refusal states that nothing of the job has run or will run.
+    A rejection states that nothing of the job has run or will run. A leader
+    can't state that of a job that may have begun, whatever its reason.
     """
     if may_have_begun:
         answer(
@@ -78,9 +81,4 @@
             is_final=True,
         )
     else:
-        answer(
-            arrived,
-            CallOutcome.OVERLOADED,
-            retry_after_ms=retry_after_ms,
-            detail=detail,
-        )
+        answer(arrived, outcome, retry_after_ms=retry_after_ms, detail=detail)
--- a/baobabgap/dispatch/_run_tracker.py
+++ b/baobabgap/dispatch/_run_tracker.py
@@ -145,6 +145,13 @@
         for name in self._term_state.run_index.agents_of(task_id):
             self.stop(self._term_state.view_by_name[name], task_id)
 
+    def stop_orphans(self, job_id: str) -> None:
+        """Order the stops of all runs of a job that nobody submits again."""
+        for agent, row in self._term_state.orphans.pop(job_id).runs:
+            view = self._term_state.view_by_name.get(agent)
+            if view is not None:
+                self.stop(view, row.task)
+
     def drop_all(self, view: AgentView, reason: str) -> None:
         """Drop all runs of an upstream."""
         for task_id in list(view.run_by_task):
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -54,6 +54,7 @@
 from baobabgap.protocol import boottime_clock
 from baobabgap.protocol import CallOutcome
 from baobabgap.protocol import LeaseTiming
+from baobabgap.queues import QueueConfiguration
 from baobabgap.queues import QueueTable
 from baobabgap.scheduling import JobPlan
 from baobabgap.telemetry import log_event
@@ -66,7 +67,7 @@
 class Scheduler:
     """Answers calls, places tasks and tracks their runs, as the leader.
 
-    `post_event`, `use_queue_table` and `stop` may be called by any task;
+    `post_event`, `use_configuration` and `stop` may be called by any task;
     everything else runs in the scheduler's task.
     """
 
@@ -134,9 +135,11 @@
         """Queue an event."""
         self._events.put(event)
 
-    def use_queue_table(self, table: QueueTable) -> None:
+    def use_configuration(self, configuration: QueueConfiguration) -> None:
         """Use the queues of a newer configuration."""
-        self._term_state.queue_table = table
+        self._term_state.queue_table = QueueTable.from_configuration(
+            configuration, self._term_state.queue_table
+        )
 
     def stop(self) -> None:
         """Stop the task."""
--- a/baobabgap/dispatch/tests/deployment.py
+++ b/baobabgap/dispatch/tests/deployment.py
@@ -63,9 +63,11 @@
         time.sleep(0.01)
 
 
-def configuration(version: int = 1) -> QueueConfiguration:
+def configuration(
+    version: int = 1, prefix: str = PREFIX
+) -> QueueConfiguration:
     queue = JobQueue(
-        'q', QUEUE_HOST, PREFIX, SERVICE, 0, ATTEMPTS, 1.6, 60, 1500
+        'q', QUEUE_HOST, prefix, SERVICE, 0, ATTEMPTS, 1.6, 60, 1500
     )
     return QueueConfiguration(
         version, b'{}', (queue,), (Service(SERVICE, True),)
@@ -183,15 +185,17 @@
     def _links(self) -> list[LeaderLink]:
         return [*self._entry_links, *self._agent_links]
 
-    def configure(self, version: int) -> None:
+    def configure(self, version: int, prefix: str = PREFIX) -> None:
         """Put a configuration in force, as an operator who sends it again."""
-        wait_until(lambda: self._has_stored(version), 'a configuration')
+        wait_until(
+            lambda: self._has_stored(version, prefix), 'a configuration'
+        )
 
-    def _has_stored(self, version: int) -> bool:
+    def _has_stored(self, version: int, prefix: str) -> bool:
         leader = self.leader
         if leader is None:
             return False
-        stored = leader.put_configuration(configuration(version))
+        stored = leader.put_configuration(configuration(version, prefix))
         try:
             stored.result(WAIT_S)
         except (NotLeader, OutcomeUnknown):
--- a/baobabgap/dispatch/tests/explorer/world.py
+++ b/baobabgap/dispatch/tests/explorer/world.py
@@ -57,7 +57,6 @@
 from baobabgap.protocol import StartRuns
 from baobabgap.protocol import StartsExpected
 from baobabgap.protocol import SubmitJob
-from baobabgap.queues import QueueTable
 from baobabgap.telemetry import Metrics
 from baobabgap.transport import Connection
 from baobabgap.upstreams import RunAgent
@@ -208,9 +207,7 @@
             Metrics(),
         )
         cast(Any, self.scheduler)._events = _Events()
-        self.scheduler.use_queue_table(
-            QueueTable.from_configuration(configuration())
-        )
+        self.scheduler.use_configuration(configuration())
         self.scheduler.post_event(
             LeadershipGained(term, (), tuple(sorted(state.members)), {})
         )
--- a/baobabgap/dispatch/tests/resubmission.py
+++ b/baobabgap/dispatch/tests/resubmission.py
@@ -58,7 +58,7 @@
         takeover = Takeover(TERM, (), 0.0)
         takeover.end_if_due(0.0)
         self.term_state.begin_term(TERM, takeover)
-        state = Mock(AcceptedState)
+        self.state = state = Mock(AcceptedState)
         state.state_of.return_value = None
         metrics = Metrics()
         self.runs = RunTracker(self.term_state)
--- a/baobabgap/leaderlink/_calls.py
+++ b/baobabgap/leaderlink/_calls.py
@@ -169,9 +169,8 @@
             answer = self._forward_once(
                 call, waiting.answer_by, is_caller_disconnected
             )
-            if waiting.begun_at is not None and answer.outcome in _NOT_BEGUN:
-                # The outcome holds for this try only.
-                answer = replace(answer, outcome=CallOutcome.UNKNOWN)
+            if waiting.begun_at is not None:
+                answer = _without_rejection(call, answer)
             if self._is_stopped or not _is_retryable(call, answer):
                 return answer
             waiting = self._note_failed_try(waiting, call, answer)
@@ -286,7 +285,7 @@
             if self._begun_jobs.is_prune_due(now):
                 self._prune_begun_jobs(now)
             pending = self._pending_by_call.pop(answer.call, None)
-            if pending is not None and answer.outcome in _NOT_BEGUN:
+            if pending is not None and answer.outcome.is_rejection:
                 self._begun_jobs.note_deferred(pending.job_id, answer.call)
         if pending is not None:
             pending.future.set_result(answer)
@@ -366,6 +365,18 @@
     return replace(answer, retry_after_ms=retry_after_ms)
 
 
+def _without_rejection(call: Call, answer: CallAnswer) -> CallAnswer:
+    """Return the answer to a call of which an earlier try may have begun.
+
+    A rejection holds for the last try only.
+    """
+    if answer.outcome in _NOT_BEGUN:
+        return replace(answer, outcome=CallOutcome.UNKNOWN)
+    if isinstance(call, SubmitJob) and answer.outcome.is_rejection:
+        return replace(answer, outcome=CallOutcome.UNKNOWN, is_final=True)
+    return answer
+
+
 def _resolve_lost(
     number: int, pending: _PendingCall, detail: str, *, is_waiting: bool
 ) -> None:
--- a/baobabgap/leaderlink/tests/test_calls.py
+++ b/baobabgap/leaderlink/tests/test_calls.py
@@ -145,6 +145,38 @@
         second.answer(third, CallOutcome.FOUND)
         self.assertIs(CallOutcome.FOUND, future.result(WAIT_S).outcome)
 
+    def test_next_leader_rejects_no_job_that_may_have_begun(self) -> None:
+        """Regression: a job that ran was answered as one without a queue."""
+        for outcome in CallOutcome:
+            if not outcome.is_rejection:
+                continue
+            with self.subTest(outcome=outcome):
+                self.calls = LeaderCalls()
+                link = self.link()
+                link.next_sent()
+                future = self.forward(VOLATILE, leader_s=1.0)
+                link.next_sent()
+                link.cut()
+                second = self.link()
+                second.next_sent()
+                second.answer(second.next_sent().call, outcome)
+                second.cut()
+                answer = future.result(WAIT_S)
+                self.assertIs(CallOutcome.UNKNOWN, answer.outcome)
+
+    def test_next_leader_rejects_a_deferred_job(self) -> None:
+        """It has certainly not begun, so that its caller may know at once."""
+        link = self.link()
+        link.next_sent()
+        future = self.forward(VOLATILE, leader_s=2.0)
+        self.defer(link, link.next_sent().call)
+        link.cut()
+        second = self.link()
+        second.next_sent()
+        second.answer(second.next_sent().call, CallOutcome.NO_SUCH_QUEUE)
+        answer = future.result(WAIT_S)
+        self.assertIs(CallOutcome.NO_SUCH_QUEUE, answer.outcome)
+
     def test_final_answer_is_passed_on_at_once(self) -> None:
         link = self.link()
         link.next_sent()
--- a/baobabgap/protocol/_messages.py
+++ b/baobabgap/protocol/_messages.py
@@ -36,6 +36,16 @@
     # The call may or may not have taken effect.
     UNKNOWN = 'unknown'
 
+    @property
+    def is_rejection(self) -> bool:
+        """Whether a submission has not run and won't, by this outcome."""
+        return self in (
+            CallOutcome.INVALID,
+            CallOutcome.NO_SUCH_QUEUE,
+            CallOutcome.OVERLOADED,
+            CallOutcome.UNAVAILABLE,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class SubmitJob:
--- a/baobabgap/queues/tests/test_table.py
+++ b/baobabgap/queues/tests/test_table.py
@@ -44,6 +44,27 @@
                 found = match and (match.queue.name, match.rest)
                 self.assertEqual(expected, found)
 
+    def test_removed_queues_are_remembered(self) -> None:
+        kept = make_queue('kept', 'one.example', '/a/')
+        removed = make_queue('removed', 'one.example', '/b/')
+        table = None
+        for version, queues in enumerate(
+            [(kept, removed), (kept,), (kept,)], 1
+        ):
+            table = QueueTable.from_configuration(
+                QueueConfiguration(version, b'', queues, ()), table
+            )
+        assert table is not None
+        self.assertIsNone(table.find('one.example', '/b/x'))
+        match = table.find_removed('one.example', '/b/x')
+        self.assertEqual(('removed', 'x'), match and (match.queue.name, 'x'))
+        self.assertIsNone(table.find_removed('one.example', '/a/x'))
+        again = QueueTable.from_configuration(
+            QueueConfiguration(4, b'', (kept, removed), ()), table
+        )
+        self.assertIsNotNone(again.find('one.example', '/b/x'))
+        self.assertIsNone(again.find_removed('one.example', '/b/x'))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -69,6 +69,9 @@
         self.has_started = False
         # Whether an earlier leader may have started tasks of the job.
         self.may_have_begun = False
+        # Whether a newer configuration than the one under which the job was
+        # accepted has removed its queue: it goes on, but doesn't begin anew.
+        self.is_queue_removed = False
         self.task_by_id: dict[TaskId, PlannedTask] = {}
         # Tasks that wait for a start, by step.
         self.waiting_by_step: list[list[PlannedTask]] = []
