Stop late first calls of repeated starts on the next life

The client repeats a start without an answer, and its outcome told of the last call only. The agent took the start for answered and forgot it with the next poll; the first call reached the upstream after a restart under its identity, where nothing had been stopped.

The outcome now covers all calls: a start that a repetition has confirmed is STARTED_BY_REPETITION, which the agent keeps as one without an answer for as long as a call may be late. The next life is told to stop the run.

--- a/baobabgap/upstreams/_client.py
+++ b/baobabgap/upstreams/_client.py
@@ -13,6 +13,9 @@
     """The result of a call that starts a run."""
 
     STARTED = 'started'
+    # The same, by a repeated call: one before it got no answer, and may still
+    # be carried out by the next incarnation of the upstream.
+    STARTED_BY_REPETITION = 'started by repetition'
     # The upstream has seen the fence of a later leader.
     SUPERSEDED = 'superseded'
     # This run or a later one of the task was stopped or has ended there.
@@ -32,6 +35,14 @@
     # No connection could be opened: the call has certainly had no effect.
     NOT_DELIVERED = 'not delivered'
 
+    @property
+    def has_started(self) -> bool:
+        """Whether the upstream has confirmed that it has the run."""
+        return self in (
+            StartOutcome.STARTED,
+            StartOutcome.STARTED_BY_REPETITION,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class ActiveRun:
@@ -82,7 +93,8 @@
         """Start a run.
 
         Returns the outcome and the upstream's clock in milliseconds, or 0
-        if the answer lacks it.
+        if the answer lacks it. The outcome covers all calls that were sent:
+        none is `STARTED` while an earlier one is without an answer.
         """
 
     def stop(self, instance: str, task: TaskId, run: int, fence: int) -> bool:
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -535,7 +535,7 @@
 
     def _settle_start(self, start: SentStart, outcome: StartOutcome) -> None:
         match outcome:
-            case StartOutcome.UNANSWERED:
+            case StartOutcome.UNANSWERED | StartOutcome.STARTED_BY_REPETITION:
                 return
             case StartOutcome.STARTED:
                 self._late_starts.note_answered(start, boottime_clock())
@@ -589,7 +589,8 @@
     ) -> None:
         order = call.order
         answered_at = boottime_clock()
-        self._metrics.count(f'baobabgap_starts_total{{end="{outcome}"}}')
+        end = StartOutcome.STARTED if outcome.has_started else outcome
+        self._metrics.count(f'baobabgap_starts_total{{end="{end}"}}')
         with self._lock:
             if not self._is_current(call):
                 # Neither the clock nor the run is that of the current one.
@@ -600,7 +601,7 @@
                 return
             run.is_in_flight = False
             match outcome:
-                case StartOutcome.STARTED:
+                case StartOutcome.STARTED | StartOutcome.STARTED_BY_REPETITION:
                     run.is_confirmed = True
                 case StartOutcome.UNANSWERED:
                     # The upstream may still carry it out seconds later,
@@ -611,7 +612,7 @@
                 case _:
                     self._table.remove(order.task, order.run)
                     self._send_runs_gone((run.row,), str(outcome))
-        if outcome is not StartOutcome.STARTED:
+        if not outcome.has_started:
             log_event(
                 'start_refused',
                 job=order.task.job_id,
--- a/baobabgap/upstreams/tests/test_late_starts.py
+++ b/baobabgap/upstreams/tests/test_late_starts.py
@@ -130,6 +130,57 @@
         )
 
 
+class RepeatedStart(FakeUpstream):
+    """Answers the repetition of each start, whose first call is lost."""
+
+    def start(
+        self, instance: str, order: RunOrder, fence: int, lease_until_ms: int
+    ) -> tuple[StartOutcome, int]:
+        outcome, clock_ms = super().start(
+            instance, order, fence, lease_until_ms
+        )
+        if outcome is StartOutcome.STARTED:
+            outcome = StartOutcome.STARTED_BY_REPETITION
+        return outcome, clock_ms
+
+
+class RepeatedStartTest(AgentTest):
+    """The first call of a run reaches the next incarnation."""
+
+    def make_upstream(self) -> FakeUpstream:
+        return RepeatedStart(run_ms=300)
+
+    def check_rejected_after_restart(self) -> None:
+        self.upstream.restart(2)
+        wait_until(lambda: self.reported_start() == 2, 'a report')
+        report = self.leader.reports[-1]
+        assert isinstance(report, FullReport)
+        # With the run, or after its stop.
+        if report.running:
+            wait_until(lambda: self.leader.gone, 'the stop of the run')
+        order = RunOrder(TASK, 1, 'x', Demand(1000, 10, 0))
+        self.assertIs(
+            StartOutcome.OLD,
+            self.upstream.carry_out(order, FENCE, LEASE_END_MS),
+        )
+
+    def test_run_that_has_ended_does_not_start_again(self) -> None:
+        """Regression: a completed task ran once more (review/3)."""
+        self.order(1)
+        wait_until(lambda: self.leader.ended_numbers, 'the end of the run')
+        # Polls show that the incarnation is the same as before.
+        time.sleep(0.8)
+        self.check_rejected_after_restart()
+
+    def test_run_that_was_lost_does_not_start_again(self) -> None:
+        """Regression: it ran beside the next run of its task (issue 48)."""
+        self.upstream.run_ms = 60_000
+        self.order(1)
+        wait_until(lambda: self.upstream.running, 'a run')
+        time.sleep(0.8)
+        self.check_rejected_after_restart()
+
+
 class QueuedStartTest(AgentTest):
     def test_start_queued_for_an_earlier_life_is_sent_to_the_next(
         self,
