Store the cancels of best-effort jobs

The cancel was kept in the memory of the leader that acknowledged it, so that the next one began the job anew when it was submitted again. A new leader answered a cancel as for an unknown job while an entry had yet to hand that job over, also when it had found runs of it.

Such a cancel is now stored before it is acknowledged (CancelVolatile), as an end of the job that is kept like others: for a job that is known or was found, and for any job in the first 30 s of a term. Later submissions are answered 'cancelled', and found runs are stopped. A deferred job stays deferred if its cancel can't be stored.

--- a/baobabgap/accepted/__init__.py
+++ b/baobabgap/accepted/__init__.py
@@ -3,6 +3,7 @@
 from baobabgap.accepted._commands import AcceptJobs
 from baobabgap.accepted._commands import BeginEvacuation
 from baobabgap.accepted._commands import CancelAccepted
+from baobabgap.accepted._commands import CancelVolatile
 from baobabgap.accepted._commands import DismissMembers
 from baobabgap.accepted._commands import EndEvacuation
 from baobabgap.accepted._commands import EnrolMembers
@@ -31,6 +32,7 @@
     'AcceptJobs',
     'BeginEvacuation',
     'CancelAccepted',
+    'CancelVolatile',
     'CrashEvidence',
     'Demand',
     'DismissMembers',
--- a/baobabgap/accepted/_commands.py
+++ b/baobabgap/accepted/_commands.py
@@ -34,6 +34,18 @@
     now_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class CancelVolatile:
+    """Cancel jobs that are in no log, so that no leader begins them again.
+
+    A job that was accepted is cancelled, too; one that has ended stays
+    unchanged.
+    """
+
+    job_ids: tuple[str, ...]
+    now_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class PutConfiguration:
     """Activate a configuration, unless one at least as new is active."""
@@ -116,6 +128,7 @@
     AcceptJobs,
     BeginEvacuation,
     CancelAccepted,
+    CancelVolatile,
     DismissMembers,
     EndEvacuation,
     EnrolMembers,
--- a/baobabgap/accepted/_state.py
+++ b/baobabgap/accepted/_state.py
@@ -10,6 +10,7 @@
 from baobabgap.accepted._commands import AcceptJobs
 from baobabgap.accepted._commands import BeginEvacuation
 from baobabgap.accepted._commands import CancelAccepted
+from baobabgap.accepted._commands import CancelVolatile
 from baobabgap.accepted._commands import DismissMembers
 from baobabgap.accepted._commands import EndEvacuation
 from baobabgap.accepted._commands import EnrolMembers
@@ -31,6 +32,9 @@
 from baobabgap.wire import decode
 from baobabgap.wire import encode
 
+# The queue of a volatile job isn't stored.
+_NO_QUEUE: Final = ''
+
 
 @dataclass(slots=True)
 class UnfinishedJob:
@@ -118,6 +122,11 @@
                 for job_id in job_ids:
                     self._end_job(job_id, JobState.CANCELLED)
                 return None
+            case CancelVolatile(job_ids=job_ids, now_ms=now_ms):
+                self._drop_expired(now_ms)
+                for job_id in job_ids:
+                    self._cancel_volatile(job_id)
+                return None
             case EnrolMembers(names=names):
                 self.members.update(names)
                 return None
@@ -248,6 +257,13 @@
                 job_id, unfinished.job.queue, state, self.now_ms, reason
             )
 
+    def _cancel_volatile(self, job_id: str) -> None:
+        self._end_job(job_id, JobState.CANCELLED)
+        if job_id not in self.ended_by_id:
+            self.ended_by_id[job_id] = StoredEnd(
+                job_id, _NO_QUEUE, JobState.CANCELLED, self.now_ms
+            )
+
     def _put_configuration(self, configuration: QueueConfiguration) -> None:
         current = self.configuration
         if current is None or configuration.version > current.version:
--- a/baobabgap/accepted/tests/test_state.py
+++ b/baobabgap/accepted/tests/test_state.py
@@ -8,6 +8,7 @@
 from baobabgap.accepted import AcceptedState
 from baobabgap.accepted import AcceptJobs
 from baobabgap.accepted import CancelAccepted
+from baobabgap.accepted import CancelVolatile
 from baobabgap.accepted import CrashEvidence
 from baobabgap.accepted import Demand
 from baobabgap.accepted import DismissMembers
@@ -195,6 +196,15 @@
             {(0, 1): {3}}, restored.unfinished_by_id['a'].failed_runs_by_task
         )
 
+    def test_cancelled_volatile_job_is_never_accepted(self) -> None:
+        self.apply(CancelVolatile(('a',), 150))
+        restored = AcceptedState(RETENTION_MS)
+        restored.restore(1, self.state.snapshot())
+        for state in (self.state, restored):
+            self.assertIs(JobState.CANCELLED, state.state_of('a'))
+        self.apply(AcceptJobs((make_job(),)))
+        self.assertIs(JobState.CANCELLED, self.state.state_of('a'))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -8,6 +8,7 @@
 from baobabgap.accepted import AcceptedState
 from baobabgap.accepted import AcceptJobs
 from baobabgap.accepted import CancelAccepted
+from baobabgap.accepted import CancelVolatile
 from baobabgap.accepted import JobEnd
 from baobabgap.dispatch._committer import Committer
 from baobabgap.dispatch._evacuations import refuse_evacuated
@@ -48,6 +49,9 @@
 _USUAL_RETURN_S: Final = 0.5
 _USUAL_TAKEOVER_S: Final = 1.8
 _NO_SUCH_QUEUE: Final = 'no such queue'
+# Seconds of a term within which entries hand over jobs of an earlier one;
+# those that stay without a link for longer are dismissed.
+_HAND_OVER_S: Final = 30.0
 
 
 class CallHandler:
@@ -110,7 +114,9 @@
                 self._submit_without_queue(arrived, call, job_id, removed)
             case ReadPath() if self._is_known(job_id):
                 self._read_job(arrived, job_id)
-            case CancelPath() if self._is_known(job_id):
+            case CancelPath() if self._is_known(job_id) or (
+                removed is not None and self._may_be_submitted(job_id)
+            ):
                 self._cancel(arrived, job_id)
             case _:
                 answer(arrived, CallOutcome.NO_SUCH_QUEUE)
@@ -223,7 +229,8 @@
         if event.term != self._term_state.term:
             return
         calls = self._term_state.cancelling_by_id.pop(event.job_id, [])
-        self._term_state.resume_plan(event.job_id)
+        if not self._deferral.is_deferred(event.job_id):
+            self._term_state.resume_plan(event.job_id)
         state = self._state.state_of(event.job_id)
         is_cancelled = event.succeeded and state is JobState.CANCELLED
         for call in calls:
@@ -234,6 +241,7 @@
             else:
                 answer(call, CallOutcome.UNKNOWN, detail='not stored')
         if is_cancelled:
+            self._runs.stop_orphans(event.job_id)
             self._closer.close(JobEnd(event.job_id, JobState.CANCELLED))
 
     def calls_not_begun(self) -> list[CallArrived]:
@@ -468,10 +476,21 @@
             )
         elif job_id in term_state.storing_by_id:
             term_state.storing_by_id[job_id][1].append(arrived)
-        elif self._state.state_of(job_id) is not None:
-            answer(arrived, CallOutcome.ACCEPTED)
         else:
+            return self._answer_stored_job(arrived, call, job_id)
+        return True
+
+    def _answer_stored_job(
+        self, arrived: CallArrived, call: SubmitJob, job_id: str
+    ) -> bool:
+        """Answer a submission of a job in the log; return whether it is."""
+        state = self._state.state_of(job_id)
+        if state is None:
             return False
+        if call.is_volatile and state is JobState.CANCELLED:
+            answer(arrived, CallOutcome.FOUND, state=state)
+        else:
+            answer(arrived, CallOutcome.ACCEPTED)
         return True
 
     def admit_released(self, plan: JobPlan) -> bool:
@@ -686,9 +705,14 @@
 
     def _cancel(self, arrived: CallArrived, job_id: str) -> None:
         term_state = self._term_state
-        if job_id not in term_state.plan_by_id and (
-            job_id not in term_state.storing_by_id
+        is_stored = self._state.state_of(job_id) is not None
+        if (
+            job_id in term_state.storing_by_id
+            or is_stored
+            and job_id in term_state.plan_by_id
         ):
+            self._propose_cancel(arrived, job_id, CancelAccepted)
+        elif is_stored or not self._may_be_submitted(job_id):
             is_cancelled = self._state.state_of(job_id) is JobState.CANCELLED
             answer(
                 arrived,
@@ -696,11 +720,31 @@
                 if is_cancelled
                 else CallOutcome.NO_SUCH_JOB,
             )
-            return
-        if job_id in term_state.callers_by_id:
-            self._closer.close(JobEnd(job_id, JobState.CANCELLED))
-            answer(arrived, CallOutcome.CANCELLED)
-            return
+        else:
+            self._propose_cancel(arrived, job_id, CancelVolatile)
+
+    def _may_be_submitted(self, job_id: str) -> bool:
+        """Return whether a volatile job is known, or may be submitted again.
+
+        An entry may have yet to hand over a job that it sent to an earlier
+        leader, and a caller may send it again whose answer was lost.
+        """
+        term_state = self._term_state
+        return (
+            job_id in term_state.callers_by_id
+            or job_id in term_state.ended_by_id
+            or term_state.orphans.has_job(job_id)
+            or term_state.age_s(time.monotonic()) < _HAND_OVER_S
+        )
+
+    def _propose_cancel(
+        self,
+        arrived: CallArrived,
+        job_id: str,
+        command: type[CancelAccepted] | type[CancelVolatile],
+    ) -> None:
+        """Store a cancel, so that the next leader knows of it, too."""
+        term_state = self._term_state
         waiting = term_state.cancelling_by_id.setdefault(job_id, [])
         waiting.append(arrived)
         if len(waiting) > 1:
@@ -708,7 +752,7 @@
         term_state.hold_plan(job_id)
         term = term_state.term
         self._committer.propose(
-            CancelAccepted((job_id,), int(time.time() * 1000)),
+            command((job_id,), int(time.time() * 1000)),
             lambda result: self._post_event(
                 CancelStored(term, job_id, result is not None)
             ),
--- a/baobabgap/dispatch/_start_deferral.py
+++ b/baobabgap/dispatch/_start_deferral.py
@@ -69,6 +69,10 @@
             self._released_ids.add(job_id)
             self._term_state.resume_plan(job_id)
 
+    def is_deferred(self, job_id: str) -> bool:
+        """Return whether a job may not start before an entry has noted it."""
+        return job_id in self._deferral_by_id
+
     def handle_noted(self, job_ids: Iterable[str]) -> None:
         """Process the answer of an entry to an announcement."""
         for job_id in job_ids:
