Use upstreams beside rows that stay unreadable

A start without an answer kept its task from starting anywhere.

Such a row may stand for any run, and the agent sent no full report and told no run as gone while there was one. Nothing resolved that doubt.

The agent keeps the rows. A run that began after a row was first listed is another one; a row that is listed while no lease holds stands for none, as nothing runs then. A new leader grants no authority before the full report, so that the leases expire and the report follows.

--- a/baobabgap/upstreams/_client.py
+++ b/baobabgap/upstreams/_client.py
@@ -64,8 +64,9 @@
     running: tuple[ActiveRun, ...]
     # Ended runs that have not been acknowledged, oldest first.
     ended: tuple[EndRow, ...]
-    # Rows of either list that couldn't be read: each may stand for any run.
-    unreadable_rows: int = 0
+    # Rows of either list that couldn't be read, in a form to compare them by.
+    # Each may stand for any run.
+    unreadable_rows: tuple[str, ...] = ()
 
 
 class UpstreamSuperseded(Exception):
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -53,6 +53,7 @@
 from baobabgap.upstreams._late_starts import SentStart
 from baobabgap.upstreams._run_table import RunTable
 from baobabgap.upstreams._run_table import TrackedRun
+from baobabgap.upstreams._unreadable_rows import UnreadableRows
 from baobabgap.upstreams._zone_gate import ZoneGate
 
 # Threads that send starts and stops; a call that hangs occupies one.
@@ -313,6 +314,7 @@
         )
         self._authority_until_ms = 0
         self._end_numbers = EndNumbers()
+        self._unreadable_rows = UnreadableRows()
         # The highest number of an end that the leader has made durable.
         self._acknowledged_number = 0
         # Ends that the leader has not made durable yet, by number.
@@ -811,8 +813,9 @@
             open_runs = frozenset(
                 (row.task, row.run) for row in self._end_numbers.open_rows
             )
+            self._note_unreadable_rows(report, answered_at)
             unknown, gone = self._table.apply_report(
-                report, sent_at, open_runs
+                report, sent_at, open_runs, self._unreadable_rows.may_hide
             )
             new_ends = tuple(
                 row
@@ -824,7 +827,7 @@
                 {row.number: row for row in new_ends}
             )
             # The leader would take a run that isn't reported for lost.
-            is_complete = not report.unreadable_rows and all(
+            is_complete = not self._unreadable_rows.may_hide(None) and all(
                 self._table.get(*run) for run in open_runs
             )
             if self._is_full_report_due or (
@@ -838,6 +841,26 @@
                 # Else a takeover could end while the authority is valid.
                 self._request_authority()
 
+    def _note_unreadable_rows(
+        self, report: UpstreamReport, answered_at: float
+    ) -> None:
+        """Decide what unreadable rows may stand for; the lock is held.
+
+        A new leader grants no authority before the full report, so that the
+        leases expire which could keep a run alive that isn't readable.
+        """
+        is_idle = not report.running and self._clock.has_lapsed(answered_at)
+        self._unreadable_rows.note_listed(
+            report.unreadable_rows, answered_at, is_idle=is_idle
+        )
+        if not is_idle or not report.unreadable_rows:
+            return
+        lapsed = self._table.pop_lapsed(answered_at)
+        if lapsed:
+            # Their ends may be among the rows.
+            self._log_lost_runs(lapsed, 'lease lapsed')
+            self._send_runs_gone(tuple(run.row for run in lapsed), 'lapsed')
+
     def _send_full_report(self, fence: int) -> None:
         if self._connection is None or fence != self._fence:
             return
--- a/baobabgap/upstreams/_run_table.py
+++ b/baobabgap/upstreams/_run_table.py
@@ -1,5 +1,6 @@
 """The runs that an agent started or discovered on its upstream."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Set
 from dataclasses import dataclass
@@ -79,14 +80,15 @@
         report: UpstreamReport,
         sent_at: float,
         open_runs: Set[tuple[TaskId, int]] = frozenset(),
+        may_be_hidden: Callable[[float | None], bool] = lambda began_at: False,
     ) -> tuple[list[RunRow], list[RunRow]]:
         """Reconcile with the report to a poll sent at `sent_at`.
 
         Returns the runs that the table didn't have, and the removed runs:
         those whose stop was answered before `sent_at` and that the report
         doesn't list, so that they don't run and never will. Keeps
-        `open_runs`, whose ends aren't believed yet, and removes none if there
-        are rows that couldn't be read, as each may stand for any run.
+        `open_runs`, whose ends aren't believed yet, and those that may be
+        hidden by a row that couldn't be read, by the time of their start.
         """
         self._note_lower(report.running)
         unknown = [
@@ -101,7 +103,7 @@
         gone = [
             run
             for run in self.run_by_task.values()
-            if not report.unreadable_rows
+            if not may_be_hidden(run.began_at)
             and (run.task, run.run) not in listed_runs
             and run.stopped_at is not None
             and run.stopped_at <= sent_at
--- a/baobabgap/upstreams/tests/test_odd_answers.py
+++ b/baobabgap/upstreams/tests/test_odd_answers.py
@@ -27,6 +27,7 @@
 from baobabgap.upstreams import StartOutcome
 from baobabgap.upstreams import UpstreamReport
 from baobabgap.upstreams._run_agent import _POLL_PAUSE_S
+from baobabgap.upstreams._unreadable_rows import UnreadableRows
 from baobabgap.upstreams.tests.test_restarted_upstream import AgentTest
 from baobabgap.upstreams.tests.test_restarted_upstream import FENCE
 from baobabgap.upstreams.tests.test_restarted_upstream import STATE
@@ -37,6 +38,7 @@
 _ODD_S: Final = 1.0
 # Seconds after the odd answers within which a run starts and ends.
 _RECOVERY_S: Final = 2.0
+ODD_ROWS: Final = ('running: None',)
 _ODD_CLOCKS_MS: Final = (2**53, 10**400, 1, 3_600_000)
 
 
@@ -174,7 +176,7 @@
         wait_until(lambda: self.upstream.running, 'a run')
         time.sleep(0.5)
         self.upstream.spoil_report = lambda report: replace(
-            report, running=(), unreadable_rows=1
+            report, running=(), unreadable_rows=ODD_ROWS
         )
         self.upstream.stop_ms = 3000
         self.leader.order(StopRuns(FENCE, (RunRow(TASK, 1, True),)))
@@ -190,7 +192,7 @@
     ) -> None:
         """It would take the run for lost, or for lapsed."""
         self.upstream.spoil_report = lambda report: replace(
-            report, unreadable_rows=1
+            report, unreadable_rows=ODD_ROWS
         )
         time.sleep(0.5)
         leader = self.link_leader(self.agent)
@@ -200,6 +202,62 @@
         self.upstream.spoil_report = lambda report: report
         wait_until(lambda: leader.reports and leader.requests, 'a report')
 
+    def test_next_leader_uses_the_upstream_once_leases_have_expired(
+        self,
+    ) -> None:
+        """Regression: it used none beside a row that stays (review/2)."""
+        self.upstream.run_ms = 60_000
+        self.order(STATE.born_ms)
+        wait_until(lambda: self.upstream.running, 'a run')
+        self.upstream.spoil_report = lambda report: replace(
+            report, unreadable_rows=ODD_ROWS
+        )
+        time.sleep(0.5)
+        self.leader = leader = self.link_leader(self.agent)
+        wait_until(lambda: leader.reports and leader.requests, 'a report')
+        report = leader.reports[0]
+        assert isinstance(report, FullReport)
+        self.assertEqual((), report.running)
+        self.assertEqual(set(), self.upstream.running)
+        self.upstream.run_ms = 30
+        self.run_task()
+
+    def test_run_that_began_after_a_row_is_told_as_gone(self) -> None:
+        """Regression: its task could start nowhere while the row stayed."""
+        self.upstream.spoil_report = lambda report: replace(
+            report, unreadable_rows=ODD_ROWS
+        )
+        time.sleep(0.5)
+        self.upstream.leaves_unanswered = lambda order: True
+        self.start_task(TASK)
+        wait_until(lambda: self.leader.gone, 'the loss of the run')
+        self.assertEqual(
+            [TASK], [run.task for run in self.leader.gone[0].runs]
+        )
+
+
+class UnreadableRowsTest(unittest.TestCase):
+    def test_new_row_may_stand_for_each_run_that_began_before(self) -> None:
+        rows = UnreadableRows()
+        rows.note_listed(['a'], 5.0, is_idle=False)
+        rows.note_listed(['a'], 6.0, is_idle=False)
+        self.assertTrue(rows.may_hide(4.0))
+        self.assertFalse(rows.may_hide(5.5))
+        rows.note_listed(['a', 'a'], 7.0, is_idle=False)
+        self.assertTrue(rows.may_hide(5.5))
+        rows.note_listed([], 8.0, is_idle=False)
+        self.assertFalse(rows.may_hide(None))
+
+    def test_row_of_an_idle_upstream_stands_for_no_run(self) -> None:
+        rows = UnreadableRows()
+        rows.note_listed(['a'], 5.0, is_idle=False)
+        self.assertTrue(rows.may_hide(None))
+        rows.note_listed(['a'], 6.0, is_idle=True)
+        rows.note_listed(['a'], 7.0, is_idle=False)
+        self.assertFalse(rows.may_hide(None))
+        rows.note_listed(['a', 'b'], 8.0, is_idle=False)
+        self.assertTrue(rows.may_hide(None))
+
 
 class OddStartTimeTest(OddAnswersTest):
     def test_run_goes_on_after_an_answer_with_another_start_time(self) -> None:
@@ -232,7 +290,7 @@
 class PollRateTest(OddAnswersTest):
     def test_unreadable_row_is_polled_without_a_pause(self) -> None:
         self.upstream.answers_at_once = True
-        with self.upstream.odd_reports(unreadable_rows=1):
+        with self.upstream.odd_reports(unreadable_rows=ODD_ROWS):
             time.sleep(0.2)
             polls = self.upstream.polls
             began_at = time.monotonic()
