Split the cancels of jobs from the other calls

JobCanceller holds what CallHandler did with cancels, unchanged but for one guard: a path without an identifier, or with one of more than 64 characters, is no job that an entry may hand over, so that its cancel isn't stored.

--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -7,16 +7,14 @@
 
 from baobabgap.accepted import AcceptedState
 from baobabgap.accepted import AcceptJobs
-from baobabgap.accepted import CancelAccepted
-from baobabgap.accepted import CancelVolatile
 from baobabgap.accepted import JobEnd
 from baobabgap.dispatch._committer import Committer
 from baobabgap.dispatch._evacuations import refuse_evacuated
 from baobabgap.dispatch._events import CallArrived
 from baobabgap.dispatch._events import CallDropped
-from baobabgap.dispatch._events import CancelStored
 from baobabgap.dispatch._events import JobsStored
 from baobabgap.dispatch._events import PostEvent
+from baobabgap.dispatch._job_canceller import JobCanceller
 from baobabgap.dispatch._job_closer import JobCloser
 from baobabgap.dispatch._replies import answer
 from baobabgap.dispatch._replies import answer_unavailable
@@ -49,9 +47,6 @@
 _USUAL_RETURN_S: Final = 0.5
 _USUAL_TAKEOVER_S: Final = 1.8
 _NO_SUCH_QUEUE: Final = 'no such queue'
-# Seconds of a term within which entries hand over jobs of an earlier one;
-# those that stay without a link for longer are dismissed.
-_HAND_OVER_S: Final = 30.0
 
 
 class CallHandler:
@@ -62,6 +57,7 @@
         term_state: TermState,
         runs: RunTracker,
         closer: JobCloser,
+        canceller: JobCanceller,
         deferral: StartDeferral,
         state: AcceptedState,
         committer: Committer,
@@ -71,6 +67,7 @@
         self._term_state: Final = term_state
         self._runs: Final = runs
         self._closer: Final = closer
+        self._canceller: Final = canceller
         self._deferral: Final = deferral
         # Only read by single look-ups, which are safe against concurrent
         # updates.
@@ -97,7 +94,7 @@
             case ReadPath():
                 self._read(arrived, match)
             case CancelPath():
-                self._cancel(arrived, match.rest)
+                self._canceller.cancel(arrived, match.rest)
 
     def _handle_without_queue(
         self, arrived: CallArrived, removed: QueueMatch | None
@@ -115,9 +112,10 @@
             case ReadPath() if self._is_known(job_id):
                 self._read_job(arrived, job_id)
             case CancelPath() if self._is_known(job_id) or (
-                removed is not None and self._may_be_submitted(job_id)
+                removed is not None
+                and self._canceller.may_be_handed_over(job_id)
             ):
-                self._cancel(arrived, job_id)
+                self._canceller.cancel(arrived, job_id)
             case _:
                 answer(arrived, CallOutcome.NO_SUCH_QUEUE)
 
@@ -224,26 +222,6 @@
                 else:
                     answer(call, CallOutcome.UNKNOWN, detail='not stored')
 
-    def handle_stored_cancel(self, event: CancelStored) -> None:
-        """Answer the callers of a cancel; close the job if it is durable."""
-        if event.term != self._term_state.term:
-            return
-        calls = self._term_state.cancelling_by_id.pop(event.job_id, [])
-        if not self._deferral.is_deferred(event.job_id):
-            self._term_state.resume_plan(event.job_id)
-        state = self._state.state_of(event.job_id)
-        is_cancelled = event.succeeded and state is JobState.CANCELLED
-        for call in calls:
-            if is_cancelled:
-                answer(call, CallOutcome.CANCELLED)
-            elif event.succeeded:
-                answer(call, CallOutcome.NO_SUCH_JOB)
-            else:
-                answer(call, CallOutcome.UNKNOWN, detail='not stored')
-        if is_cancelled:
-            self._runs.stop_orphans(event.job_id)
-            self._closer.close(JobEnd(event.job_id, JobState.CANCELLED))
-
     def calls_not_begun(self) -> list[CallArrived]:
         """Return the calls for volatile jobs that certainly have not begun.
 
@@ -703,61 +681,6 @@
             if plan.job.queue == queue and not plan.has_started
         )
 
-    def _cancel(self, arrived: CallArrived, job_id: str) -> None:
-        term_state = self._term_state
-        is_stored = self._state.state_of(job_id) is not None
-        if (
-            job_id in term_state.storing_by_id
-            or is_stored
-            and job_id in term_state.plan_by_id
-        ):
-            self._propose_cancel(arrived, job_id, CancelAccepted)
-        elif is_stored or not self._may_be_submitted(job_id):
-            is_cancelled = self._state.state_of(job_id) is JobState.CANCELLED
-            answer(
-                arrived,
-                CallOutcome.CANCELLED
-                if is_cancelled
-                else CallOutcome.NO_SUCH_JOB,
-            )
-        else:
-            self._propose_cancel(arrived, job_id, CancelVolatile)
-
-    def _may_be_submitted(self, job_id: str) -> bool:
-        """Return whether a volatile job is known, or may be submitted again.
-
-        An entry may have yet to hand over a job that it sent to an earlier
-        leader, and a caller may send it again whose answer was lost.
-        """
-        term_state = self._term_state
-        return (
-            job_id in term_state.callers_by_id
-            or job_id in term_state.ended_by_id
-            or term_state.orphans.has_job(job_id)
-            or term_state.age_s(time.monotonic()) < _HAND_OVER_S
-        )
-
-    def _propose_cancel(
-        self,
-        arrived: CallArrived,
-        job_id: str,
-        command: type[CancelAccepted] | type[CancelVolatile],
-    ) -> None:
-        """Store a cancel, so that the next leader knows of it, too."""
-        term_state = self._term_state
-        waiting = term_state.cancelling_by_id.setdefault(job_id, [])
-        waiting.append(arrived)
-        if len(waiting) > 1:
-            return
-        term_state.hold_plan(job_id)
-        term = term_state.term
-        self._committer.propose(
-            command((job_id,), int(time.time() * 1000)),
-            lambda result: self._post_event(
-                CancelStored(term, job_id, result is not None)
-            ),
-        )
-
 
 def _share_fields(share: QueueShare | None) -> dict[str, float]:
     """Return the log fields of a share; none if the queue is forgotten."""
--- a/baobabgap/dispatch/_scheduler.py
+++ b/baobabgap/dispatch/_scheduler.py
@@ -38,6 +38,7 @@
 from baobabgap.dispatch._events import OrderApplied
 from baobabgap.dispatch._events import StartsNoted
 from baobabgap.dispatch._events import ZoneChanged
+from baobabgap.dispatch._job_canceller import JobCanceller
 from baobabgap.dispatch._job_closer import JobCloser
 from baobabgap.dispatch._queue_report import QueueReport
 from baobabgap.dispatch._replies import answer
@@ -95,10 +96,20 @@
             term_state, runs, state, committer, self.post_event, metrics
         )
         self._deferral = StartDeferral(term_state, metrics)
+        self._canceller = JobCanceller(
+            term_state,
+            runs,
+            self._closer,
+            self._deferral,
+            state,
+            committer,
+            self.post_event,
+        )
         self._calls = CallHandler(
             term_state,
             runs,
             self._closer,
+            self._canceller,
             self._deferral,
             state,
             committer,
@@ -217,7 +228,7 @@
             case JobsStored():
                 self._calls.handle_stored_jobs(event)
             case CancelStored():
-                self._calls.handle_stored_cancel(event)
+                self._canceller.handle_stored(event)
             case EndsStored():
                 self._closer.handle_stored(event)
             case EntryLinked() | EntryUnlinked() | EntryEnrolled():
--- a/baobabgap/dispatch/tests/test_cancelled_jobs.py
+++ b/baobabgap/dispatch/tests/test_cancelled_jobs.py
@@ -54,6 +54,12 @@
         calls = self.deployment.entries[entry]
         return calls.forward(call, WAIT_S, WAIT_S, lambda: False).outcome
 
+    def test_path_that_names_no_job_is_not_stored(self) -> None:
+        for job_id in ('', 'a' * 1000):
+            with self.subTest(length=len(job_id)):
+                answer = self.deployment.cancel(job_id)
+                self.assertIs(CallOutcome.NO_SUCH_JOB, answer.outcome)
+
     def check_nothing_starts(self) -> None:
         known = self.starts()
         time.sleep(1.5 * STEP_MS / 1000)
--- a/baobabgap/dispatch/tests/test_late_jobs.py
+++ b/baobabgap/dispatch/tests/test_late_jobs.py
@@ -52,6 +52,7 @@
             self.term_state,
             self.runs,
             Mock(),
+            Mock(),
             StartDeferral(self.term_state, Metrics()),
             state,
             Mock(),
