--- a/baobabgap/dispatch/_call_handler.py
+++ b/baobabgap/dispatch/_call_handler.py
@@ -126,7 +126,7 @@
         job_id: str,
         removed: QueueMatch | None,
     ) -> None:
-        """Go on with a job of a removed queue, or reject it."""
+        """Continue a job of a removed queue, or reject it."""
         if self._answer_known_job(arrived, call, job_id):
             return
         may_have_begun = self._may_have_begun(call, job_id)
@@ -152,7 +152,7 @@
     def _may_have_begun(self, call: SubmitJob, job_id: str) -> bool:
         """Return whether a leader may have begun tasks of a new submission.
 
-        The one place that decides whether a rejection may be true.
+        All rejections depend on it: they state that nothing has run.
         """
         term_state = self._term_state
         if not call.is_volatile:
--- a/baobabgap/dispatch/_control_node.py
+++ b/baobabgap/dispatch/_control_node.py
@@ -84,7 +84,7 @@
         self._pool = ThreadPoolExecutor(_MAX_THREADS, 'control')
         self.metrics: Final = Metrics()
         self.metrics.add_source(PROCESS_TRAFFIC.as_metrics)
-        # Whoever runs this node must end and start it anew once one fails.
+        # The process must end and be started again once one of them fails.
         self.tasks: Final = EssentialTasks(self.metrics)
         self._state = AcceptedState(options.retention_ms)
         self._log = ReplicatedLog.from_settings(
@@ -333,7 +333,7 @@
         self.tasks.watch(name, self._pool.submit(run_or_resign))
 
     def _resign(self) -> None:
-        """Have another host lead, and send the members there."""
+        """Transfer leadership, and close the links of the members."""
         self._leadership.stop()
         self._log.stop()
         self._close_member_connections()
--- a/baobabgap/dispatch/_job_canceller.py
+++ b/baobabgap/dispatch/_job_canceller.py
@@ -22,7 +22,7 @@
 # Seconds of a term within which entries hand over jobs of an earlier one;
 # those that stay without a link for longer are dismissed.
 _HAND_OVER_S: Final = 30.0
-# Characters of a job's identifier; a longer path isn't worth a record.
+# Characters of a job's identifier; cancels of longer paths aren't stored.
 _LONGEST_ID: Final = 64
 
 
@@ -76,10 +76,10 @@
             self._propose(arrived, job_id, CancelVolatile)
 
     def may_be_handed_over(self, job_id: str) -> bool:
-        """Return whether a volatile job is known, or may be submitted yet.
+        """Return whether a volatile job is known, or may be submitted again.
 
-        An entry may have yet to hand over a job that it sent to an earlier
-        leader, and a caller may send it again whose answer was lost.
+        An entry may not have sent its jobs of an earlier term to this leader
+        yet, and a caller whose answer was lost sends its job again.
         """
         term_state = self._term_state
         if not 0 < len(job_id) <= _LONGEST_ID:
--- a/baobabgap/dispatch/_membership_manager.py
+++ b/baobabgap/dispatch/_membership_manager.py
@@ -143,7 +143,7 @@
         standbys: Sequence[ControlHost],
         silent: Sequence[MemberStatus],
     ) -> AddHost | RemoveMember | None:
-        # A lost learner takes the place of a host that could become a voter.
+        # A lost learner counts toward the size, but never becomes a voter.
         for member in silent:
             if not member.voter:
                 return RemoveMember(member.name)
--- a/baobabgap/replication/_applier.py
+++ b/baobabgap/replication/_applier.py
@@ -171,7 +171,7 @@
         except StorageUnavailable as error:
             log_event('snapshot_not_saved', reason=str(error))
         except Exception as error:
-            # The log is kept, so that the next snapshot can make good for it.
+            # The log is kept, so that the next snapshot covers its entries.
             log_event('snapshot_not_saved', reason=repr(error))
         finally:
             self._is_saving = False
--- a/baobabgap/replication/_changes.py
+++ b/baobabgap/replication/_changes.py
@@ -71,9 +71,9 @@
     def add(self, host: ControlHost) -> Future[None]:
         """Add a host; completes once it is a voter.
 
-        That may never be: the future then fails with `MemberRemoved` when the
-        host is removed, or with `OutcomeUnknown` when this host no longer
-        leads.
+        If the host never catches up, the future fails with `MemberRemoved`
+        when the host is removed, or with `OutcomeUnknown` when this host no
+        longer leads.
         """
         with self._state.lock:
             membership = self._state.membership
--- a/baobabgap/replication/_log.py
+++ b/baobabgap/replication/_log.py
@@ -58,8 +58,8 @@
         self._tasks: list[Future[None]] = []
         self._session_connections: set[Connection] = set()
         self._stopped = threading.Event()
-        # Called with the name of a task that has failed and the error. This
-        # host no longer takes part in the group then, until it starts anew.
+        # Called with the name of a task that has failed and the error. From
+        # then on this host doesn't take part in the group.
         self.on_task_failure: Callable[[str, Exception], None] = (
             lambda name, error: None
         )
--- a/baobabgap/scheduling/_job_plan.py
+++ b/baobabgap/scheduling/_job_plan.py
@@ -69,8 +69,8 @@
         self.has_started = False
         # Whether an earlier leader may have started tasks of the job.
         self.may_have_begun = False
-        # Whether a newer configuration than the one under which the job was
-        # accepted has removed its queue: it goes on, but doesn't begin anew.
+        # Whether its queue has been removed since an earlier leader accepted
+        # it: its runs are continued, but without any it doesn't start again.
         self.is_queue_removed = False
         self.task_by_id: dict[TaskId, PlannedTask] = {}
         # Tasks that wait for a start, by step.
