Take calls that the HTTP library sent twice for repeated ones

A start was told as started, so that its first copy could run on the next life of the upstream; or as refused, so that its task could start elsewhere while the first copy ran.

WebClient compares the bytes sent with the size of one request and says so in WebResponse.was_resent.

--- a/baobabgap/upstreams/_client.py
+++ b/baobabgap/upstreams/_client.py
@@ -67,6 +67,8 @@
     # Rows of either list that couldn't be read, in a form to compare them by.
     # Each may stand for any run.
     unreadable_rows: tuple[str, ...] = ()
+    # Whether the poll was sent twice, and one of both has no answer.
+    was_repeated: bool = False
 
 
 class UpstreamSuperseded(Exception):
--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -728,10 +728,11 @@
             return None
         finally:
             with self._lock:
+                is_settled = report is not None and not report.was_repeated
                 self._clock.settle_lease(
                     lease,
                     was_delivered=was_delivered,
-                    answered_at=boottime_clock() if report else None,
+                    answered_at=boottime_clock() if is_settled else None,
                 )
                 self._is_refused = is_refused
 
--- a/baobabgap/webclient/_client.py
+++ b/baobabgap/webclient/_client.py
@@ -17,6 +17,8 @@
 # Headers that libcurl adds by default; each costs the server parsing time.
 _SUPPRESSED_HEADERS: Final = ('Expect:', 'Accept:', 'User-Agent:')
 _METHODS_WITH_BODY: Final = ('POST', 'PUT', 'PATCH')
+# What a request has besides its method, path, address, headers and body.
+_LEAST_OVERHEAD_BYTES: Final = len('  HTTP/1.1\r\nHost: \r\n\r\n')
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +31,9 @@
     header_by_name: dict[str, str]
     # The undecoded body.
     body: bytes
+    # Whether the request was sent before on a connection that ended without
+    # a response; the server may have got it twice.
+    was_resent: bool = False
 
     def document(self) -> Any:
         """Decode the body as JSON; None if the body is empty."""
@@ -51,7 +56,8 @@
     A request without a complete response raises `ConnectionLost`: the
     server may have acted on it. libcurl resends a request if a persistent
     connection ends while it is in use, so only `RequestNeverSent` proves
-    that the server has not acted.
+    that the server has not acted. `WebResponse.was_resent` tells of a response
+    to such a request.
     """
 
     def __init__(self, address: str) -> None:
@@ -98,13 +104,16 @@
         curl.setopt(pycurl.TCP_NODELAY, 1)
         curl.setopt(pycurl.WRITEDATA, body)
         curl.setopt(pycurl.HEADERFUNCTION, header_lines.append)
-        headers = list(_SUPPRESSED_HEADERS)
-        for name, value in (header_by_name or {}).items():
-            headers.append(f'{name}: {value}')
+        headers = [
+            f'{name}: {value}'
+            for name, value in (header_by_name or {}).items()
+        ]
+        content = ''
         if document is not None or method in _METHODS_WITH_BODY:
             headers.append('Content-Type: application/json')
-            curl.setopt(pycurl.POSTFIELDS, json.dumps(document))
-        curl.setopt(pycurl.HTTPHEADER, headers)
+            content = json.dumps(document)
+            curl.setopt(pycurl.POSTFIELDS, content)
+        curl.setopt(pycurl.HTTPHEADER, [*_SUPPRESSED_HEADERS, *headers])
         if is_given_up is not None:
             curl.setopt(pycurl.NOPROGRESS, 0)
             curl.setopt(
@@ -117,8 +126,13 @@
                 str(error.args[-1]), step='request', peer=self._address
             ) from error
         status = int(curl.getinfo(pycurl.RESPONSE_CODE))
+        least_bytes = sum(map(len, (method, path, self._address, content)))
+        least_bytes += sum(map(len, headers)) + _LEAST_OVERHEAD_BYTES
         return WebResponse(
-            status, _parse_headers(header_lines), body.getvalue()
+            status,
+            _parse_headers(header_lines),
+            body.getvalue(),
+            curl.getinfo(pycurl.REQUEST_SIZE) >= 2 * least_bytes,
         )
 
     def _error_class(self) -> type[ConnectionLost]:
--- a/baobabgap/webclient/tests/test_client.py
+++ b/baobabgap/webclient/tests/test_client.py
@@ -64,3 +64,47 @@
         self.post()
         served.result(10)
         self.assertTrue(self.client.is_closed_by_server())
+
+    def serve_twice(self, reads_first: bool) -> None:
+        """Answer a request, maybe read the next one, then serve it again."""
+        self.serve_open(1, reads_first)
+        self.serve_open(1, False)
+
+    def serve_open(self, answers: int, reads_unanswered: bool) -> None:
+        connection, _ = self.listener.accept()
+        for _ in range(answers):
+            connection.recv(65536)
+            connection.sendall(_OK)
+        if reads_unanswered:
+            connection.recv(65536)
+        connection.close()
+
+    def test_response_to_a_resent_request_says_so(self) -> None:
+        """The server may have acted on the first copy, and may do so late."""
+        for path, document in (('/', {}), ('/path', {'spec': 'x' * 4000})):
+            with self.subTest(path=path):
+                self.setUp()
+                served = self.pool.submit(self.serve_twice, True)
+                headers = {'X-Some-Header': 'value'}
+                responses = [
+                    self.client.request(
+                        'POST',
+                        path,
+                        document,
+                        timeout_s=10,
+                        header_by_name=headers,
+                    )
+                    for _ in range(2)
+                ]
+                served.result(10)
+                self.assertEqual(
+                    [False, True], [each.was_resent for each in responses]
+                )
+
+    def test_answered_requests_are_not_resent_ones(self) -> None:
+        """Otherwise a refusal would count as a missing answer."""
+        served = self.pool.submit(self.serve_open, 3, False)
+        for document in ({}, {'spec': 'x' * 4000}, {}):
+            response = self.client.request('POST', '/', document, timeout_s=10)
+            self.assertFalse(response.was_resent)
+        served.result(10)
