Don't take an upstream for idle that a late start may use

Found by reading the change once more: took an upstream without a lease for idle, and unreadable rows for no runs. A start of its earlier life may have a lease that was counted on the earlier clock, and run on.

Before: RunTable couldn't tell.

--- a/baobabgap/upstreams/_run_agent.py
+++ b/baobabgap/upstreams/_run_agent.py
@@ -850,7 +850,11 @@
         A new leader grants no authority before the full report, so that the
         leases expire which could keep a run alive that isn't readable.
         """
-        is_idle = not report.running and self._clock.has_lapsed(answered_at)
+        is_idle = (
+            not report.running
+            and self._clock.has_lapsed(answered_at)
+            and not self._table.may_run_at(answered_at)
+        )
         self._unreadable_rows.note_listed(
             report.unreadable_rows, answered_at, is_idle=is_idle
         )
--- a/baobabgap/upstreams/_run_table.py
+++ b/baobabgap/upstreams/_run_table.py
@@ -123,6 +123,12 @@
             for run in self.run_by_task.values()
         )
 
+    def may_run_at(self, now: float) -> bool:
+        """Return whether a run may go on although the lease has expired."""
+        return any(
+            run.may_run_until >= now for run in self.run_by_task.values()
+        )
+
     def pop_lapsed(self, now: float) -> list[TrackedRun]:
         """Remove and return the runs that end with the upstream's lease."""
         runs = [
--- a/baobabgap/upstreams/tests/test_run_table.py
+++ b/baobabgap/upstreams/tests/test_run_table.py
@@ -94,6 +94,13 @@
         unknown, _ = self.table.apply_report(report(ActiveRun(OTHER, 1)), 1.0)
         self.assertEqual([RunRow(OTHER, 1, True)], unknown)
 
+    def test_late_start_of_an_earlier_life_outlasts_the_lease(self) -> None:
+        """With it, an upstream whose lease has expired isn't idle."""
+        self.assertFalse(self.table.may_run_at(5.0))
+        self.tracked.may_run_until = 5.0
+        self.assertTrue(self.table.may_run_at(5.0))
+        self.assertFalse(self.table.may_run_at(5.1))
+
     def test_stop_waits_for_start_and_is_repeated(self) -> None:
         self.tracked.must_stop = True
         self.tracked.is_in_flight = True
