--- a/baobabgap/dispatch/_membership_manager.py
+++ b/baobabgap/dispatch/_membership_manager.py
@@ -62,7 +62,7 @@
         self._silence_limit_s: Final = silence_limit_s
         self._lock = threading.Lock()
         self._standby_by_name: dict[str, ControlHost] = {}
-        # When hosts whose links still stand were last removed as silent.
+        # When hosts whose links are open were last removed as silent.
         self._removed_at_by_name: dict[str, float] = {}
         self._leading_since: float | None = None
         self._last_error = ''
--- a/baobabgap/tasks/_essential_tasks.py
+++ b/baobabgap/tasks/_essential_tasks.py
@@ -15,8 +15,8 @@
     """Reports the failure of a task without which a process can't work.
 
     The other tasks of such a process would keep its ports and links open, so
-    that it looks alive and nothing starts it again. Its main loop sets
-    `on_failure` and ends the process::
+    that no supervisor would restart it. Its main loop sets `on_failure` and
+    ends the process::
 
         tasks = EssentialTasks(metrics)
         tasks.on_failure = stop_requested.set
