Start elections at their random times, not at ticks

Cause: the loop compared the random election times with the clock only ten times per election timeout. Hosts that are started together tick together, so that half of them started their elections in the same tick and split the votes, and so did the next elections.

Evidence: a script restarted two hosts of three and recorded the messages. All times were multiples of a tick; in each slow restart both hosts had started an election within 2 ms and voted for themselves. Ruled out: slow storage or links, as all steps took less than 6 ms.

Now the loop waits until the next tick or the election's time, whichever is earlier, so that random times differ by as much as they were chosen to.

--- a/baobabgap/replication/_election.py
+++ b/baobabgap/replication/_election.py
@@ -62,14 +62,18 @@
         if self._state.is_leader:
             self._early_left = 0
             self._check_quorum()
-        elif time.monotonic() >= min(
-            self._state.election_due_at, self._early_due_at()
-        ):
+        elif time.monotonic() >= self.due_at():
             self._state.postpone_election()
             self._early_left = max(0, self._early_left - 1)
             self._postpone_early()
             self._start_pre_vote()
 
+    def due_at(self) -> float:
+        """Return the monotonic time of the next election, or infinity."""
+        if self._state.is_leader:
+            return float('inf')
+        return min(self._state.election_due_at, self._early_due_at())
+
     def start_without_pre_vote(self) -> None:
         """Start an election that the leader has requested."""
         if self._may_start_election():
--- a/baobabgap/replication/_log.py
+++ b/baobabgap/replication/_log.py
@@ -287,7 +287,11 @@
                 self._founding.tick()
                 self._election.tick()
                 self._changes.tick()
-            self._stopped.wait(interval_s)
+                election_due_at = self._election.due_at()
+            # Elections start at their random times. Rounded to ticks, those
+            # of hosts that tick together would often be the same.
+            until_election_s = max(0.0, election_due_at - time.monotonic())
+            self._stopped.wait(min(interval_s, until_election_s))
 
     def _fail_remaining(self) -> None:
         with self._state.lock:
--- a/baobabgap/replication/tests/test_restart.py
+++ b/baobabgap/replication/tests/test_restart.py
@@ -1,12 +1,15 @@
 """Restarts of all hosts of a group, and of one host beside its leader.
 
 Guards against an election that waits for its timeout although all hosts
-have just started, and against one that a host causes when it returns.
+have just started, against split votes of hosts whose timers are checked at
+the same moments, and against an election that a host causes when it returns.
 """
 
 import time
 import unittest
+from unittest import mock
 
+from baobabgap.replication._log import _TICKS_PER_ELECTION_TIMEOUT
 from baobabgap.replication.tests._group import ELECTION_TIMEOUT_S
 from baobabgap.replication.tests._group import Group
 from baobabgap.replication.tests._group import Host
@@ -59,6 +62,21 @@
         group.leader(group.hosts[1:])
         self.assertLess(time.monotonic() - started_at, LONG_TIMEOUT_S)
 
+    def test_an_election_starts_at_its_random_time(self) -> None:
+        # Guards against random times that are rounded up to the next tick:
+        # hosts that tick together then split their votes again and again.
+        timeout_s = 60.0
+        tick_s = timeout_s / _TICKS_PER_ELECTION_TIMEOUT
+        group = self.make_group(1)
+        (host,) = group.hosts
+        host.kill()
+        host.election_timeout_s = timeout_s
+        with mock.patch('random.random', return_value=0.05):
+            started_at = time.monotonic()
+            host.start()
+            group.leader()
+        self.assertLess(time.monotonic() - started_at, tick_s)
+
     def test_a_host_without_a_majority_seeks_no_election(self) -> None:
         group = self.make_group(3)
         for host in group.hosts:
