--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -34,6 +34,10 @@
         self.tasks = []
         # Faults, set by the case.
         self.keeps_id = False
+        # Called with each order; if true, the order is kept unanswered in
+        # `held`, and the case carries it out later.
+        self.must_hold = lambda path, document: False
+        self.held = None
         self.is_cut = False
         self.shed = False
         self.late_share = 0.0
@@ -151,6 +155,12 @@
             return await self._hold(document)
         if path not in ('/api/run-start', '/api/run-stop'):
             return 404, {}
+        if self.must_hold(path, document):
+            self.held = document
+            self.record('unanswered', worker=self.name, path=path,
+                        task=document['task'], run=document['run'])
+            await asyncio.sleep(30)
+            return None
         if self.rng and self.rng.random() < self.late_share:
             life = self.life
             delay = self.rng.uniform(*self.late_s)
@@ -162,6 +172,13 @@
             return None
         return self._carry_out(path, document)
 
+    def carry_out_held(self):
+        """Carry out the start that was kept."""
+        document, self.held = self.held, None
+        status, _ = self._carry_out('/api/run-start', document, late=True)
+        self.record('carried_out_late', worker=self.name,
+                    task=document['task'], run=document['run'], status=status)
+
     def _carry_out_late(self, life, path, document):
         if self.up and self.life == life:
             self._carry_out(path, document, late=True)
