--- a/review/lib2/system.py
+++ b/review/lib2/system.py
@@ -7,7 +7,6 @@
 import random
 import shlex
 import shutil
-import signal
 import socket
 import subprocess
 import sys
@@ -158,14 +157,6 @@
                 words, cwd=ROOT, env=environment, stdout=log, stderr=log)
         self.record('process_started', name=name)
 
-    def signal(self, name, number):
-        self.record('signal', name=name, signal=signal.Signals(number).name)
-        self.children[name].send_signal(number)
-
-    def kill(self, name):
-        self.signal(name, signal.SIGKILL)
-        self.children[name].wait()
-
     async def start(self, attempts=2, queues=1):
         """Start all processes and workers; return whether jobs are served."""
         for name in self.specs:
@@ -182,13 +173,13 @@
             return False
         return await self.wait_until_served(30)
 
-    async def put_configuration(self, within, guards=True):
+    async def put_configuration(self, within):
         self.version += 1
         document = {
             'version': self.version, 'routes': self.queues,
             'services': [{'name': SERVICE, 'healthPath': '/health',
                           'maxConns': 64, 'protocol': 'h1', 'tls': False,
-                          'admissionCheck': guards, 'spare': False}],
+                          'admissionCheck': True, 'spare': False}],
             'limits': {'maxHeaderBytes': 16384, 'maxBodyBytes': 262144,
                        'headerTimeoutMs': 3000, 'idleTimeoutMs': 15000}}
         until = time.monotonic() + within
@@ -224,7 +215,6 @@
     async def stop(self):
         for child in self.children.values():
             if child.poll() is None:
-                child.send_signal(signal.SIGCONT)
                 child.kill()
         for child in self.children.values():
             child.wait()
@@ -233,14 +223,11 @@
                 await worker.crash()
         keep = os.environ.get('KEEP')
         if keep:
+            # Settings and logs, for a look at them.
             shutil.rmtree(keep, ignore_errors=True)
             shutil.copytree(self.folder, keep)
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def ended_by_themselves(self):
-        return [name for name, child in self.children.items()
-                if child.poll() is not None]
-
     # Clients.
 
     def new_id(self):
--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -32,17 +32,14 @@
         self.server = None
         self.life = 0
         self.tasks = []
-        # Faults, set by the case.
+        # Whether the next life has the same id.
         self.keeps_id = False
+        # Faults, set by the case.
         # Called with each order; if true, the order is kept unanswered in
         # `held`, and the case carries it out later.
         self.must_hold = lambda path, document: False
         self.held = None
-        self.is_cut = False
         self.shed = False
-        self.late_share = 0.0
-        self.late_s = (2.0, 12.0)
-        self.rng = None
         self.fails = lambda task, run: False
         self.demand_of = lambda task: {}
 
@@ -88,11 +85,11 @@
     def clock(self):
         return int(1000 * (time.monotonic() - self.clock0))
 
-    async def drain(self, beat=True):
+    async def drain(self):
+        """Say so in a heartbeat; return whether it is acknowledged."""
         self.state = 'draining'
         self.record('drain_begins', worker=self.name)
-        if beat:
-            return await self._send_beat()
+        return await self._send_beat()
 
     async def leave(self):
         """Send the leave notice, then end."""
@@ -108,8 +105,6 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _send_beat(self):
-        if self.is_cut:
-            return False
         self.seq += 1
         state = self.state
         body = {
@@ -143,10 +138,6 @@
     # Calls of the agent.
 
     async def handle(self, method, path, headers, body):
-        if self.is_cut:
-            # The call and its connection are lost.
-            await asyncio.sleep(30)
-            return None
         expected = headers.get('x-baobabgap-expect-instance')
         if expected and expected != self.id:
             return 421, {}
@@ -161,15 +152,6 @@
                         task=document['task'], run=document['run'])
             await asyncio.sleep(30)
             return None
-        if self.rng and self.rng.random() < self.late_share:
-            life = self.life
-            delay = self.rng.uniform(*self.late_s)
-            asyncio.get_running_loop().call_later(
-                delay, self._carry_out_late, life, path, document)
-            self.record('unanswered', worker=self.name, path=path,
-                        task=document['task'], run=document['run'])
-            await asyncio.sleep(30)
-            return None
         return self._carry_out(path, document)
 
     def carry_out_held(self):
@@ -179,10 +161,6 @@
         self.record('carried_out_late', worker=self.name,
                     task=document['task'], run=document['run'], status=status)
 
-    def _carry_out_late(self, life, path, document):
-        if self.up and self.life == life:
-            self._carry_out(path, document, late=True)
-
     def _carry_out(self, path, document, late=False):
         fence = document.get('fence', 0)
         if fence < self.fence:
