--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,6 @@
 """The count of waiting jobs leaves out jobs that have never begun.
 
-One of eleven workers has the label `b`. It is unhealthy for 6.5 s and answers
+One of twelve workers has the label `b`. It is unhealthy for 6.5 s and answers
 each start with 503, so that it has done nothing (`srv_grey`, how `shed`).
 Jobs that need it are accepted meanwhile, and the queue's count is read.
 """
@@ -22,8 +22,8 @@
 
 
 async def main(record, trouble):
-    deployment = system.System(record, controls=3, entries=2, workers=11)
-    deployment.workers[10].labels = ['b', 'r4']
+    deployment = system.System(record, controls=3, entries=2, workers=12)
+    deployment.workers[11].labels = ['b', 'r4']
     try:
         if not await deployment.start():
             return None
@@ -33,7 +33,7 @@
 
 
 async def play(deployment, record, trouble):
-    worker = deployment.workers[10]
+    worker = deployment.workers[11]
     worker.shed = trouble
     began = record.now()
     accepted_at = {}
