--- a/review/lib3/worker.py
+++ b/review/lib3/worker.py
@@ -36,7 +36,8 @@
         self.lapsed = True
         # How it misbehaves, from its control file: shares of calls that are
         # carried out late ("late") or not answered ("mute"), a factor by
-        # which work takes longer ("slow"), and the state that it reports.
+        # which work takes longer ("slow"), the state that it reports, and its
+        # room ("cpu").
         self.ways = {}
         self.record_file = open(options.record, 'a', buffering=1)
 
@@ -79,8 +80,8 @@
         self.cond.notify_all()
 
     def free(self):
-        cpu = self.options.cpu - sum(r['cpu'] for r in self.running.values())
-        return cpu
+        cpu = self.ways.get('cpu', self.options.cpu)
+        return cpu - sum(run['cpu'] for run in self.running.values())
 
     def set_until(self, until):
         if until:
@@ -205,7 +206,7 @@
                 'state': self.state,
                 'coldLeftMs': 0,
                 'capacity': {
-                    'cpu': options.cpu, 'memMb': 65536, 'gpu': 0,
+                    'cpu': self.ways.get('cpu', options.cpu), 'memMb': 65536, 'gpu': 0,
                 },
                 'labels': ['a', options.rack],
                 'clockMs': self.clock(),
