--- a/review/lib3/system.py
+++ b/review/lib3/system.py
@@ -287,6 +287,8 @@
 
     def __init__(self, record, controls=5, entries=3, agents=4, cpu=32000,
                  guards=True):
+        # The time limit of a script ends it so; `close` then ends the others.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.record = open(record, 'w', buffering=1)
         self.lock = threading.Lock()
